--- /dev/null
+++ b/adapter/src/tests.rs
@@ -0,0 +1,1 @@
+#![allow(unused)]
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,413 @@
+//! Settings, events and actions: all that passes between a host and its [`crate::Scheduler`].
+//!
+//! Times are milliseconds of the caller's clock, which has no particular origin and only advances.
+//! This file describes; every decision is taken in `rules.rs`.
+
+/// Whether repeating a request can do harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May run any number of times.
+    Safe,
+    /// Carries a key; the nodes of one group drop a repeat for a while.
+    Keyed,
+    /// Must not run twice.
+    Unsafe,
+}
+
+/// The set of nodes that recognise a keyed request as a repeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All nodes.
+    All,
+    /// The nodes of one zone.
+    Zone,
+    /// The nodes that hold one shard.
+    Shard,
+}
+
+/// A class of request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// An answer within this time earns the full worth.
+    pub aim_ms: f64,
+    /// How long a client waits over all its tries.
+    pub deadline_ms: f64,
+    /// Worth of one request of mean size.
+    pub worth: f64,
+    /// Part of the worth that an answer after the aim still earns.
+    pub late_worth: f64,
+    /// Whether a repeat can do harm.
+    pub effect: Effect,
+    /// For keyed classes: who drops repeats.
+    pub group: Group,
+    /// For keyed classes: for how long after the first send they do.
+    pub window_ms: f64,
+    /// Whether requests that share a data item run one at a time, in order of acceptance.
+    pub ordered: bool,
+}
+
+/// A plan: figures for each of its volumes, over all hosts and nodes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Units a second for which a volume is sized.
+    pub nominal: f64,
+    /// Units a second that earn full worth; 0 for none.
+    pub reserve: f64,
+    /// Part in the capacity beyond the reserves.
+    pub weight: f64,
+    /// Factor on worth.
+    pub pays: f64,
+    /// Units a second at which the limit store fills; 0 for no limit.
+    pub limit: f64,
+    /// What the limit store holds at most.
+    pub burst: f64,
+    /// How far the limit store may fall below zero.
+    pub slack: f64,
+}
+
+/// Ration of attempts beyond each request's first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExtraRation {
+    /// Attempts allowed whatever the traffic.
+    pub free: f64,
+    /// Further attempts allowed for each request taken.
+    pub ratio: f64,
+    /// The span over which both are counted.
+    pub span_ms: f64,
+}
+
+/// What an instance is told at start-up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Number of hosts in the tier, this one included.
+    pub hosts: u32,
+    /// Classes, by position.
+    pub classes: Vec<Class>,
+    /// Plans, by position.
+    pub plans: Vec<Plan>,
+    /// Whether list changes come only when asked for.
+    pub list_on_request: bool,
+    /// Shortest time between two rounds of events.
+    pub round_ms: f64,
+    /// Attempts allowed for one request.
+    pub max_attempts: u32,
+    /// Whether an attempt may be cancelled.
+    pub cancel: bool,
+    /// Whether two attempts of a request may be out together.
+    pub second_copies: bool,
+    /// Longest retry-after that a client minds; 0 where none is passed on.
+    pub max_retry_after_ms: f64,
+    /// Ration of further attempts, where there is one.
+    pub extra: Option<ExtraRation>,
+    /// Nothing new goes to a node later than this after word that it drains or is gone.
+    pub drain_grace_ms: f64,
+    /// Part of its capacity with which a node starts at the least.
+    pub cold_from: f64,
+    /// Time by which a started node is warm.
+    pub warm_after_ms: f64,
+    /// The span over which work sent to a cold node is counted.
+    pub fall_ms: f64,
+    /// Units within that span, from all hosts, that a cold node always bears.
+    pub cold_units: f64,
+    /// Rest of a data item after an attempt that may still run, for ordered classes.
+    pub key_rest_ms: f64,
+    /// Mean units of a request.
+    pub mean_units: f64,
+    /// Most units of a request.
+    pub max_units: f64,
+    /// Part of worth earned beyond the reserve within the share.
+    pub share_worth: f64,
+    /// Part of worth earned beyond that.
+    pub spare_worth: f64,
+    /// Period over which use of a volume is metered; 0 for no meter.
+    pub meter_ms: f64,
+}
+
+impl Settings {
+    /// Names the first figure that makes no sense.
+    ///
+    /// # Errors
+    /// The name of the field.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let bad = |name: &str| Err(SettingsError { field: name.to_owned() });
+        let sane = |v: f64| v.is_finite() && v >= 0.0;
+        if self.hosts == 0 {
+            return bad("hosts");
+        }
+        if self.classes.is_empty() {
+            return bad("classes");
+        }
+        for (i, c) in self.classes.iter().enumerate() {
+            if !(sane(c.aim_ms) && c.aim_ms > 0.0) {
+                return bad(&format!("classes[{i}].aim_ms"));
+            }
+            if !(sane(c.deadline_ms) && c.deadline_ms > 0.0) {
+                return bad(&format!("classes[{i}].deadline_ms"));
+            }
+            if !(sane(c.worth) && sane(c.late_worth)) {
+                return bad(&format!("classes[{i}].worth"));
+            }
+            if !sane(c.window_ms) {
+                return bad(&format!("classes[{i}].window_ms"));
+            }
+        }
+        for (i, p) in self.plans.iter().enumerate() {
+            let all = [p.nominal, p.reserve, p.weight, p.pays, p.limit, p.burst, p.slack];
+            if !all.into_iter().all(sane) {
+                return bad(&format!("plans[{i}]"));
+            }
+        }
+        let figures = [
+            ("round_ms", self.round_ms),
+            ("max_retry_after_ms", self.max_retry_after_ms),
+            ("drain_grace_ms", self.drain_grace_ms),
+            ("cold_from", self.cold_from),
+            ("warm_after_ms", self.warm_after_ms),
+            ("fall_ms", self.fall_ms),
+            ("cold_units", self.cold_units),
+            ("key_rest_ms", self.key_rest_ms),
+            ("mean_units", self.mean_units),
+            ("max_units", self.max_units),
+            ("share_worth", self.share_worth),
+            ("spare_worth", self.spare_worth),
+            ("meter_ms", self.meter_ms),
+        ];
+        for (name, v) in figures {
+            if !sane(v) {
+                return bad(name);
+            }
+        }
+        if let Some(e) = self.extra {
+            if !(sane(e.free) && sane(e.ratio) && sane(e.span_ms)) {
+                return bad("extra");
+            }
+        }
+        Ok(())
+    }
+}
+
+/// A setting that makes no sense.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The field at fault.
+    pub field: String,
+}
+
+impl std::fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "setting {} is missing or makes no sense", self.field)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+/// What the node list says of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// Withdrawn.
+    Gone,
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has.
+    Draining,
+}
+
+/// One line of the node list.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeEntry {
+    /// The node.
+    pub node: u32,
+    /// The shard it holds.
+    pub shard: u16,
+    /// Its zone.
+    pub zone: u16,
+    /// Its state.
+    pub condition: Condition,
+    /// When it last started; 0 for long ago.
+    pub started_ms: f64,
+}
+
+/// What kind of list came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed lines only.
+    Changes,
+    /// The whole list.
+    Full,
+    /// The whole list as last held, perhaps outdated.
+    Cached,
+    /// A call for the list failed, or the watch broke.
+    Failed,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Served.
+    Served,
+    /// The node answered with an error; it may have run.
+    Error,
+    /// Turned away unseen.
+    Full,
+    /// No answer in time; it may have run.
+    TimedOut,
+    /// No connection; it never ran.
+    ConnectFailed,
+    /// Connection lost; it may have run.
+    Reset,
+    /// Withdrawn; it may have run.
+    Cancelled,
+    /// Not sent at all.
+    Moot,
+}
+
+/// A request as it reaches the host.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Request {
+    /// Its id, never repeated.
+    pub id: u32,
+    /// Its class, by position.
+    pub class: u16,
+    /// The plan of its volume, by position.
+    pub plan: u16,
+    /// The data item (extent); 0 for none.
+    pub key: u64,
+    /// When the client gives this try up.
+    pub valid_until_ms: f64,
+    /// The volume.
+    pub volume: u64,
+    /// Its size.
+    pub units: f64,
+    /// The shard that holds the data; `None` for a new object.
+    pub shard: Option<u16>,
+    /// Hosts through which the volume's requests come.
+    pub volume_hosts: f64,
+}
+
+/// How an attempt ended, and what the answer told besides.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// The request.
+    pub id: u32,
+    /// The attempt, counted from 0.
+    pub attempt: u16,
+    /// The node.
+    pub node: u32,
+    /// How it ended.
+    pub verdict: Verdict,
+    /// Time since the attempt was issued.
+    pub elapsed_ms: f64,
+    /// Whether the request is over.
+    pub complete: bool,
+    /// Units served for the volume everywhere in a past period, in percent of its nominal rate.
+    pub used_percent: Option<f64>,
+    /// Units this shard served for the volume through other hosts since its last answer here.
+    pub foreign_units: f64,
+    /// Requests waiting at the node, where told.
+    pub queue: Option<f64>,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The node list, or a change of it.
+    List(ListKind, Vec<NodeEntry>),
+    /// A request arrived; one final answer is owed.
+    Request(Request),
+    /// An attempt ended.
+    Outcome(Outcome),
+    /// A streamed answer began: the request is now its client's.
+    AnswerBegan {
+        /// The request.
+        id: u32,
+    },
+    /// The client left, or the request is over for another reason.
+    Abandoned {
+        /// The request.
+        id: u32,
+    },
+    /// Another host sent a message.
+    Message {
+        /// Number of the sender.
+        from: u16,
+        /// What it sent.
+        bytes: Vec<u8>,
+    },
+    /// A probe came back.
+    Probed {
+        /// The node.
+        node: u32,
+        /// Whether it answered.
+        answered: bool,
+        /// Time since the probe was issued.
+        elapsed_ms: f64,
+    },
+    /// A timer rang.
+    Timer {
+        /// The label it was set with.
+        label: u64,
+    },
+}
+
+/// What the host is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Issue an attempt; the attempts of a request are numbered from 0 in order of issue.
+    Send {
+        /// The request.
+        id: u32,
+        /// The node.
+        node: u32,
+        /// Time-out; 0: until the client gives up.
+        within_ms: f64,
+    },
+    /// Final answer: refused, a retry does no harm.
+    Refuse {
+        /// The request.
+        id: u32,
+        /// When the client may come again.
+        retry_after_ms: f64,
+    },
+    /// Final answer: failed, nothing is promised.
+    Fail {
+        /// The request.
+        id: u32,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        /// The request.
+        id: u32,
+        /// The attempt.
+        attempt: u16,
+    },
+    /// Ring at the stated time.
+    SetTimer {
+        /// When.
+        at_ms: f64,
+        /// Label to ring with.
+        label: u64,
+    },
+    /// Watch the node list, or stop watching.
+    Watch(bool),
+    /// Ask for the node list once.
+    ReadList,
+    /// Probe a node.
+    Probe {
+        /// The node.
+        node: u32,
+    },
+    /// Send another host, or every host, a message.
+    Tell {
+        /// Number of the receiver; `None` for all.
+        to: Option<u16>,
+        /// What to send.
+        bytes: Vec<u8>,
+    },
+    /// Close idle connections to a node.
+    CloseIdle {
+        /// The node.
+        node: u32,
+    },
+    /// A line for the staff.
+    Log(String),
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,1109 @@
+//! Every decision, state machine, table and tuned value. The interface (settings, events, actions) is
+//! `src/interface.rs`. Order: tuned values, envelopes (the LMAC test), state, arrivals, dispatch, outcomes,
+//! guards. Times are milliseconds. Source of the mechanism: Kanodia and Knightly, "Ensuring Latency Targets
+//! in Multiclass Web Servers"; what was kept and changed is in `docs/design.md`.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// The span T over which both envelopes are measured.
+const WINDOW_MS: f64 = 10_000.0;
+/// The smallest sub-window; each tau of the grid is a whole number of these.
+const BUCKET_MS: f64 = 50.0;
+/// The grid of tau, in buckets: 50 ms to 2 s, each a divisor of T.
+const SPANS: [usize; 6] = [1, 2, 4, 8, 20, 40];
+/// Gaussian 95 % point.
+const TAIL: f64 = 1.645;
+/// Largest k of the service envelope; also the hard top of the in-flight bound.
+const TOP: usize = 32;
+/// The service envelope forgets in slots of T / SLOTS.
+const SLOTS: usize = 10;
+/// Samples below which a k counts as not seen: a variance needs two.
+const SEEN: f64 = 2.0;
+/// In-flight bound of a node not yet known, requests.
+const FIRST_BOUND: f64 = 3.0;
+/// The bound aims at answers within this part of the tightest aim, counted from the send.
+const SOJOURN_PART: f64 = 0.35;
+/// Weight of a new sample in running means: the last dozen or so count.
+const BLEND: f64 = 0.12;
+/// Requests of one extent sent in a row before the others get a look in.
+const RUN: u32 = 8;
+/// A held request gives way only to one worth this much more a unit of work: no churn among equals.
+const GIVE_WAY: f64 = 1.2;
+/// A node is held silent after this many usual answer times without a word, within the two limits below.
+const SILENT_X: f64 = 5.0;
+const SILENT_MIN_MS: f64 = 250.0;
+const SILENT_MAX_MS: f64 = 2_000.0;
+/// A silent node gets one request in this time, so that its return is seen without probes.
+const TRICKLE_MS: f64 = 200.0;
+/// Nothing goes for this long to a node that turned a request away as full.
+const FULL_REST_MS: f64 = 20.0;
+/// Standing of volumes is judged over about this time, since worth is due by the second.
+const STANDING_MS: f64 = 1_000.0;
+/// Part of a guarded budget that is used; the rest covers clocks and rounding.
+const SAFE_PART: f64 = 0.9;
+/// Held requests are looked at again at this pace where a guard or trickle holds them.
+const TICK_MS: f64 = 10.0;
+/// Gone nodes remembered, so that an old list does not bring them back.
+const GONE_KEPT: usize = 64;
+
+const PLAIN: bool = true;
+const TIMER_TICK: u64 = 1 << 40;
+const TIMER_WATCH: u64 = 2 << 40;
+
+// ---- Envelopes -----------------------------------------------------------------------------------------
+
+/// Counts of admitted arrivals in jumping sub-windows of one length.
+#[derive(Clone, Default)]
+struct Jumping {
+    counts: VecDeque<u32>,
+    current: u32,
+    sum: f64,
+    squares: f64,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Sums {
+    n: f64,
+    sum: f64,
+    squares: f64,
+}
+
+/// The request and service envelope of one class at one node.
+#[derive(Clone)]
+struct Envelope {
+    bucket: i64,
+    since: f64,
+    spans: [Jumping; SPANS.len()],
+    slot: i64,
+    slots: Vec<[Sums; TOP]>,
+    totals: [Sums; TOP],
+    curve: Vec<(f64, f64)>,
+    stale: bool,
+    /// Arrival and overlap of the last TOP admitted requests; `next` numbers the one to come.
+    recent: VecDeque<(f64, usize)>,
+    next: u64,
+    latest_open: bool,
+}
+
+impl Envelope {
+    fn new(now: f64) -> Self {
+        Envelope {
+            bucket: (now / BUCKET_MS).floor() as i64,
+            since: now,
+            spans: Default::default(),
+            slot: (now * SLOTS as f64 / WINDOW_MS).floor() as i64,
+            slots: vec![[Sums::default(); TOP]; SLOTS],
+            totals: [Sums::default(); TOP],
+            curve: Vec::new(),
+            stale: false,
+            recent: VecDeque::new(),
+            next: 0,
+            latest_open: false,
+        }
+    }
+
+    /// Lets old sub-windows and service slots go.
+    fn roll(&mut self, now: f64) {
+        let bucket = (now / BUCKET_MS).floor() as i64;
+        let kept = (WINDOW_MS / BUCKET_MS) as i64;
+        self.bucket = self.bucket.max(bucket - 2 * kept);
+        while self.bucket < bucket {
+            self.bucket += 1;
+            for (span, s) in SPANS.iter().zip(&mut self.spans) {
+                if self.bucket % *span as i64 == 0 {
+                    let c = std::mem::take(&mut s.current);
+                    s.counts.push_back(c);
+                    s.sum += f64::from(c);
+                    s.squares += f64::from(c) * f64::from(c);
+                    if s.counts.len() > kept as usize / span {
+                        let old = f64::from(s.counts.pop_front().unwrap_or(0));
+                        s.sum -= old;
+                        s.squares -= old * old;
+                    }
+                }
+            }
+        }
+        let slot = (now * SLOTS as f64 / WINDOW_MS).floor() as i64;
+        if self.slot < slot {
+            for _ in 0..(slot - self.slot).min(SLOTS as i64) {
+                self.slots.rotate_right(1);
+                self.slots[0] = [Sums::default(); TOP];
+            }
+            self.slot = slot;
+            for k in 0..TOP {
+                self.totals[k] = self.slots.iter().fold(Sums::default(), |a, s| Sums {
+                    n: a.n + s[k].n,
+                    sum: a.sum + s[k].sum,
+                    squares: a.squares + s[k].squares,
+                });
+            }
+            self.stale = true;
+        }
+    }
+
+    /// Counts an admitted request; the number names it to `served` and `withdrawn`.
+    fn admitted(&mut self, now: f64) -> u64 {
+        self.roll(now);
+        for s in &mut self.spans {
+            s.current += 1;
+        }
+        let chain = match self.recent.back() {
+            Some((_, chain)) if self.latest_open => (chain + 1).min(TOP),
+            _ => 1,
+        };
+        self.recent.push_back((now, chain));
+        if self.recent.len() > TOP {
+            self.recent.pop_front();
+        }
+        self.latest_open = true;
+        self.next += 1;
+        self.next - 1
+    }
+
+    /// An admitted request was given up for another: it no longer counts as admitted.
+    fn withdrawn(&mut self, number: u64) {
+        for s in &mut self.spans {
+            s.current = s.current.saturating_sub(1);
+        }
+        self.ended(number);
+    }
+
+    fn ended(&mut self, number: u64) {
+        if number + 1 == self.next {
+            self.latest_open = false;
+        }
+    }
+
+    /// Takes the service samples of a request that was served: for each run of k overlapping arrivals that
+    /// ends with it, the time from the first arrival to now.
+    fn served(&mut self, now: f64, number: u64) {
+        self.roll(now);
+        self.ended(number);
+        let back = (self.next - 1 - number) as usize;
+        let Some(at) = self.recent.len().checked_sub(back + 1) else { return };
+        let chain = self.recent[at].1.min(at + 1);
+        for k in 0..chain {
+            let took = now - self.recent[at - k].0;
+            for s in [&mut self.slots[0][k], &mut self.totals[k]] {
+                s.n += 1.0;
+                s.sum += took;
+                s.squares += took * took;
+            }
+        }
+        self.stale = true;
+    }
+
+    /// R(tau) without the newcomer's share, tau being `SPANS[i]` buckets.
+    fn requests(&self, i: usize, now: f64, more: f64) -> f64 {
+        let seen = (now - self.since).clamp(1_000.0, WINDOW_MS);
+        let rate = (self.spans[0].sum + f64::from(self.spans[0].current)) / seen;
+        let mean = rate * SPANS[i] as f64 * BUCKET_MS;
+        let s = &self.spans[i];
+        let m = s.counts.len() as f64;
+        // Too few sub-windows for a variance: as if arrivals were Poisson.
+        let variance =
+            if m < 3.0 { mean } else { (s.squares - 2.0 * mean * s.sum + m * mean * mean) / (m - 2.0) };
+        mean + more * SPANS[i] as f64 * BUCKET_MS + TAIL * variance.max(0.0).sqrt()
+    }
+
+    fn refresh(&mut self) {
+        if std::mem::take(&mut self.stale) {
+            self.curve.clear();
+            for (k, t) in self.totals.iter().enumerate().filter(|(_, t)| t.n >= SEEN) {
+                let mean = t.sum / t.n;
+                let variance = (t.squares - t.n * mean * mean) / (t.n - 1.0);
+                self.curve.push(((k + 1) as f64, mean + TAIL * variance.max(0.0).sqrt()));
+            }
+        }
+    }
+
+    /// S(k); `None` without samples. Linear between the k seen and past the last two.
+    fn service(&self, k: f64) -> Option<f64> {
+        let c = &self.curve;
+        let &(first, lowest) = c.first()?;
+        if k <= first {
+            return Some(lowest);
+        }
+        let i = c.partition_point(|p| p.0 < k);
+        let (a, b) = match (i < c.len(), c.len()) {
+            (true, _) => (c[i - 1], c[i]),
+            (false, 1) => ((0.0, 0.0), c[0]),
+            (false, n) => (c[n - 2], c[n - 1]),
+        };
+        let slope = ((b.1 - a.1) / (b.0 - a.0)).max(0.0);
+        Some(b.1 + (k - b.0) * if i < c.len() { (b.1 - a.1) / (b.0 - a.0) } else { slope })
+    }
+}
+
+// ---- State ---------------------------------------------------------------------------------------------
+
+/// What a volume recently asked of a node beyond its reserve, fading over `STANDING_MS`.
+struct Asked {
+    volume: u64,
+    weight: f64,
+    units: f64,
+    at: f64,
+}
+
+struct Node {
+    shard: u16,
+    zone: u16,
+    condition: Condition,
+    started: f64,
+    envelopes: Vec<Envelope>,
+    held: Vec<u32>,
+    out: usize,
+    bound: f64,
+    sojourn: f64,
+    last_word: f64,
+    silent: bool,
+    rest_until: f64,
+    last_key: u64,
+    run: u32,
+    cold_log: VecDeque<(f64, f64)>,
+    asked: Vec<Asked>,
+    reserved: Fading,
+    served: Fading,
+    capacity: f64,
+    gone_at: f64,
+}
+
+/// A count that fades over `STANDING_MS`.
+#[derive(Clone, Copy, Default)]
+struct Fading {
+    value: f64,
+    at: f64,
+}
+
+impl Fading {
+    fn add(&mut self, now: f64, amount: f64) -> f64 {
+        self.value = self.value * (-(now - self.at).max(0.0) / STANDING_MS).exp() + amount;
+        self.at = now;
+        self.value
+    }
+}
+
+struct Held {
+    q: Request,
+    arrived: f64,
+    node: Option<u32>,
+    number: u64,
+    tries: u32,
+    outstanding: u32,
+    /// Part of full worth that its volume's standing gave it, and what it drew from the reserve for that.
+    grade: f64,
+    drew: f64,
+    charged: bool,
+    /// First send that may have run, with the node's shard and zone.
+    may_have_run: Option<(f64, u16, u16)>,
+}
+
+struct Volume {
+    reserve: f64,
+    reserve_at: f64,
+    store: f64,
+    store_at: f64,
+    own: Fading,
+    part: f64,
+    seen: f64,
+}
+
+struct Flight {
+    node: u32,
+    sent: f64,
+    units: f64,
+    class: usize,
+    alone: bool,
+    lane: u64,
+    shard: u16,
+    zone: u16,
+}
+
+/// Requests of ordered classes on one data item.
+#[derive(Default)]
+struct Lane {
+    queue: VecDeque<u32>,
+    outstanding: u32,
+    rest_until: f64,
+}
+
+/// Decides for one host.
+pub struct Scheduler {
+    s: Settings,
+    seed: u64,
+    nodes: BTreeMap<u32, Node>,
+    requests: BTreeMap<u32, Held>,
+    unplaced: Vec<u32>,
+    flights: BTreeMap<(u32, u16), Flight>,
+    volumes: BTreeMap<u64, Volume>,
+    lanes: BTreeMap<u64, Lane>,
+    taken: VecDeque<f64>,
+    extras: VecDeque<f64>,
+    /// Running cost of a unit of each class, ms.
+    unit_cost: Vec<f64>,
+    tightest_aim: f64,
+    ticking: bool,
+    watch_failures: u32,
+    next_log: f64,
+    swept: f64,
+}
+
+impl Scheduler {
+    /// Starts an instance from nothing.
+    ///
+    /// # Errors
+    /// Names the setting that makes no sense.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let tightest_aim = settings.classes.iter().map(|c| c.aim_ms).fold(f64::INFINITY, f64::min);
+        Ok(Scheduler {
+            unit_cost: vec![0.0; settings.classes.len()],
+            s: settings,
+            seed,
+            nodes: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            unplaced: Vec::new(),
+            flights: BTreeMap::new(),
+            volumes: BTreeMap::new(),
+            lanes: BTreeMap::new(),
+            taken: VecDeque::new(),
+            extras: VecDeque::new(),
+            tightest_aim,
+            ticking: false,
+            watch_failures: 0,
+            next_log: 0.0,
+            swept: 0.0,
+        })
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::List(kind, entries) => self.on_list(now, kind, &entries, actions),
+            Event::Request(q) => self.on_request(now, q, actions),
+            Event::Outcome(o) => self.on_outcome(now, &o, actions),
+            Event::AnswerBegan { id } | Event::Abandoned { id } => self.end(now, id),
+            Event::Timer { label: TIMER_TICK } => self.on_tick(now, actions),
+            Event::Timer { label: TIMER_WATCH } => actions.push(Action::Watch(true)),
+            Event::Timer { label } => {
+                if let Ok(id) = u32::try_from(label) {
+                    self.answer(now, id, 0.0, actions);
+                }
+            }
+            Event::Message { .. } | Event::Probed { .. } => {}
+        }
+    }
+
+    // ---- Arrivals: the ordinary path -------------------------------------------------------------------
+
+    fn on_request(&mut self, now: f64, q: Request, actions: &mut Vec<Action>) {
+        self.taken.push_back(now);
+        let sane = q.units.is_finite() && q.units >= 0.0 && q.valid_until_ms.is_finite();
+        if self.requests.contains_key(&q.id) {
+            return;
+        }
+        let known = usize::from(q.class) < self.s.classes.len() && usize::from(q.plan) < self.s.plans.len();
+        if !sane || !known {
+            actions.push(Action::Refuse { id: q.id, retry_after_ms: 0.0 });
+            return;
+        }
+        // Guard, one final answer: its timer rings before the client gives up, whatever else happens.
+        let at_ms = (q.valid_until_ms - 2.0 * self.s.round_ms).max(now);
+        actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
+        let held = Held {
+            q,
+            arrived: now,
+            node: None,
+            number: 0,
+            tries: 0,
+            outstanding: 0,
+            grade: 1.0,
+            drew: 0.0,
+            charged: false,
+            may_have_run: None,
+        };
+        self.requests.insert(q.id, held);
+        self.meet_volume(now, &q);
+        if self.s.classes[usize::from(q.class)].ordered && q.key != 0 {
+            self.lanes.entry(q.key).or_default().queue.push_back(q.id);
+        }
+        let Some(node) = self.choose_node(now, q.id) else {
+            self.unplaced.push(q.id);
+            self.tick_soon(now, actions);
+            return;
+        };
+        let room = self.room(node, usize::from(q.class), now);
+        self.stand(now, q.id, node);
+        if room < 0.0 && !self.make_way(now, q.id, node, actions) {
+            self.answer(now, q.id, -room, actions);
+            return;
+        }
+        self.hold(now, q.id, node);
+        self.pump(now, node, actions);
+        self.tick_soon(now, actions);
+    }
+
+    /// Hosts of a volume, at least one.
+    fn hosts_of(&self, q: &Request) -> f64 {
+        if q.volume_hosts >= 1.0 {
+            q.volume_hosts
+        } else {
+            f64::from(self.s.hosts)
+        }
+    }
+
+    fn meet_volume(&mut self, now: f64, q: &Request) {
+        let hosts = self.hosts_of(q);
+        let plan = &self.s.plans[usize::from(q.plan)];
+        let v = self.volumes.entry(q.volume).or_insert(Volume {
+            reserve: (plan.reserve + self.s.max_units) / hosts,
+            reserve_at: now,
+            // Guard, limits: a host that restarted has forgotten what it sent, so the store starts empty.
+            store: 0.0,
+            store_at: now,
+            own: Fading::default(),
+            part: 1.0 / hosts,
+            seen: now,
+        });
+        v.seen = now;
+        v.own.add(now, q.units);
+        v.store = v.filled(now, plan, hosts);
+        v.store_at = now;
+    }
+
+    /// The LMAC test: the least time, over the grid, that the request curve raised by one newcomer of this
+    /// class stays within the aims of all classes at the node; below zero the newcomer does not fit.
+    fn room(&mut self, node: u32, class: usize, now: f64) -> f64 {
+        let Some(n) = self.nodes.get_mut(&node) else { return 0.0 };
+        let late = n.silence(now);
+        let mut least = f64::INFINITY;
+        for e in &mut n.envelopes {
+            e.roll(now);
+            e.refresh();
+        }
+        for (i, span) in SPANS.iter().enumerate() {
+            let tau = *span as f64 * BUCKET_MS;
+            for (l, e) in n.envelopes.iter().enumerate() {
+                let own = l == class;
+                let k = if own {
+                    e.requests(i, now, 1.0 / WINDOW_MS)
+                } else {
+                    e.requests(i, now, 0.0) + (tau + self.s.classes[class].aim_ms) / WINDOW_MS
+                };
+                if let Some(s) = e.service(k) {
+                    least = least.min(tau + self.s.classes[l].aim_ms - s - late);
+                }
+            }
+        }
+        least
+    }
+
+    /// A request of a named shard has one node; a new object goes where the test leaves most room, less what
+    /// this host already has waiting there.
+    fn choose_node(&mut self, now: f64, id: u32) -> Option<u32> {
+        let r = self.requests.get(&id)?;
+        let (shard, class, ran) = (r.q.shard, usize::from(r.q.class), r.may_have_run);
+        let group = self.s.classes[class].group;
+        let keyed = self.s.classes[class].effect == Effect::Keyed;
+        let fits = |n: &Node| {
+            n.condition == Condition::Ready
+                && shard.map_or(true, |s| s == n.shard)
+                && ran.map_or(true, |(_, s, z)| {
+                    !keyed
+                        || group == Group::All
+                        || (group == Group::Zone && z == n.zone)
+                        || (group == Group::Shard && s == n.shard)
+                })
+        };
+        let candidates: Vec<u32> = self.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
+        let mut best = None;
+        for node in candidates {
+            let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
+            let n = &self.nodes[&node];
+            let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound;
+            let score = room - waiting - if n.silent { WINDOW_MS } else { 0.0 } + n.started / 1e9;
+            if best.map_or(true, |(b, _)| score > b) {
+                best = Some((score, node));
+            }
+        }
+        best.map(|(_, node)| node)
+    }
+
+    /// Judges the newcomer by its volume's standing: within this host's part of the reserve, within the
+    /// weighted share of what the node gives this host, or spare.
+    fn stand(&mut self, now: f64, id: u32, node: u32) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(n) = self.nodes.get_mut(&node) else { return };
+        let plan = &self.s.plans[usize::from(r.q.plan)];
+        let Some(v) = self.volumes.get_mut(&r.q.volume) else { return };
+        let top = v.part * (plan.reserve * STANDING_MS / 1_000.0) + self.s.max_units;
+        v.reserve = (v.reserve + v.part * plan.reserve * (now - v.reserve_at).max(0.0) / 1_000.0).min(top);
+        v.reserve_at = now;
+        if plan.reserve > 0.0 && v.reserve >= r.q.units {
+            v.reserve -= r.q.units;
+            r.drew = r.q.units;
+            r.grade = 1.0;
+            n.reserved.add(now, r.q.units);
+            return;
+        }
+        n.asked.retain(|a| now - a.at < 4.0 * STANDING_MS);
+        for a in &mut n.asked {
+            a.units *= (-(now - a.at).max(0.0) / STANDING_MS).exp();
+            a.at = now;
+        }
+        let i = n.asked.iter().position(|a| a.volume == r.q.volume).unwrap_or(n.asked.len());
+        if i == n.asked.len() {
+            n.asked.push(Asked { volume: r.q.volume, weight: plan.weight.max(1e-6), units: 0.0, at: now });
+        }
+        n.asked[i].units += r.q.units;
+        // Pour what is left after the reserves out by weight; who asks for less leaves the rest to others.
+        let mut left = (n.capacity - n.reserved.add(now, 0.0)).max(0.0);
+        let mut thirsty: Vec<(f64, f64)> = n.asked.iter().map(|a| (a.units / a.weight, a.weight)).collect();
+        thirsty.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut weights: f64 = thirsty.iter().map(|t| t.1).sum();
+        let mut level = f64::INFINITY;
+        for (asks, weight) in thirsty {
+            level = left / weights.max(1e-9);
+            if asks > level {
+                break;
+            }
+            left -= asks * weight;
+            weights -= weight;
+            level = f64::INFINITY;
+        }
+        let within = n.asked[i].units <= level * n.asked[i].weight;
+        r.grade = if within { self.s.share_worth } else { self.s.spare_worth };
+    }
+
+    /// Worth for a unit of work, were the request answered in time.
+    fn worth(&self, r: &Held) -> f64 {
+        let class = &self.s.classes[usize::from(r.q.class)];
+        let plan = &self.s.plans[usize::from(r.q.plan)];
+        class.worth * plan.pays * r.grade / self.unit_cost[usize::from(r.q.class)].max(1.0)
+    }
+
+    /// The same now, for a request at a node: what can no longer meet its aim counts as late.
+    fn worth_now(&self, r: &Held, sojourn: f64, now: f64) -> (f64, f64) {
+        let class = &self.s.classes[usize::from(r.q.class)];
+        let slack = r.arrived + class.aim_ms - now - sojourn;
+        (self.worth(r) * if slack < 0.0 { class.late_worth } else { 1.0 }, slack)
+    }
+
+    /// Departure, standing: the test says that something must go; it is the request, held or new, that is
+    /// worth least for its work. Only what was never sent may go. True: the newcomer stays.
+    fn make_way(&mut self, now: f64, id: u32, node: u32, actions: &mut Vec<Action>) -> bool {
+        let (Some(r), Some(n)) = (self.requests.get(&id), self.nodes.get(&node)) else { return false };
+        let own = self.worth(r);
+        if PLAIN {
+            return false;
+        }
+        // Spare capacity is used: with nothing waiting and the bound not reached, the test is moot.
+        if n.held.is_empty() && (n.out as f64) < n.bound && !n.silent {
+            return true;
+        }
+        let least = n
+            .held
+            .iter()
+            .filter_map(|h| self.requests.get(h).filter(|r| r.tries == 0).map(|r| (*h, r)))
+            .map(|(h, r)| (self.worth_now(r, n.sojourn, now).0, h))
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        match least {
+            Some((worth, victim)) if worth * GIVE_WAY < own => {
+                self.answer(now, victim, n.sojourn, actions);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn hold(&mut self, now: f64, id: u32, node: u32) {
+        let (Some(r), Some(n)) = (self.requests.get_mut(&id), self.nodes.get_mut(&node)) else { return };
+        r.node = Some(node);
+        r.number = n.envelopes[usize::from(r.q.class)].admitted(now);
+        n.held.push(id);
+    }
+
+    // ---- Dispatch --------------------------------------------------------------------------------------
+
+    /// Sends what may go to a node now.
+    fn pump(&mut self, now: f64, node: u32, actions: &mut Vec<Action>) {
+        loop {
+            let Some(n) = self.nodes.get(&node) else { return };
+            if n.held.is_empty() || n.condition != Condition::Ready || now < n.rest_until || n.out >= TOP {
+                return;
+            }
+            let full = n.out as f64 >= n.bound.floor();
+            let run_on = n.run < RUN && n.last_key != 0;
+            if full && !n.silent && !run_on {
+                return;
+            }
+            let cold = self.cold_room(n, now);
+            let mut best: Option<(f64, u32)> = None;
+            for id in &n.held {
+                let Some(r) = self.requests.get(id) else { continue };
+                let same = run_on && r.q.key == n.last_key;
+                if (full && !n.silent && !same) || r.q.units > cold || !self.may_send(now, r) {
+                    continue;
+                }
+                let (worth, slack) = self.worth_now(r, n.sojourn, now);
+                let urgency = (-slack.max(0.0) / (3.0 * n.sojourn.max(1.0))).exp();
+                let score =
+                    if slack < 0.0 { worth * 1e-9 } else { worth * urgency } + if same { 1e9 } else { 0.0 };
+                if best.map_or(true, |(b, _)| score > b) {
+                    best = Some((score, *id));
+                }
+            }
+            let Some((_, id)) = best else { return };
+            self.send(now, node, id, actions);
+        }
+    }
+
+    fn send(&mut self, now: f64, node: u32, id: u32, actions: &mut Vec<Action>) {
+        let (Some(r), Some(n)) = (self.requests.get_mut(&id), self.nodes.get_mut(&node)) else { return };
+        n.held.retain(|h| *h != id);
+        n.run = if r.q.key != 0 && r.q.key == n.last_key { n.run + 1 } else { 0 };
+        n.last_key = r.q.key;
+        if n.out == 0 {
+            n.last_word = now;
+        }
+        let class = usize::from(r.q.class);
+        let lane = if self.s.classes[class].ordered { r.q.key } else { 0 };
+        let flight = Flight {
+            node,
+            sent: now,
+            units: r.q.units,
+            class,
+            alone: n.out == 0,
+            lane,
+            shard: n.shard,
+            zone: n.zone,
+        };
+        if lane != 0 {
+            self.lanes.entry(lane).or_default().outstanding += 1;
+        }
+        self.flights.insert((id, r.tries as u16), flight);
+        n.out += 1;
+        if n.silent {
+            n.rest_until = now + TRICKLE_MS;
+        }
+        n.cold_log.push_back((now, r.q.units));
+        if r.tries > 0 {
+            self.extras.push_back(now);
+        }
+        if !r.charged {
+            r.charged = true;
+            if let Some(v) = self.volumes.get_mut(&r.q.volume) {
+                v.store -= r.q.units;
+            }
+        }
+        r.tries += 1;
+        r.outstanding += 1;
+        actions.push(Action::Send { id, node, within_ms: 0.0 });
+    }
+
+    // ---- Outcomes --------------------------------------------------------------------------------------
+
+    fn on_outcome(&mut self, now: f64, o: &Outcome, actions: &mut Vec<Action>) {
+        let Some(f) = self.flights.remove(&(o.id, o.attempt)) else {
+            return;
+        };
+        let unclear = matches!(o.verdict, Verdict::TimedOut | Verdict::Reset | Verdict::Cancelled);
+        if let Some(lane) = self.lanes.get_mut(&f.lane) {
+            lane.outstanding = lane.outstanding.saturating_sub(1);
+            if unclear {
+                lane.rest_until = now + self.s.key_rest_ms;
+            }
+        }
+        self.learn(now, o, &f, actions);
+        let never_ran = matches!(o.verdict, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot);
+        let mut again = false;
+        if let Some(r) = self.requests.get_mut(&o.id) {
+            r.outstanding = r.outstanding.saturating_sub(1);
+            if !never_ran && r.may_have_run.is_none() {
+                r.may_have_run = Some((f.sent, f.shard, f.zone));
+            }
+            // A moot attempt neither ran nor counts against the ration or the limit.
+            if o.verdict == Verdict::Moot && r.tries > 1 {
+                self.extras.pop_back();
+            }
+            let alive = now < r.q.valid_until_ms - 2.0 * self.s.round_ms;
+            again = alive && r.tries < self.s.max_attempts && o.verdict != Verdict::Moot;
+        }
+        if o.verdict == Verdict::Served || o.complete {
+            self.end(now, o.id);
+        } else if self.requests.contains_key(&o.id) {
+            let resendable = self.requests.get(&o.id).is_some_and(|r| self.may_resend(now, r));
+            match if again && resendable { self.choose_node(now, o.id) } else { None } {
+                Some(node) => self.hold(now, o.id, node),
+                None if again && resendable => self.unplaced.push(o.id),
+                None => self.answer(now, o.id, 0.0, actions),
+            }
+        }
+        self.pump(now, f.node, actions);
+        self.tick_soon(now, actions);
+    }
+
+    /// What an outcome tells of its node and volume.
+    fn learn(&mut self, now: f64, o: &Outcome, f: &Flight, actions: &mut Vec<Action>) {
+        let Some(n) = self.nodes.get_mut(&f.node) else { return };
+        n.out = n.out.saturating_sub(1);
+        let took = now - f.sent;
+        match o.verdict {
+            Verdict::Served | Verdict::Error | Verdict::Full => {
+                n.last_word = now;
+                if n.silent {
+                    n.silent = false;
+                    n.bound = 1.0;
+                    n.rest_until = now;
+                    self.log(now, format!("node {} answers again; starting slowly", f.node), actions);
+                }
+            }
+            Verdict::ConnectFailed | Verdict::Reset => {
+                if !n.silent {
+                    n.silent = true;
+                    n.rest_until = now + TRICKLE_MS;
+                    self.log(now, format!("node {} cannot be reached; one try at a time", f.node), actions);
+                }
+            }
+            Verdict::TimedOut | Verdict::Cancelled | Verdict::Moot => {}
+        }
+        let Some(n) = self.nodes.get_mut(&f.node) else { return };
+        if o.verdict == Verdict::Full {
+            n.bound = (n.bound / 2.0).max(1.0);
+            n.rest_until = n.rest_until.max(now + FULL_REST_MS);
+        }
+        if o.verdict != Verdict::Served {
+            return;
+        }
+        n.sojourn += BLEND * (took - n.sojourn);
+        let gap = 1.0 - n.sojourn / (SOJOURN_PART * self.tightest_aim);
+        if gap < 0.0 || n.out as f64 + 1.0 >= n.bound.floor() {
+            n.bound = (n.bound + 0.5 * gap.max(-1.0) / n.bound.sqrt()).clamp(1.0, TOP as f64);
+        }
+        let served = n.served.add(now, f.units);
+        n.capacity = served.max(n.capacity * (1.0 - took.min(WINDOW_MS) / WINDOW_MS * 0.1));
+        if f.alone && f.units > 0.0 {
+            let cost = &mut self.unit_cost[f.class];
+            let sample = took / f.units;
+            *cost = if *cost == 0.0 { sample } else { *cost + BLEND / 2.0 * (sample - *cost) };
+        }
+        if let Some(r) = self.requests.get(&o.id) {
+            if r.node == Some(f.node) {
+                n.envelopes[f.class].served(now, r.number);
+            }
+            let plan = &self.s.plans[usize::from(r.q.plan)];
+            if let (Some(used), Some(v)) = (o.used_percent, self.volumes.get_mut(&r.q.volume)) {
+                let all = used / 100.0 * plan.nominal;
+                if all > 0.0 {
+                    let part = (v.own.add(now, 0.0) / all).clamp(1.0 / r.q.volume_hosts.max(1.0), 1.0);
+                    v.part += BLEND * (part - v.part);
+                }
+            }
+        }
+    }
+
+    /// Takes a request off the books.
+    fn end(&mut self, now: f64, id: u32) {
+        let Some(r) = self.requests.remove(&id) else { return };
+        self.unplaced.retain(|u| *u != id);
+        if let Some(n) = r.node.and_then(|n| self.nodes.get_mut(&n)) {
+            if let Some(e) = n.envelopes.get_mut(usize::from(r.q.class)) {
+                if r.tries == 0 {
+                    e.withdrawn(r.number);
+                } else {
+                    e.ended(r.number);
+                }
+            }
+            n.held.retain(|h| *h != id);
+        }
+        if r.tries == 0 {
+            if let Some(v) = self.volumes.get_mut(&r.q.volume) {
+                v.reserve += r.drew;
+            }
+        }
+        if let Some(lane) = self.lanes.get_mut(&r.q.key) {
+            lane.queue.retain(|q| *q != id);
+        }
+        let _ = now;
+    }
+
+    /// The final answer where it was not served: refused if that does no harm, failed otherwise.
+    fn answer(&mut self, now: f64, id: u32, wait: f64, actions: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let class = &self.s.classes[usize::from(r.q.class)];
+        let harmless = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => class.group == Group::All || (r.may_have_run.is_none() && r.outstanding == 0),
+            Effect::Unsafe => r.may_have_run.is_none() && r.outstanding == 0,
+        };
+        if harmless {
+            // The client comes again when the excess should be gone, and with time left for its try.
+            let left = (r.q.valid_until_ms - now).max(0.0) / 2.0;
+            let retry_after_ms = wait.clamp(0.0, left.min(self.s.max_retry_after_ms));
+            actions.push(Action::Refuse { id, retry_after_ms });
+        } else {
+            actions.push(Action::Fail { id });
+        }
+        if self.s.cancel && r.outstanding > 0 {
+            actions.push(Action::Cancel { id, attempt: (r.tries - 1) as u16 });
+        }
+        self.end(now, id);
+    }
+
+    // ---- Guards ----------------------------------------------------------------------------------------
+
+    /// Guard, limits, ration and order: whether this request may be sent at all now.
+    fn may_send(&self, now: f64, r: &Held) -> bool {
+        let plan = &self.s.plans[usize::from(r.q.plan)];
+        if plan.limit > 0.0 && !r.charged {
+            let Some(v) = self.volumes.get(&r.q.volume) else { return false };
+            if v.filled(now, plan, self.hosts_of(&r.q)) < r.q.units {
+                return false;
+            }
+        }
+        if self.s.classes[usize::from(r.q.class)].ordered && r.q.key != 0 {
+            if let Some(lane) = self.lanes.get(&r.q.key) {
+                let turn = lane.queue.front() == Some(&r.q.id);
+                if !turn || (r.tries == 0 && (lane.outstanding > 0 || now < lane.rest_until)) {
+                    return false;
+                }
+            }
+        }
+        r.tries == 0 || (self.may_resend(now, r) && self.extra_left(now))
+    }
+
+    /// Guard, no effect twice: whether another attempt can do no harm.
+    fn may_resend(&self, now: f64, r: &Held) -> bool {
+        let class = &self.s.classes[usize::from(r.q.class)];
+        if r.outstanding > 0 || r.tries >= self.s.max_attempts {
+            return false;
+        }
+        match (class.effect, r.may_have_run) {
+            (Effect::Safe, _) | (_, None) => true,
+            (Effect::Keyed, Some((sent, ..))) => now < sent + class.window_ms * SAFE_PART,
+            (Effect::Unsafe, Some(_)) => false,
+        }
+    }
+
+    /// Guard, ration of further attempts over the exact window.
+    fn extra_left(&self, now: f64) -> bool {
+        let Some(e) = self.s.extra else { return true };
+        let from = now - e.span_ms;
+        let taken = self.taken.iter().rev().take_while(|t| **t > from).count() as f64;
+        let sent = self.extras.iter().rev().take_while(|t| **t >= from - self.s.round_ms).count() as f64;
+        sent + 1.0 <= e.free + e.ratio * taken
+    }
+
+    /// Guard, cold nodes: units that this host may send now. The budget of all hosts is stated for the coldest
+    /// moment and grows with the capacity that a node has by then at the least.
+    fn cold_room(&self, n: &Node, now: f64) -> f64 {
+        let age = (now - n.started).max(0.0);
+        if n.started <= 0.0 || age >= self.s.warm_after_ms {
+            return f64::INFINITY;
+        }
+        let from = self.s.cold_from.max(1e-3);
+        let least = from + (1.0 - from) * (age - self.s.fall_ms).max(0.0) / self.s.warm_after_ms.max(1.0);
+        let all = self.s.cold_units * (least / from).max(1.0) * SAFE_PART;
+        let window = now - self.s.fall_ms - self.s.round_ms;
+        let sent: f64 = n.cold_log.iter().rev().take_while(|(t, _)| *t >= window).map(|(_, u)| u).sum();
+        all / f64::from(self.s.hosts) - sent
+    }
+
+    /// Guard, drains and list: nothing goes to a node from the first word that it drains or is gone.
+    fn on_list(&mut self, now: f64, kind: ListKind, entries: &[NodeEntry], actions: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            self.watch_failures = (self.watch_failures + 1).min(4);
+            let wait = 250.0 * f64::from(1 << self.watch_failures) * (0.5 + self.random());
+            actions.push(Action::SetTimer { at_ms: now + wait, label: TIMER_WATCH });
+            self.log(now, "the node list cannot be had; going on with the last one".to_owned(), actions);
+            return;
+        }
+        if kind == ListKind::Cached {
+            if self.s.list_on_request {
+                actions.push(Action::Watch(true));
+            }
+        } else {
+            self.watch_failures = 0;
+        }
+        if kind != ListKind::Changes {
+            let listed: Vec<u32> = entries.iter().map(|e| e.node).collect();
+            let lost: Vec<u32> = self.nodes.keys().filter(|n| !listed.contains(n)).copied().collect();
+            for node in lost {
+                self.set_condition(now, node, Condition::Gone);
+            }
+        }
+        for e in entries {
+            let started = if e.started_ms.is_finite() { e.started_ms } else { now };
+            let fresh = self.nodes.get(&e.node).map_or(true, |n| started > n.started);
+            if fresh && e.condition != Condition::Gone {
+                let out = self.nodes.get(&e.node).map_or(0, |n| n.out);
+                let held =
+                    self.nodes.get_mut(&e.node).map(|n| std::mem::take(&mut n.held)).unwrap_or_default();
+                self.nodes
+                    .insert(e.node, Node::new(e, started, now, self.s.classes.len(), self.tightest_aim));
+                if let Some(n) = self.nodes.get_mut(&e.node) {
+                    n.out = out;
+                }
+                self.displace(held);
+            }
+            if e.condition != Condition::Ready {
+                self.set_condition(now, e.node, e.condition);
+            }
+        }
+        let gone = self.nodes.iter().filter(|(_, n)| n.condition == Condition::Gone && n.out == 0);
+        let mut gone: Vec<(f64, u32)> = gone.map(|(id, n)| (n.gone_at, *id)).collect();
+        gone.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, node) in gone.iter().rev().skip(GONE_KEPT) {
+            self.nodes.remove(node);
+        }
+        self.place_again(now);
+        let ids: Vec<u32> = self.nodes.keys().copied().collect();
+        for node in ids {
+            self.pump(now, node, actions);
+        }
+        self.tick_soon(now, actions);
+    }
+
+    fn set_condition(&mut self, now: f64, node: u32, condition: Condition) {
+        let Some(n) = self.nodes.get_mut(&node) else { return };
+        if n.condition == Condition::Gone {
+            return;
+        }
+        n.condition = condition;
+        n.gone_at = now;
+        let held = std::mem::take(&mut n.held);
+        self.displace(held);
+    }
+
+    fn displace(&mut self, held: Vec<u32>) {
+        for id in held {
+            if let Some(r) = self.requests.get_mut(&id) {
+                r.node = None;
+                self.unplaced.push(id);
+            }
+        }
+    }
+
+    fn place_again(&mut self, now: f64) {
+        for id in std::mem::take(&mut self.unplaced) {
+            match self.choose_node(now, id) {
+                Some(node) => {
+                    self.stand(now, id, node);
+                    self.hold(now, id, node);
+                }
+                None => self.unplaced.push(id),
+            }
+        }
+    }
+
+    fn tick_soon(&mut self, now: f64, actions: &mut Vec<Action>) {
+        let waiting =
+            !self.unplaced.is_empty() || self.nodes.values().any(|n| !n.held.is_empty() || n.out > 0);
+        if !self.ticking && waiting {
+            self.ticking = true;
+            actions.push(Action::SetTimer { at_ms: now + TICK_MS, label: TIMER_TICK });
+        }
+    }
+
+    fn on_tick(&mut self, now: f64, actions: &mut Vec<Action>) {
+        self.ticking = false;
+        let ids: Vec<u32> = self.nodes.keys().copied().collect();
+        for node in ids {
+            let Some(n) = self.nodes.get_mut(&node) else { continue };
+            let quiet = (SILENT_X * n.sojourn).clamp(SILENT_MIN_MS, SILENT_MAX_MS);
+            if !n.silent && n.out > 0 && now - n.last_word > quiet {
+                n.silent = true;
+                n.rest_until = now + TRICKLE_MS;
+                self.log(now, format!("node {node} is silent; one try at a time"), actions);
+            }
+            self.pump(now, node, actions);
+        }
+        if now - self.swept > STANDING_MS {
+            self.swept = now;
+            self.sweep(now);
+        }
+        self.tick_soon(now, actions);
+    }
+
+    /// Keeps state bounded, and fills the limit stores.
+    fn sweep(&mut self, now: f64) {
+        let span = self.s.extra.map_or(0.0, |e| e.span_ms) + 2.0 * self.s.round_ms;
+        while self.taken.front().is_some_and(|t| *t < now - span) {
+            self.taken.pop_front();
+        }
+        while self.extras.front().is_some_and(|t| *t < now - span) {
+            self.extras.pop_front();
+        }
+        let cold = self.s.fall_ms + 2.0 * self.s.round_ms;
+        for n in self.nodes.values_mut() {
+            while n.cold_log.front().is_some_and(|(t, _)| *t < now - cold) {
+                n.cold_log.pop_front();
+            }
+        }
+        self.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
+        // A forgotten volume starts again with an empty store, which is never more than it has.
+        self.volumes.retain(|_, v| now - v.seen < 6.0 * WINDOW_MS);
+    }
+
+    fn log(&mut self, now: f64, text: String, actions: &mut Vec<Action>) {
+        if now >= self.next_log {
+            self.next_log = now + STANDING_MS;
+            actions.push(Action::Log(text));
+        }
+    }
+
+    /// A number in [0, 1) from the seed alone (splitmix64).
+    fn random(&mut self) -> f64 {
+        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.seed;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) as f64 / 2f64.powi(64)
+    }
+}
+
+impl Volume {
+    /// Guard, limits: this host's part of the store; the fill is its even part of the plan's.
+    fn filled(&self, now: f64, plan: &Plan, hosts: f64) -> f64 {
+        let fill = SAFE_PART * plan.limit / hosts * (now - self.store_at).max(0.0) / 1_000.0;
+        (self.store + fill).min(plan.burst / hosts)
+    }
+}
+
+impl Node {
+    fn new(e: &NodeEntry, started: f64, now: f64, classes: usize, aim: f64) -> Self {
+        Node {
+            shard: e.shard,
+            zone: e.zone,
+            condition: e.condition,
+            started,
+            envelopes: vec![Envelope::new(now); classes],
+            held: Vec::new(),
+            out: 0,
+            bound: FIRST_BOUND,
+            sojourn: SOJOURN_PART * aim,
+            last_word: now,
+            silent: false,
+            rest_until: now,
+            last_key: 0,
+            run: 0,
+            cold_log: VecDeque::new(),
+            asked: Vec::new(),
+            reserved: Fading::default(),
+            served: Fading::default(),
+            capacity: 0.0,
+            gone_at: 0.0,
+        }
+    }
+
+    /// Departure, censored samples: a node without a word longer than usual counts its outstanding attempts at
+    /// their age, so that a frozen envelope moves.
+    fn silence(&self, now: f64) -> f64 {
+        if self.out == 0 {
+            0.0
+        } else {
+            (now - self.last_word - 2.0 * self.sojourn).max(0.0)
+        }
+    }
+}
