--- a/src/rules.rs
+++ b/src/rules.rs
@@ -180,8 +180,8 @@
     fn served(&mut self, now: f64, number: u64) {
         self.roll(now);
         self.ended(number);
-        let back = (self.next - 1 - number) as usize;
-        let Some(at) = self.recent.len().checked_sub(back + 1) else { return };
+        let back = self.next.saturating_sub(number) as usize;
+        let Some(at) = self.recent.len().checked_sub(back.max(1)) else { return };
         let chain = self.recent[at].1.min(at + 1);
         for k in 0..chain {
             let took = now - self.recent[at - k].0;
@@ -259,6 +259,8 @@
     last_word: f64,
     silent: bool,
     rest_until: f64,
+    /// Requests turned away as full since the last one served.
+    fulls: u32,
     last_key: u64,
     run: u32,
     cold_log: VecDeque<(f64, f64)>,
@@ -522,7 +524,7 @@
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
             let n = &self.nodes[&node];
             let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound;
-            let score = room - waiting - if n.silent { WINDOW_MS } else { 0.0 } + n.started / 1e9;
+            let score = room - waiting - if n.silent || n.fulls > 0 { WINDOW_MS } else { 0.0 } + n.started / 1e9;
             if best.map_or(true, |(b, _)| score > b) {
                 best = Some((score, node));
             }
@@ -771,11 +773,16 @@
         let Some(n) = self.nodes.get_mut(&f.node) else { return };
         if o.verdict == Verdict::Full {
             n.bound = (n.bound / 2.0).max(1.0);
-            n.rest_until = n.rest_until.max(now + FULL_REST_MS);
+            // Danger: a node that turns everything away at once looks idle and draws ever more (a black hole),
+            // whatever filled it. Rest grows while no request is served, up to the pace of a trickle.
+            n.fulls = (n.fulls + 1).min(16);
+            let rest = (FULL_REST_MS * f64::from(1 << (n.fulls - 1))).min(TRICKLE_MS);
+            n.rest_until = n.rest_until.max(now + rest);
         }
         if o.verdict != Verdict::Served {
             return;
         }
+        n.fulls = 0;
         n.sojourn += BLEND * (took - n.sojourn);
         let gap = 1.0 - n.sojourn / (SOJOURN_PART * self.tightest_aim);
         if gap < 0.0 || n.out as f64 + 1.0 >= n.bound.floor() {
@@ -946,6 +953,10 @@
                     n.out = out;
                 }
                 self.displace(held);
+                // What is out there was counted in envelopes that are gone.
+                for r in self.requests.values_mut().filter(|r| r.node == Some(e.node)) {
+                    r.node = None;
+                }
             }
             if e.condition != Condition::Ready {
                 self.set_condition(now, e.node, e.condition);
@@ -1086,6 +1097,7 @@
             last_word: now,
             silent: false,
             rest_until: now,
+            fulls: 0,
             last_key: 0,
             run: 0,
             cold_log: VecDeque::new(),
