Late work only one at a time

Cause: a host with nothing better sent work past its aim, which queues ahead of other hosts' timely work. Change: such work goes only while nothing of ours is out at the node.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -652,6 +652,11 @@
                 let urgency = (-slack.max(0.0) / (3.0 * n.sojourn.max(1.0))).exp();
                 let score =
                     if slack < 0.0 { worth * 1e-9 } else { worth * urgency } + if same { 1e9 } else { 0.0 };
+                // Departure, late work: it earns little and queues ahead of what other hosts send, so at most
+                // one is out, and only while nothing else is; that one also keeps the answer time fresh.
+                if slack < 0.0 && n.out > 0 {
+                    continue;
+                }
                 if best.map_or(true, |(b, _)| score > b) {
                     best = Some((score, *id));
                 }
