--- a/src/interface.rs
+++ b/src/interface.rs
@@ -202,9 +202,10 @@
 impl std::error::Error for SettingsError {}
 
 /// What the node list says of a node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Condition {
     /// Withdrawn.
+    #[default]
     Gone,
     /// Takes requests.
     Ready,
@@ -213,7 +214,7 @@
 }
 
 /// One line of the node list.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NodeEntry {
     /// The node.
     pub node: u32,
@@ -262,7 +263,7 @@
 }
 
 /// A request as it reaches the host.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Request {
     /// Its id, never repeated.
     pub id: u32,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod interface;
 mod rules;
+mod state;
 
 pub use interface::*;
 pub use rules::Scheduler;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,7 +4,8 @@
 //! in Multiclass Web Servers"; what was kept and changed is in `docs/design.md`.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use crate::state::*;
+use std::collections::VecDeque;
 
 /// The span T over which both envelopes are measured.
 const WINDOW_MS: f64 = 10_000.0;
@@ -44,34 +45,17 @@
 const SAFE_PART: f64 = 0.9;
 /// Held requests are looked at again at this pace where a guard or trickle holds them.
 const TICK_MS: f64 = 10.0;
-/// Gone nodes remembered, so that an old list does not bring them back.
-const GONE_KEPT: usize = 64;
+/// Gone nodes and idle volumes are remembered for this long.
+const FORGET_MS: f64 = 60_000.0;
 
-const PLAIN: bool = false;
 const TIMER_TICK: u64 = 1 << 40;
 const TIMER_WATCH: u64 = 2 << 40;
 
 // ---- Envelopes -----------------------------------------------------------------------------------------
 
-/// Counts of admitted arrivals in jumping sub-windows of one length.
-#[derive(Clone, Default)]
-struct Jumping {
-    counts: VecDeque<u32>,
-    current: u32,
-    sum: f64,
-    squares: f64,
-}
-
-#[derive(Clone, Copy, Default)]
-struct Sums {
-    n: f64,
-    sum: f64,
-    squares: f64,
-}
-
 /// The request and service envelope of one class at one node.
-#[derive(Clone)]
-struct Envelope {
+#[derive(Clone, Default)]
+pub(crate) struct Envelope {
     bucket: i64,
     since: f64,
     spans: [Jumping; SPANS.len()],
@@ -88,19 +72,10 @@
 
 impl Envelope {
     fn new(now: f64) -> Self {
-        Envelope {
-            bucket: (now / BUCKET_MS).floor() as i64,
-            since: now,
-            spans: Default::default(),
-            slot: (now * SLOTS as f64 / WINDOW_MS).floor() as i64,
-            slots: vec![[Sums::default(); TOP]; SLOTS],
-            totals: [Sums::default(); TOP],
-            curve: Vec::new(),
-            stale: false,
-            recent: VecDeque::new(),
-            next: 0,
-            latest_open: false,
-        }
+        let (bucket, slot) =
+            ((now / BUCKET_MS).floor() as i64, (now * SLOTS as f64 / WINDOW_MS).floor() as i64);
+        let slots = vec![[Sums::default(); TOP]; SLOTS];
+        Envelope { bucket, slot, since: now, slots, ..Default::default() }
     }
 
     /// Lets old sub-windows and service slots go.
@@ -236,119 +211,16 @@
     }
 }
 
-// ---- State ---------------------------------------------------------------------------------------------
-
-/// What a volume recently asked of a node beyond its reserve, fading over `STANDING_MS`.
-struct Asked {
-    volume: u64,
-    weight: f64,
-    units: f64,
-    at: f64,
-}
-
-struct Node {
-    shard: u16,
-    zone: u16,
-    condition: Condition,
-    started: f64,
-    envelopes: Vec<Envelope>,
-    held: Vec<u32>,
-    out: usize,
-    bound: f64,
-    sojourn: f64,
-    last_word: f64,
-    silent: bool,
-    rest_until: f64,
-    /// Requests turned away as full since the last one served.
-    fulls: u32,
-    last_key: u64,
-    run: u32,
-    cold_log: VecDeque<(f64, f64)>,
-    asked: Vec<Asked>,
-    reserved: Fading,
-    served: Fading,
-    capacity: f64,
-    gone_at: f64,
-}
-
-/// A count that fades over `STANDING_MS`.
-#[derive(Clone, Copy, Default)]
-struct Fading {
-    value: f64,
-    at: f64,
-}
-
-impl Fading {
-    fn add(&mut self, now: f64, amount: f64) -> f64 {
-        self.value = self.value * (-(now - self.at).max(0.0) / STANDING_MS).exp() + amount;
-        self.at = now;
-        self.value
-    }
-}
-
-struct Held {
-    q: Request,
-    arrived: f64,
-    node: Option<u32>,
-    number: u64,
-    tries: u32,
-    outstanding: u32,
-    /// Part of full worth that its volume's standing gave it, and what it drew from the reserve for that.
-    grade: f64,
-    drew: f64,
-    charged: bool,
-    /// First send that may have run, with the node's shard and zone.
-    may_have_run: Option<(f64, u16, u16)>,
-}
-
-struct Volume {
-    reserve: f64,
-    reserve_at: f64,
-    store: f64,
-    store_at: f64,
-    own: Fading,
-    part: f64,
-    seen: f64,
-}
-
-struct Flight {
-    node: u32,
-    sent: f64,
-    units: f64,
-    class: usize,
-    alone: bool,
-    lane: u64,
-    shard: u16,
-    zone: u16,
-}
-
-/// Requests of ordered classes on one data item.
-#[derive(Default)]
-struct Lane {
-    queue: VecDeque<u32>,
-    outstanding: u32,
-    rest_until: f64,
-}
+// ---- The scheduler -------------------------------------------------------------------------------------
 
 /// Decides for one host.
 pub struct Scheduler {
     s: Settings,
-    seed: u64,
-    nodes: BTreeMap<u32, Node>,
-    requests: BTreeMap<u32, Held>,
-    unplaced: Vec<u32>,
-    flights: BTreeMap<(u32, u16), Flight>,
-    volumes: BTreeMap<u64, Volume>,
-    lanes: BTreeMap<u64, Lane>,
-    taken: VecDeque<f64>,
-    extras: VecDeque<f64>,
+    b: Books,
+    random: Random,
     /// Running cost of a unit of each class, ms.
     unit_cost: Vec<f64>,
     tightest_aim: f64,
-    ticking: bool,
-    watch_failures: u32,
-    next_log: f64,
-    swept: f64,
 }
 
 impl Scheduler {
@@ -359,24 +231,8 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let tightest_aim = settings.classes.iter().map(|c| c.aim_ms).fold(f64::INFINITY, f64::min);
-        Ok(Scheduler {
-            unit_cost: vec![0.0; settings.classes.len()],
-            s: settings,
-            seed,
-            nodes: BTreeMap::new(),
-            requests: BTreeMap::new(),
-            unplaced: Vec::new(),
-            flights: BTreeMap::new(),
-            volumes: BTreeMap::new(),
-            lanes: BTreeMap::new(),
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
-            tightest_aim,
-            ticking: false,
-            watch_failures: 0,
-            next_log: 0.0,
-            swept: 0.0,
-        })
+        let unit_cost = vec![0.0; settings.classes.len()];
+        Ok(Scheduler { s: settings, b: Books::default(), random: Random(seed), unit_cost, tightest_aim })
     }
 
     /// Takes one event and appends what is to be done.
@@ -400,9 +256,9 @@
     // ---- Arrivals: the ordinary path -------------------------------------------------------------------
 
     fn on_request(&mut self, now: f64, q: Request, actions: &mut Vec<Action>) {
-        self.taken.push_back(now);
+        self.b.taken.push_back(now);
         let sane = q.units.is_finite() && q.units >= 0.0 && q.valid_until_ms.is_finite();
-        if self.requests.contains_key(&q.id) {
+        if self.b.requests.contains_key(&q.id) {
             return;
         }
         let known = usize::from(q.class) < self.s.classes.len() && usize::from(q.plan) < self.s.plans.len();
@@ -413,25 +269,14 @@
         // Guard, one final answer: its timer rings before the client gives up, whatever else happens.
         let at_ms = (q.valid_until_ms - 2.0 * self.s.round_ms).max(now);
         actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
-        let held = Held {
-            q,
-            arrived: now,
-            node: None,
-            number: 0,
-            tries: 0,
-            outstanding: 0,
-            grade: 1.0,
-            drew: 0.0,
-            charged: false,
-            may_have_run: None,
-        };
-        self.requests.insert(q.id, held);
+        let held = Held { q, arrived: now, grade: 1.0, ..Default::default() };
+        self.b.requests.insert(q.id, held);
         self.meet_volume(now, &q);
         if self.s.classes[usize::from(q.class)].ordered && q.key != 0 {
-            self.lanes.entry(q.key).or_default().queue.push_back(q.id);
+            self.b.lanes.entry(q.key).or_default().queue.push_back(q.id);
         }
         let Some(node) = self.choose_node(now, q.id) else {
-            self.unplaced.push(q.id);
+            self.b.unplaced.push(q.id);
             self.tick_soon(now, actions);
             return;
         };
@@ -458,18 +303,13 @@
     fn meet_volume(&mut self, now: f64, q: &Request) {
         let hosts = self.hosts_of(q);
         let plan = &self.s.plans[usize::from(q.plan)];
-        let v = self.volumes.entry(q.volume).or_insert(Volume {
-            reserve: (plan.reserve + self.s.max_units) / hosts,
-            reserve_at: now,
-            // Guard, limits: a host that restarted has forgotten what it sent, so the store starts empty.
-            store: 0.0,
-            store_at: now,
-            own: Fading::default(),
-            part: 1.0 / hosts,
-            seen: now,
-        });
+        // Guard, limits: a host that restarted has forgotten what it sent, so the store starts empty.
+        let reserve = (plan.reserve + self.s.max_units) / hosts;
+        let new =
+            || Volume { reserve, reserve_at: now, store_at: now, part: 1.0 / hosts, ..Default::default() };
+        let v = self.b.volumes.entry(q.volume).or_insert_with(new);
         v.seen = now;
-        v.own.add(now, q.units);
+        v.own.add(now, q.units, STANDING_MS);
         v.store = v.filled(now, plan, hosts);
         v.store_at = now;
     }
@@ -477,7 +317,7 @@
     /// The LMAC test: the least time, over the grid, that the request curve raised by one newcomer of this
     /// class stays within the aims of all classes at the node; below zero the newcomer does not fit.
     fn room(&mut self, node: u32, class: usize, now: f64) -> f64 {
-        let Some(n) = self.nodes.get_mut(&node) else { return 0.0 };
+        let Some(n) = self.b.nodes.get_mut(&node) else { return 0.0 };
         let late = n.silence(now);
         let mut least = f64::INFINITY;
         for e in &mut n.envelopes {
@@ -504,27 +344,28 @@
     /// A request of a named shard has one node; a new object goes where the test leaves most room, less what
     /// this host already has waiting there.
     fn choose_node(&mut self, now: f64, id: u32) -> Option<u32> {
-        let r = self.requests.get(&id)?;
+        let r = self.b.requests.get(&id)?;
         let (shard, class, ran) = (r.q.shard, usize::from(r.q.class), r.may_have_run);
         let group = self.s.classes[class].group;
         let keyed = self.s.classes[class].effect == Effect::Keyed;
         let fits = |n: &Node| {
-            n.condition == Condition::Ready
-                && shard.map_or(true, |s| s == n.shard)
+            n.e.condition == Condition::Ready
+                && shard.map_or(true, |s| s == n.e.shard)
                 && ran.map_or(true, |(_, s, z)| {
                     !keyed
                         || group == Group::All
-                        || (group == Group::Zone && z == n.zone)
-                        || (group == Group::Shard && s == n.shard)
+                        || (group == Group::Zone && z == n.e.zone)
+                        || (group == Group::Shard && s == n.e.shard)
                 })
         };
-        let candidates: Vec<u32> = self.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
+        let candidates: Vec<u32> = self.b.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
         let mut best = None;
         for node in candidates {
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
-            let n = &self.nodes[&node];
+            let n = &self.b.nodes[&node];
             let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound;
-            let score = room - waiting - if n.silent || n.fulls > 0 { WINDOW_MS } else { 0.0 } + n.started / 1e9;
+            let score =
+                room - waiting - if n.silent || n.fulls > 0 { WINDOW_MS } else { 0.0 } + n.e.started_ms / 1e9;
             if best.map_or(true, |(b, _)| score > b) {
                 best = Some((score, node));
             }
@@ -535,10 +376,10 @@
     /// Judges the newcomer by its volume's standing: within this host's part of the reserve, within the
     /// weighted share of what the node gives this host, or spare.
     fn stand(&mut self, now: f64, id: u32, node: u32) {
-        let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(n) = self.nodes.get_mut(&node) else { return };
+        let Some(r) = self.b.requests.get_mut(&id) else { return };
+        let Some(n) = self.b.nodes.get_mut(&node) else { return };
         let plan = &self.s.plans[usize::from(r.q.plan)];
-        let Some(v) = self.volumes.get_mut(&r.q.volume) else { return };
+        let Some(v) = self.b.volumes.get_mut(&r.q.volume) else { return };
         let top = v.part * (plan.reserve * STANDING_MS / 1_000.0) + self.s.max_units;
         v.reserve = (v.reserve + v.part * plan.reserve * (now - v.reserve_at).max(0.0) / 1_000.0).min(top);
         v.reserve_at = now;
@@ -546,35 +387,33 @@
             v.reserve -= r.q.units;
             r.drew = r.q.units;
             r.grade = 1.0;
-            n.reserved.add(now, r.q.units);
+            n.reserved.add(now, r.q.units, STANDING_MS);
             return;
         }
-        n.asked.retain(|a| now - a.at < 4.0 * STANDING_MS);
-        for a in &mut n.asked {
-            a.units *= (-(now - a.at).max(0.0) / STANDING_MS).exp();
-            a.at = now;
-        }
+        n.asked.retain(|a| now - a.units.at < 4.0 * STANDING_MS);
         let i = n.asked.iter().position(|a| a.volume == r.q.volume).unwrap_or(n.asked.len());
         if i == n.asked.len() {
-            n.asked.push(Asked { volume: r.q.volume, weight: plan.weight.max(1e-6), units: 0.0, at: now });
+            let (volume, weight) = (r.q.volume, plan.weight.max(1e-6));
+            n.asked.push(Asked { volume, weight, units: Fading::default() });
         }
-        n.asked[i].units += r.q.units;
+        let asks = n.asked[i].units.add(now, r.q.units, STANDING_MS);
         // Pour what is left after the reserves out by weight; who asks for less leaves the rest to others.
-        let mut left = (n.capacity - n.reserved.add(now, 0.0)).max(0.0);
-        let mut thirsty: Vec<(f64, f64)> = n.asked.iter().map(|a| (a.units / a.weight, a.weight)).collect();
+        let mut left = (n.capacity - n.reserved.add(now, 0.0, STANDING_MS)).max(0.0);
+        let faded = |a: &Asked| a.units.value * (-(now - a.units.at).max(0.0) / STANDING_MS).exp();
+        let mut thirsty: Vec<(f64, f64)> = n.asked.iter().map(|a| (faded(a) / a.weight, a.weight)).collect();
         thirsty.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut weights: f64 = thirsty.iter().map(|t| t.1).sum();
         let mut level = f64::INFINITY;
-        for (asks, weight) in thirsty {
+        for (dry, weight) in thirsty {
             level = left / weights.max(1e-9);
-            if asks > level {
+            if dry > level {
                 break;
             }
-            left -= asks * weight;
+            left -= dry * weight;
             weights -= weight;
             level = f64::INFINITY;
         }
-        let within = n.asked[i].units <= level * n.asked[i].weight;
+        let within = asks <= level * n.asked[i].weight;
         r.grade = if within { self.s.share_worth } else { self.s.spare_worth };
     }
 
@@ -595,11 +434,8 @@
     /// Departure, standing: the test says that something must go; it is the request, held or new, that is
     /// worth least for its work. Only what was never sent may go. True: the newcomer stays.
     fn make_way(&mut self, now: f64, id: u32, node: u32, actions: &mut Vec<Action>) -> bool {
-        let (Some(r), Some(n)) = (self.requests.get(&id), self.nodes.get(&node)) else { return false };
+        let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return false };
         let own = self.worth(r);
-        if PLAIN {
-            return false;
-        }
         // Spare capacity is used: with nothing waiting and the bound not reached, the test is moot.
         if n.held.is_empty() && (n.out as f64) < n.bound && !n.silent {
             return true;
@@ -607,7 +443,7 @@
         let least = n
             .held
             .iter()
-            .filter_map(|h| self.requests.get(h).filter(|r| r.tries == 0).map(|r| (*h, r)))
+            .filter_map(|h| self.b.requests.get(h).filter(|r| r.tries == 0).map(|r| (*h, r)))
             .map(|(h, r)| (self.worth_now(r, n.sojourn, now).0, h))
             .min_by(|a, b| a.0.total_cmp(&b.0));
         match least {
@@ -620,7 +456,7 @@
     }
 
     fn hold(&mut self, now: f64, id: u32, node: u32) {
-        let (Some(r), Some(n)) = (self.requests.get_mut(&id), self.nodes.get_mut(&node)) else { return };
+        let (Some(r), Some(n)) = (self.b.requests.get_mut(&id), self.b.nodes.get_mut(&node)) else { return };
         r.node = Some(node);
         r.number = n.envelopes[usize::from(r.q.class)].admitted(now);
         n.held.push(id);
@@ -631,8 +467,8 @@
     /// Sends what may go to a node now.
     fn pump(&mut self, now: f64, node: u32, actions: &mut Vec<Action>) {
         loop {
-            let Some(n) = self.nodes.get(&node) else { return };
-            if n.held.is_empty() || n.condition != Condition::Ready || now < n.rest_until || n.out >= TOP {
+            let Some(n) = self.b.nodes.get(&node) else { return };
+            if n.held.is_empty() || n.e.condition != Condition::Ready || now < n.rest_until || n.out >= TOP {
                 return;
             }
             let full = n.out as f64 >= n.bound.floor();
@@ -643,7 +479,7 @@
             let cold = self.cold_room(n, now);
             let mut best: Option<(f64, u32)> = None;
             for id in &n.held {
-                let Some(r) = self.requests.get(id) else { continue };
+                let Some(r) = self.b.requests.get(id) else { continue };
                 let same = run_on && r.q.key == n.last_key;
                 if (full && !n.silent && !same) || r.q.units > cold || !self.may_send(now, r) {
                     continue;
@@ -667,7 +503,7 @@
     }
 
     fn send(&mut self, now: f64, node: u32, id: u32, actions: &mut Vec<Action>) {
-        let (Some(r), Some(n)) = (self.requests.get_mut(&id), self.nodes.get_mut(&node)) else { return };
+        let (Some(r), Some(n)) = (self.b.requests.get_mut(&id), self.b.nodes.get_mut(&node)) else { return };
         n.held.retain(|h| *h != id);
         n.run = if r.q.key != 0 && r.q.key == n.last_key { n.run + 1 } else { 0 };
         n.last_key = r.q.key;
@@ -683,24 +519,24 @@
             class,
             alone: n.out == 0,
             lane,
-            shard: n.shard,
-            zone: n.zone,
+            shard: n.e.shard,
+            zone: n.e.zone,
         };
         if lane != 0 {
-            self.lanes.entry(lane).or_default().outstanding += 1;
+            self.b.lanes.entry(lane).or_default().outstanding += 1;
         }
-        self.flights.insert((id, r.tries as u16), flight);
+        self.b.flights.insert((id, r.tries as u16), flight);
         n.out += 1;
         if n.silent {
             n.rest_until = now + TRICKLE_MS;
         }
         n.cold_log.push_back((now, r.q.units));
         if r.tries > 0 {
-            self.extras.push_back(now);
+            self.b.extras.push_back(now);
         }
         if !r.charged {
             r.charged = true;
-            if let Some(v) = self.volumes.get_mut(&r.q.volume) {
+            if let Some(v) = self.b.volumes.get_mut(&r.q.volume) {
                 v.store -= r.q.units;
             }
         }
@@ -712,11 +548,9 @@
     // ---- Outcomes --------------------------------------------------------------------------------------
 
     fn on_outcome(&mut self, now: f64, o: &Outcome, actions: &mut Vec<Action>) {
-        let Some(f) = self.flights.remove(&(o.id, o.attempt)) else {
-            return;
-        };
+        let Some(f) = self.b.flights.remove(&(o.id, o.attempt)) else { return };
         let unclear = matches!(o.verdict, Verdict::TimedOut | Verdict::Reset | Verdict::Cancelled);
-        if let Some(lane) = self.lanes.get_mut(&f.lane) {
+        if let Some(lane) = self.b.lanes.get_mut(&f.lane) {
             lane.outstanding = lane.outstanding.saturating_sub(1);
             if unclear {
                 lane.rest_until = now + self.s.key_rest_ms;
@@ -725,25 +559,25 @@
         self.learn(now, o, &f, actions);
         let never_ran = matches!(o.verdict, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot);
         let mut again = false;
-        if let Some(r) = self.requests.get_mut(&o.id) {
+        if let Some(r) = self.b.requests.get_mut(&o.id) {
             r.outstanding = r.outstanding.saturating_sub(1);
             if !never_ran && r.may_have_run.is_none() {
                 r.may_have_run = Some((f.sent, f.shard, f.zone));
             }
             // A moot attempt neither ran nor counts against the ration or the limit.
             if o.verdict == Verdict::Moot && r.tries > 1 {
-                self.extras.pop_back();
+                self.b.extras.pop_back();
             }
             let alive = now < r.q.valid_until_ms - 2.0 * self.s.round_ms;
             again = alive && r.tries < self.s.max_attempts && o.verdict != Verdict::Moot;
         }
         if o.verdict == Verdict::Served || o.complete {
             self.end(now, o.id);
-        } else if self.requests.contains_key(&o.id) {
-            let resendable = self.requests.get(&o.id).is_some_and(|r| self.may_resend(now, r));
+        } else if self.b.requests.contains_key(&o.id) {
+            let resendable = self.b.requests.get(&o.id).is_some_and(|r| self.may_resend(now, r));
             match if again && resendable { self.choose_node(now, o.id) } else { None } {
                 Some(node) => self.hold(now, o.id, node),
-                None if again && resendable => self.unplaced.push(o.id),
+                None if again && resendable => self.b.unplaced.push(o.id),
                 None => self.answer(now, o.id, 0.0, actions),
             }
         }
@@ -753,7 +587,7 @@
 
     /// What an outcome tells of its node and volume.
     fn learn(&mut self, now: f64, o: &Outcome, f: &Flight, actions: &mut Vec<Action>) {
-        let Some(n) = self.nodes.get_mut(&f.node) else { return };
+        let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         n.out = n.out.saturating_sub(1);
         let took = now - f.sent;
         match o.verdict {
@@ -775,7 +609,7 @@
             }
             Verdict::TimedOut | Verdict::Cancelled | Verdict::Moot => {}
         }
-        let Some(n) = self.nodes.get_mut(&f.node) else { return };
+        let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         if o.verdict == Verdict::Full {
             n.bound = (n.bound / 2.0).max(1.0);
             // Danger: a node that turns everything away at once looks idle and draws ever more (a black hole),
@@ -793,22 +627,23 @@
         if gap < 0.0 || n.out as f64 + 1.0 >= n.bound.floor() {
             n.bound = (n.bound + 0.5 * gap.max(-1.0) / n.bound.sqrt()).clamp(1.0, TOP as f64);
         }
-        let served = n.served.add(now, f.units);
+        let served = n.served.add(now, f.units, STANDING_MS);
         n.capacity = served.max(n.capacity * (1.0 - took.min(WINDOW_MS) / WINDOW_MS * 0.1));
         if f.alone && f.units > 0.0 {
             let cost = &mut self.unit_cost[f.class];
             let sample = took / f.units;
             *cost = if *cost == 0.0 { sample } else { *cost + BLEND / 2.0 * (sample - *cost) };
         }
-        if let Some(r) = self.requests.get(&o.id) {
+        if let Some(r) = self.b.requests.get(&o.id) {
             if r.node == Some(f.node) {
                 n.envelopes[f.class].served(now, r.number);
             }
             let plan = &self.s.plans[usize::from(r.q.plan)];
-            if let (Some(used), Some(v)) = (o.used_percent, self.volumes.get_mut(&r.q.volume)) {
+            if let (Some(used), Some(v)) = (o.used_percent, self.b.volumes.get_mut(&r.q.volume)) {
                 let all = used / 100.0 * plan.nominal;
                 if all > 0.0 {
-                    let part = (v.own.add(now, 0.0) / all).clamp(1.0 / r.q.volume_hosts.max(1.0), 1.0);
+                    let part =
+                        (v.own.add(now, 0.0, STANDING_MS) / all).clamp(1.0 / r.q.volume_hosts.max(1.0), 1.0);
                     v.part += BLEND * (part - v.part);
                 }
             }
@@ -817,9 +652,9 @@
 
     /// Takes a request off the books.
     fn end(&mut self, now: f64, id: u32) {
-        let Some(r) = self.requests.remove(&id) else { return };
-        self.unplaced.retain(|u| *u != id);
-        if let Some(n) = r.node.and_then(|n| self.nodes.get_mut(&n)) {
+        let Some(r) = self.b.requests.remove(&id) else { return };
+        self.b.unplaced.retain(|u| *u != id);
+        if let Some(n) = r.node.and_then(|n| self.b.nodes.get_mut(&n)) {
             if let Some(e) = n.envelopes.get_mut(usize::from(r.q.class)) {
                 if r.tries == 0 {
                     e.withdrawn(r.number);
@@ -830,11 +665,11 @@
             n.held.retain(|h| *h != id);
         }
         if r.tries == 0 {
-            if let Some(v) = self.volumes.get_mut(&r.q.volume) {
+            if let Some(v) = self.b.volumes.get_mut(&r.q.volume) {
                 v.reserve += r.drew;
             }
         }
-        if let Some(lane) = self.lanes.get_mut(&r.q.key) {
+        if let Some(lane) = self.b.lanes.get_mut(&r.q.key) {
             lane.queue.retain(|q| *q != id);
         }
         let _ = now;
@@ -842,7 +677,7 @@
 
     /// The final answer where it was not served: refused if that does no harm, failed otherwise.
     fn answer(&mut self, now: f64, id: u32, wait: f64, actions: &mut Vec<Action>) {
-        let Some(r) = self.requests.get(&id) else { return };
+        let Some(r) = self.b.requests.get(&id) else { return };
         let class = &self.s.classes[usize::from(r.q.class)];
         let harmless = match class.effect {
             Effect::Safe => true,
@@ -869,13 +704,13 @@
     fn may_send(&self, now: f64, r: &Held) -> bool {
         let plan = &self.s.plans[usize::from(r.q.plan)];
         if plan.limit > 0.0 && !r.charged {
-            let Some(v) = self.volumes.get(&r.q.volume) else { return false };
+            let Some(v) = self.b.volumes.get(&r.q.volume) else { return false };
             if v.filled(now, plan, self.hosts_of(&r.q)) < r.q.units {
                 return false;
             }
         }
         if self.s.classes[usize::from(r.q.class)].ordered && r.q.key != 0 {
-            if let Some(lane) = self.lanes.get(&r.q.key) {
+            if let Some(lane) = self.b.lanes.get(&r.q.key) {
                 let turn = lane.queue.front() == Some(&r.q.id);
                 if !turn || (r.tries == 0 && (lane.outstanding > 0 || now < lane.rest_until)) {
                     return false;
@@ -902,16 +737,16 @@
     fn extra_left(&self, now: f64) -> bool {
         let Some(e) = self.s.extra else { return true };
         let from = now - e.span_ms;
-        let taken = self.taken.iter().rev().take_while(|t| **t > from).count() as f64;
-        let sent = self.extras.iter().rev().take_while(|t| **t >= from - self.s.round_ms).count() as f64;
+        let taken = self.b.taken.iter().rev().take_while(|t| **t > from).count() as f64;
+        let sent = self.b.extras.iter().rev().take_while(|t| **t >= from - self.s.round_ms).count() as f64;
         sent + 1.0 <= e.free + e.ratio * taken
     }
 
     /// Guard, cold nodes: units that this host may send now. The budget of all hosts is stated for the coldest
     /// moment and grows with the capacity that a node has by then at the least.
     fn cold_room(&self, n: &Node, now: f64) -> f64 {
-        let age = (now - n.started).max(0.0);
-        if n.started <= 0.0 || age >= self.s.warm_after_ms {
+        let age = (now - n.e.started_ms).max(0.0);
+        if n.e.started_ms <= 0.0 || age >= self.s.warm_after_ms {
             return f64::INFINITY;
         }
         let from = self.s.cold_from.max(1e-3);
@@ -925,8 +760,8 @@
     /// Guard, drains and list: nothing goes to a node from the first word that it drains or is gone.
     fn on_list(&mut self, now: f64, kind: ListKind, entries: &[NodeEntry], actions: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            self.watch_failures = (self.watch_failures + 1).min(4);
-            let wait = 250.0 * f64::from(1 << self.watch_failures) * (0.5 + self.random());
+            self.b.watch_failures = (self.b.watch_failures + 1).min(4);
+            let wait = 250.0 * f64::from(1 << self.b.watch_failures) * (0.5 + self.random.next());
             actions.push(Action::SetTimer { at_ms: now + wait, label: TIMER_WATCH });
             self.log(now, "the node list cannot be had; going on with the last one".to_owned(), actions);
             return;
@@ -936,30 +771,28 @@
                 actions.push(Action::Watch(true));
             }
         } else {
-            self.watch_failures = 0;
+            self.b.watch_failures = 0;
         }
         if kind != ListKind::Changes {
             let listed: Vec<u32> = entries.iter().map(|e| e.node).collect();
-            let lost: Vec<u32> = self.nodes.keys().filter(|n| !listed.contains(n)).copied().collect();
+            let lost: Vec<u32> = self.b.nodes.keys().filter(|n| !listed.contains(n)).copied().collect();
             for node in lost {
                 self.set_condition(now, node, Condition::Gone);
             }
         }
         for e in entries {
             let started = if e.started_ms.is_finite() { e.started_ms } else { now };
-            let fresh = self.nodes.get(&e.node).map_or(true, |n| started > n.started);
+            let back = |n: &Node| n.e.condition == Condition::Gone && kind != ListKind::Cached;
+            let fresh = self.b.nodes.get(&e.node).map_or(true, |n| started > n.e.started_ms || back(n));
             if fresh && e.condition != Condition::Gone {
-                let out = self.nodes.get(&e.node).map_or(0, |n| n.out);
-                let held =
-                    self.nodes.get_mut(&e.node).map(|n| std::mem::take(&mut n.held)).unwrap_or_default();
-                self.nodes
-                    .insert(e.node, Node::new(e, started, now, self.s.classes.len(), self.tightest_aim));
-                if let Some(n) = self.nodes.get_mut(&e.node) {
-                    n.out = out;
+                let entry = NodeEntry { started_ms: started, ..*e };
+                let new = Node::new(entry, now, self.s.classes.len(), self.tightest_aim);
+                if let Some(mut old) = self.b.nodes.insert(e.node, new) {
+                    self.b.unplaced.append(&mut old.held);
+                    self.b.nodes.entry(e.node).and_modify(|n| n.out = old.out);
                 }
-                self.displace(held);
                 // What is out there was counted in envelopes that are gone.
-                for r in self.requests.values_mut().filter(|r| r.node == Some(e.node)) {
+                for r in self.b.requests.values_mut().filter(|r| r.node == Some(e.node)) {
                     r.node = None;
                 }
             }
@@ -967,14 +800,8 @@
                 self.set_condition(now, e.node, e.condition);
             }
         }
-        let gone = self.nodes.iter().filter(|(_, n)| n.condition == Condition::Gone && n.out == 0);
-        let mut gone: Vec<(f64, u32)> = gone.map(|(id, n)| (n.gone_at, *id)).collect();
-        gone.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, node) in gone.iter().rev().skip(GONE_KEPT) {
-            self.nodes.remove(node);
-        }
         self.place_again(now);
-        let ids: Vec<u32> = self.nodes.keys().copied().collect();
+        let ids: Vec<u32> = self.b.nodes.keys().copied().collect();
         for node in ids {
             self.pump(now, node, actions);
         }
@@ -982,51 +809,41 @@
     }
 
     fn set_condition(&mut self, now: f64, node: u32, condition: Condition) {
-        let Some(n) = self.nodes.get_mut(&node) else { return };
-        if n.condition == Condition::Gone {
+        let Some(n) = self.b.nodes.get_mut(&node) else { return };
+        if n.e.condition == Condition::Gone {
             return;
         }
-        n.condition = condition;
+        n.e.condition = condition;
         n.gone_at = now;
-        let held = std::mem::take(&mut n.held);
-        self.displace(held);
-    }
-
-    fn displace(&mut self, held: Vec<u32>) {
-        for id in held {
-            if let Some(r) = self.requests.get_mut(&id) {
-                r.node = None;
-                self.unplaced.push(id);
-            }
-        }
+        self.b.unplaced.append(&mut n.held);
     }
 
     fn place_again(&mut self, now: f64) {
-        for id in std::mem::take(&mut self.unplaced) {
+        for id in std::mem::take(&mut self.b.unplaced) {
             match self.choose_node(now, id) {
                 Some(node) => {
                     self.stand(now, id, node);
                     self.hold(now, id, node);
                 }
-                None => self.unplaced.push(id),
+                None => self.b.unplaced.push(id),
             }
         }
     }
 
     fn tick_soon(&mut self, now: f64, actions: &mut Vec<Action>) {
         let waiting =
-            !self.unplaced.is_empty() || self.nodes.values().any(|n| !n.held.is_empty() || n.out > 0);
-        if !self.ticking && waiting {
-            self.ticking = true;
+            !self.b.unplaced.is_empty() || self.b.nodes.values().any(|n| !n.held.is_empty() || n.out > 0);
+        if !self.b.ticking && waiting {
+            self.b.ticking = true;
             actions.push(Action::SetTimer { at_ms: now + TICK_MS, label: TIMER_TICK });
         }
     }
 
     fn on_tick(&mut self, now: f64, actions: &mut Vec<Action>) {
-        self.ticking = false;
-        let ids: Vec<u32> = self.nodes.keys().copied().collect();
+        self.b.ticking = false;
+        let ids: Vec<u32> = self.b.nodes.keys().copied().collect();
         for node in ids {
-            let Some(n) = self.nodes.get_mut(&node) else { continue };
+            let Some(n) = self.b.nodes.get_mut(&node) else { continue };
             let quiet = (SILENT_X * n.sojourn).clamp(SILENT_MIN_MS, SILENT_MAX_MS);
             if !n.silent && n.out > 0 && now - n.last_word > quiet {
                 n.silent = true;
@@ -1035,8 +852,8 @@
             }
             self.pump(now, node, actions);
         }
-        if now - self.swept > STANDING_MS {
-            self.swept = now;
+        if now - self.b.swept > STANDING_MS {
+            self.b.swept = now;
             self.sweep(now);
         }
         self.tick_soon(now, actions);
@@ -1044,39 +861,26 @@
 
     /// Keeps state bounded, and fills the limit stores.
     fn sweep(&mut self, now: f64) {
-        let span = self.s.extra.map_or(0.0, |e| e.span_ms) + 2.0 * self.s.round_ms;
-        while self.taken.front().is_some_and(|t| *t < now - span) {
-            self.taken.pop_front();
-        }
-        while self.extras.front().is_some_and(|t| *t < now - span) {
-            self.extras.pop_front();
-        }
-        let cold = self.s.fall_ms + 2.0 * self.s.round_ms;
-        for n in self.nodes.values_mut() {
-            while n.cold_log.front().is_some_and(|(t, _)| *t < now - cold) {
-                n.cold_log.pop_front();
-            }
-        }
-        self.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
+        let (span, cold) = (self.s.extra.map_or(0.0, |e| e.span_ms), self.s.fall_ms);
+        let margin = 2.0 * self.s.round_ms;
+        self.b.taken.retain(|t| *t >= now - span - margin);
+        self.b.extras.retain(|t| *t >= now - span - margin);
+        for n in self.b.nodes.values_mut() {
+            n.cold_log.retain(|(t, _)| *t >= now - cold - margin);
+        }
+        self.b.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
+        let lost = |n: &Node| n.e.condition == Condition::Gone && n.out == 0;
+        self.b.nodes.retain(|_, n| !lost(n) || now - n.gone_at < FORGET_MS);
         // A forgotten volume starts again with an empty store, which is never more than it has.
-        self.volumes.retain(|_, v| now - v.seen < 6.0 * WINDOW_MS);
+        self.b.volumes.retain(|_, v| now - v.seen < FORGET_MS);
     }
 
     fn log(&mut self, now: f64, text: String, actions: &mut Vec<Action>) {
-        if now >= self.next_log {
-            self.next_log = now + STANDING_MS;
+        if now >= self.b.next_log {
+            self.b.next_log = now + STANDING_MS;
             actions.push(Action::Log(text));
         }
     }
-
-    /// A number in [0, 1) from the seed alone (splitmix64).
-    fn random(&mut self) -> f64 {
-        self.seed = self.seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.seed;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        (z ^ (z >> 31)) as f64 / 2f64.powi(64)
-    }
 }
 
 impl Volume {
@@ -1088,30 +892,10 @@
 }
 
 impl Node {
-    fn new(e: &NodeEntry, started: f64, now: f64, classes: usize, aim: f64) -> Self {
-        Node {
-            shard: e.shard,
-            zone: e.zone,
-            condition: e.condition,
-            started,
-            envelopes: vec![Envelope::new(now); classes],
-            held: Vec::new(),
-            out: 0,
-            bound: FIRST_BOUND,
-            sojourn: SOJOURN_PART * aim,
-            last_word: now,
-            silent: false,
-            rest_until: now,
-            fulls: 0,
-            last_key: 0,
-            run: 0,
-            cold_log: VecDeque::new(),
-            asked: Vec::new(),
-            reserved: Fading::default(),
-            served: Fading::default(),
-            capacity: 0.0,
-            gone_at: 0.0,
-        }
+    fn new(e: NodeEntry, now: f64, classes: usize, aim: f64) -> Self {
+        let (envelopes, sojourn) = (vec![Envelope::new(now); classes], SOJOURN_PART * aim);
+        let bound = FIRST_BOUND;
+        Node { e, envelopes, bound, sojourn, last_word: now, rest_until: now, ..Default::default() }
     }
 
     /// Departure, censored samples: a node without a word longer than usual counts its outstanding attempts at
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,146 @@
+//! What a scheduler remembers. Plain data: every decision on it is in `rules.rs`.
+
+use crate::interface::{NodeEntry, Request};
+use crate::rules::Envelope;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Counts of admitted arrivals in jumping sub-windows of one length.
+#[derive(Clone, Default)]
+pub(crate) struct Jumping {
+    pub(crate) counts: VecDeque<u32>,
+    pub(crate) current: u32,
+    pub(crate) sum: f64,
+    pub(crate) squares: f64,
+}
+
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Sums {
+    pub(crate) n: f64,
+    pub(crate) sum: f64,
+    pub(crate) squares: f64,
+}
+
+/// What a volume recently asked of a node beyond its reserve, fading.
+pub(crate) struct Asked {
+    pub(crate) volume: u64,
+    pub(crate) weight: f64,
+    pub(crate) units: Fading,
+}
+
+/// A node as this host knows it.
+#[derive(Default)]
+pub(crate) struct Node {
+    pub(crate) e: NodeEntry,
+    pub(crate) envelopes: Vec<Envelope>,
+    pub(crate) held: Vec<u32>,
+    pub(crate) out: usize,
+    pub(crate) bound: f64,
+    pub(crate) sojourn: f64,
+    pub(crate) last_word: f64,
+    pub(crate) silent: bool,
+    pub(crate) rest_until: f64,
+    /// Requests turned away as full since the last one served.
+    pub(crate) fulls: u32,
+    pub(crate) last_key: u64,
+    pub(crate) run: u32,
+    pub(crate) cold_log: VecDeque<(f64, f64)>,
+    pub(crate) asked: Vec<Asked>,
+    pub(crate) reserved: Fading,
+    pub(crate) served: Fading,
+    pub(crate) capacity: f64,
+    pub(crate) gone_at: f64,
+}
+
+/// A count that fades over a span.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Fading {
+    pub(crate) value: f64,
+    pub(crate) at: f64,
+}
+
+impl Fading {
+    pub(crate) fn add(&mut self, now: f64, amount: f64, span: f64) -> f64 {
+        self.value = self.value * (-(now - self.at).max(0.0) / span).exp() + amount;
+        self.at = now;
+        self.value
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Held {
+    pub(crate) q: Request,
+    pub(crate) arrived: f64,
+    pub(crate) node: Option<u32>,
+    pub(crate) number: u64,
+    pub(crate) tries: u32,
+    pub(crate) outstanding: u32,
+    /// Part of full worth that its volume's standing gave it, and what it drew from the reserve for that.
+    pub(crate) grade: f64,
+    pub(crate) drew: f64,
+    pub(crate) charged: bool,
+    /// First send that may have run, with the node's shard and zone.
+    pub(crate) may_have_run: Option<(f64, u16, u16)>,
+}
+
+#[derive(Default)]
+pub(crate) struct Volume {
+    pub(crate) reserve: f64,
+    pub(crate) reserve_at: f64,
+    pub(crate) store: f64,
+    pub(crate) store_at: f64,
+    pub(crate) own: Fading,
+    pub(crate) part: f64,
+    pub(crate) seen: f64,
+}
+
+pub(crate) struct Flight {
+    pub(crate) node: u32,
+    pub(crate) sent: f64,
+    pub(crate) units: f64,
+    pub(crate) class: usize,
+    pub(crate) alone: bool,
+    pub(crate) lane: u64,
+    pub(crate) shard: u16,
+    pub(crate) zone: u16,
+}
+
+/// Requests of ordered classes on one data item.
+#[derive(Default)]
+pub(crate) struct Lane {
+    pub(crate) queue: VecDeque<u32>,
+    pub(crate) outstanding: u32,
+    pub(crate) rest_until: f64,
+}
+
+/// Numbers from the seed alone (splitmix64).
+pub(crate) struct Random(pub(crate) u64);
+
+impl Random {
+    /// A number in [0, 1).
+    pub(crate) fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) as f64 / 2f64.powi(64)
+    }
+}
+
+/// All that an instance keeps count of.
+#[derive(Default)]
+pub(crate) struct Books {
+    pub(crate) nodes: BTreeMap<u32, Node>,
+    pub(crate) requests: BTreeMap<u32, Held>,
+    /// Held requests for which no node is known.
+    pub(crate) unplaced: Vec<u32>,
+    pub(crate) flights: BTreeMap<(u32, u16), Flight>,
+    pub(crate) volumes: BTreeMap<u64, Volume>,
+    pub(crate) lanes: BTreeMap<u64, Lane>,
+    /// When requests were taken, and further attempts sent.
+    pub(crate) taken: VecDeque<f64>,
+    pub(crate) extras: VecDeque<f64>,
+    pub(crate) ticking: bool,
+    pub(crate) watch_failures: u32,
+    pub(crate) next_log: f64,
+    pub(crate) swept: f64,
+}
