--- a/src/rules.rs
+++ b/src/rules.rs
@@ -241,7 +241,7 @@
             Event::List(kind, entries) => self.on_list(now, kind, &entries, actions),
             Event::Request(q) => self.on_request(now, q, actions),
             Event::Outcome(o) => self.on_outcome(now, &o, actions),
-            Event::AnswerBegan { id } | Event::Abandoned { id } => self.end(now, id),
+            Event::AnswerBegan { id } | Event::Abandoned { id } => self.end(id),
             Event::Timer { label: TIMER_TICK } => self.on_tick(now, actions),
             Event::Timer { label: TIMER_WATCH } => actions.push(Action::Watch(true)),
             Event::Timer { label } => {
@@ -505,8 +505,8 @@
     fn send(&mut self, now: f64, node: u32, id: u32, actions: &mut Vec<Action>) {
         let (Some(r), Some(n)) = (self.b.requests.get_mut(&id), self.b.nodes.get_mut(&node)) else { return };
         n.held.retain(|h| *h != id);
-        n.run = if r.q.key != 0 && r.q.key == n.last_key { n.run + 1 } else { 0 };
-        n.last_key = r.q.key;
+        let run_on = r.q.key != 0 && r.q.key == n.last_key;
+        (n.run, n.last_key) = (if run_on { n.run + 1 } else { 0 }, r.q.key);
         if n.out == 0 {
             n.last_word = now;
         }
@@ -572,7 +572,7 @@
             again = alive && r.tries < self.s.max_attempts && o.verdict != Verdict::Moot;
         }
         if o.verdict == Verdict::Served || o.complete {
-            self.end(now, o.id);
+            self.end(o.id);
         } else if self.b.requests.contains_key(&o.id) {
             let resendable = self.b.requests.get(&o.id).is_some_and(|r| self.may_resend(now, r));
             match if again && resendable { self.choose_node(now, o.id) } else { None } {
@@ -590,24 +590,17 @@
         let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         n.out = n.out.saturating_sub(1);
         let took = now - f.sent;
-        match o.verdict {
-            Verdict::Served | Verdict::Error | Verdict::Full => {
-                n.last_word = now;
-                if n.silent {
-                    n.silent = false;
-                    n.bound = 1.0;
-                    n.rest_until = now;
-                    self.log(now, format!("node {} answers again; starting slowly", f.node), actions);
-                }
-            }
-            Verdict::ConnectFailed | Verdict::Reset => {
-                if !n.silent {
-                    n.silent = true;
-                    n.rest_until = now + TRICKLE_MS;
-                    self.log(now, format!("node {} cannot be reached; one try at a time", f.node), actions);
-                }
-            }
-            Verdict::TimedOut | Verdict::Cancelled | Verdict::Moot => {}
+        let word = matches!(o.verdict, Verdict::Served | Verdict::Error | Verdict::Full);
+        let unreached = matches!(o.verdict, Verdict::ConnectFailed | Verdict::Reset);
+        if word {
+            n.last_word = now;
+        }
+        if word && n.silent {
+            (n.silent, n.bound, n.rest_until) = (false, 1.0, now);
+            self.log(now, format!("node {} answers again; starting slowly", f.node), actions);
+        } else if unreached && !n.silent {
+            (n.silent, n.rest_until) = (true, now + TRICKLE_MS);
+            self.log(now, format!("node {} cannot be reached; one try at a time", f.node), actions);
         }
         let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         if o.verdict == Verdict::Full {
@@ -651,7 +644,7 @@
     }
 
     /// Takes a request off the books.
-    fn end(&mut self, now: f64, id: u32) {
+    fn end(&mut self, id: u32) {
         let Some(r) = self.b.requests.remove(&id) else { return };
         self.b.unplaced.retain(|u| *u != id);
         if let Some(n) = r.node.and_then(|n| self.b.nodes.get_mut(&n)) {
@@ -672,7 +665,6 @@
         if let Some(lane) = self.b.lanes.get_mut(&r.q.key) {
             lane.queue.retain(|q| *q != id);
         }
-        let _ = now;
     }
 
     /// The final answer where it was not served: refused if that does no harm, failed otherwise.
@@ -695,7 +687,7 @@
         if self.s.cancel && r.outstanding > 0 {
             actions.push(Action::Cancel { id, attempt: (r.tries - 1) as u16 });
         }
-        self.end(now, id);
+        self.end(id);
     }
 
     // ---- Guards ----------------------------------------------------------------------------------------
@@ -766,12 +758,9 @@
             self.log(now, "the node list cannot be had; going on with the last one".to_owned(), actions);
             return;
         }
-        if kind == ListKind::Cached {
-            if self.s.list_on_request {
-                actions.push(Action::Watch(true));
-            }
-        } else {
-            self.b.watch_failures = 0;
+        self.b.watch_failures = 0;
+        if kind == ListKind::Cached && self.s.list_on_request {
+            actions.push(Action::Watch(true));
         }
         if kind != ListKind::Changes {
             let listed: Vec<u32> = entries.iter().map(|e| e.node).collect();
@@ -782,8 +771,12 @@
         }
         for e in entries {
             let started = if e.started_ms.is_finite() { e.started_ms } else { now };
-            let back = |n: &Node| n.e.condition == Condition::Gone && kind != ListKind::Cached;
-            let fresh = self.b.nodes.get(&e.node).map_or(true, |n| started > n.e.started_ms || back(n));
+            let known = self.b.nodes.get_mut(&e.node);
+            let fresh = known.as_ref().map_or(true, |n| started > n.e.started_ms);
+            // Listed again with the start it had: it was missed by the list, not replaced.
+            if let Some(n) = known.filter(|n| !fresh && n.e.condition == Condition::Gone) {
+                n.e.condition = if kind == ListKind::Cached { Condition::Gone } else { e.condition };
+            }
             if fresh && e.condition != Condition::Gone {
                 let entry = NodeEntry { started_ms: started, ..*e };
                 let new = Node::new(entry, now, self.s.classes.len(), self.tightest_aim);
@@ -861,13 +854,11 @@
 
     /// Keeps state bounded, and fills the limit stores.
     fn sweep(&mut self, now: f64) {
-        let (span, cold) = (self.s.extra.map_or(0.0, |e| e.span_ms), self.s.fall_ms);
-        let margin = 2.0 * self.s.round_ms;
-        self.b.taken.retain(|t| *t >= now - span - margin);
-        self.b.extras.retain(|t| *t >= now - span - margin);
-        for n in self.b.nodes.values_mut() {
-            n.cold_log.retain(|(t, _)| *t >= now - cold - margin);
-        }
+        let kept = now - self.s.extra.map_or(0.0, |e| e.span_ms) - 2.0 * self.s.round_ms;
+        self.b.taken.retain(|t| *t >= kept);
+        self.b.extras.retain(|t| *t >= kept);
+        let kept = now - self.s.fall_ms - 2.0 * self.s.round_ms;
+        self.b.nodes.values_mut().for_each(|n| n.cold_log.retain(|(t, _)| *t >= kept));
         self.b.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
         let lost = |n: &Node| n.e.condition == Condition::Gone && n.out == 0;
         self.b.nodes.retain(|_, n| !lost(n) || now - n.gone_at < FORGET_MS);
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,225 @@
+//! Each rule at its edge, on both sides of it.
+
+mod common;
+use common::*;
+use pearfork::*;
+
+fn refused(actions: &[Action], id: u32) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { id: i, .. } if *i == id))
+}
+
+fn failed(actions: &[Action], id: u32) -> bool {
+    actions.contains(&Action::Fail { id })
+}
+
+fn answered(actions: &[(f64, Action)], id: u32) -> Option<f64> {
+    actions
+        .iter()
+        .find(|(_, a)| refused(std::slice::from_ref(a), id) || failed(std::slice::from_ref(a), id))
+        .map(|(t, _)| *t)
+}
+
+#[test]
+fn every_request_gets_one_answer_before_the_client_gives_up() {
+    let mut h = Host::with_nodes(settings(), &[entry(7, 0)]);
+    assert_eq!(sent(&h.at(1.0, Event::Request(request(1, 500.0)))), [(1, 7)]);
+    let done = h.ring_until(2000.0);
+    let at = answered(&done, 1).expect("an answer");
+    assert!(at < 500.0 && at > 490.0, "{at}");
+    let again: Vec<Action> =
+        done.into_iter().map(|d| d.1).filter(|a| refused(std::slice::from_ref(a), 1)).collect();
+    assert_eq!(again.len(), 1);
+    assert!(h.at(2001.0, Event::Outcome(outcome(1, 0, 7, Verdict::TimedOut))).is_empty(), "it is over");
+}
+
+#[test]
+fn without_a_node_the_request_is_still_answered() {
+    let mut h = Host::with_nodes(settings(), &[]);
+    assert!(h.at(1.0, Event::Request(request(1, 300.0))).is_empty());
+    assert!(answered(&h.ring_until(300.0), 1).is_some());
+}
+
+#[test]
+fn unsafe_work_that_may_have_run_is_failed_not_refused_nor_resent() {
+    let mut s = settings();
+    s.classes = vec![class(Effect::Unsafe, Group::All)];
+    for (verdict, resent) in [(Verdict::Reset, false), (Verdict::Error, false), (Verdict::Full, true)] {
+        let mut h = Host::with_nodes(s.clone(), &[entry(7, 0)]);
+        h.at(1.0, Event::Request(request(1, 900.0)));
+        let mut done = h.at(5.0, Event::Outcome(outcome(1, 0, 7, verdict)));
+        assert_eq!(failed(&done, 1), !resent, "{verdict:?}");
+        done.extend(h.ring_until(880.0).into_iter().map(|d| d.1));
+        assert_eq!(!sent(&done).is_empty(), resent, "{verdict:?}");
+        assert!(!refused(&done, 1));
+    }
+}
+
+#[test]
+fn keyed_work_is_resent_only_within_group_and_window() {
+    let mut s = settings();
+    s.classes = vec![class(Effect::Keyed, Group::Shard)];
+    s.classes[0].window_ms = 300.0;
+    let mut free = request(1, 900.0);
+    free.shard = None;
+    // Another shard may not take it once it may have run.
+    let mut h = Host::with_nodes(s.clone(), &[entry(7, 0), entry(8, 1)]);
+    let first = sent(&h.at(1.0, Event::Request(free)))[0].1;
+    let mut done = h.at(5.0, Event::Outcome(outcome(1, 0, first, Verdict::Error)));
+    done.extend(h.ring_until(200.0).into_iter().map(|d| d.1));
+    assert_eq!(sent(&done), [(1, first)]);
+    // Past the window nobody does, and it is failed.
+    let mut h = Host::with_nodes(s, &[entry(7, 0)]);
+    h.at(1.0, Event::Request(request(1, 900.0)));
+    let done = h.at(320.0, Event::Outcome(outcome(1, 0, 7, Verdict::Error)));
+    assert!(sent(&done).is_empty() && failed(&done, 1));
+}
+
+#[test]
+fn nothing_goes_to_a_node_that_drains_until_it_starts_afresh() {
+    let mut h = Host::with_nodes(settings(), &[entry(7, 0)]);
+    let drains = NodeEntry { condition: Condition::Draining, ..entry(7, 0) };
+    h.at(10.0, Event::List(ListKind::Changes, vec![drains]));
+    assert!(sent(&h.at(11.0, Event::Request(request(1, 5000.0)))).is_empty());
+    // An old list does not bring it back, a fresh start does.
+    assert!(sent(&h.at(12.0, Event::List(ListKind::Full, vec![entry(7, 0)]))).is_empty());
+    let fresh = NodeEntry { started_ms: 12.0, ..entry(7, 0) };
+    assert_eq!(sent(&h.at(13.0, Event::List(ListKind::Changes, vec![fresh]))), [(1, 7)]);
+}
+
+#[test]
+fn a_cold_node_gets_this_hosts_part_and_no_more() {
+    let fresh = NodeEntry { started_ms: 1.0, ..entry(7, 0) };
+    let mut h = Host::with_nodes(settings(), &[fresh]);
+    let mut units = 0.0;
+    for id in 0..40 {
+        let t = 2.0 + f64::from(id) * 10.0;
+        for (i, _) in sent(&h.at(t, Event::Request(request(id, t + 900.0)))) {
+            units += 2.0;
+            h.at(t + 1.0, Event::Outcome(outcome(i, 0, 7, Verdict::Served)));
+        }
+    }
+    assert!(units > 4.0 && units <= 10.0, "{units} of 20 units for two hosts");
+    // The same id listed with a new start is cold again; a node that started long ago is not held back.
+    let mut h = Host::with_nodes(settings(), &[entry(7, 0)]);
+    let mut warm = 0;
+    for id in 0..40 {
+        let t = 20_000.0 + f64::from(id) * 10.0;
+        for (i, _) in sent(&h.at(t, Event::Request(request(id, t + 900.0)))) {
+            warm += 1;
+            h.at(t + 1.0, Event::Outcome(outcome(i, 0, 7, Verdict::Served)));
+        }
+    }
+    assert_eq!(warm, 40);
+}
+
+#[test]
+fn limits_are_kept_by_each_host_alone_even_after_a_restart() {
+    let mut s = settings();
+    s.plans[0].limit = 10.0;
+    s.plans[0].burst = 20.0;
+    // A start may be a restart: nothing is presumed left of the store.
+    let mut h = Host::with_nodes(s, &[entry(7, 0)]);
+    let mut units = 0.0;
+    for id in 0..300 {
+        let t = 1.0 + f64::from(id) * 10.0;
+        let q = Request { volume_hosts: 2.0, ..request(id, t + 900.0) };
+        let mut done = h.ring_until(t);
+        done.extend(h.at(t, Event::Request(q)).into_iter().map(|a| (t, a)));
+        let done: Vec<Action> = done.into_iter().map(|d| d.1).collect();
+        for (i, _) in sent(&done) {
+            units += 2.0;
+            h.at(t + 1.0, Event::Outcome(outcome(i, 0, 7, Verdict::Served)));
+        }
+    }
+    assert!(units > 8.0 && units <= 15.0, "{units} units in 3 s at 10 a second for two hosts");
+}
+
+#[test]
+fn ordered_work_on_a_key_goes_singly_and_rests_after_a_doubt() {
+    let mut s = settings();
+    s.classes[0].ordered = true;
+    s.max_attempts = 1;
+    let mut h = Host::with_nodes(s, &[entry(7, 0)]);
+    let q = |id| Request { key: 5, ..request(id, 3000.0) };
+    assert_eq!(sent(&h.at(1.0, Event::Request(q(1)))), [(1, 7)]);
+    assert!(sent(&h.at(2.0, Event::Request(q(2)))).is_empty());
+    let free = Request { key: 6, ..request(3, 3000.0) };
+    assert_eq!(sent(&h.at(3.0, Event::Request(free))), [(3, 7)]);
+    h.at(9.0, Event::Outcome(outcome(3, 0, 7, Verdict::Served)));
+    assert!(sent(&h.at(10.0, Event::Outcome(outcome(1, 0, 7, Verdict::TimedOut)))).is_empty());
+    let at = h
+        .ring_until(1500.0)
+        .into_iter()
+        .find(|(_, a)| !sent(std::slice::from_ref(a)).is_empty())
+        .expect("its turn")
+        .0;
+    assert!(at >= 510.0, "rested until {at}");
+}
+
+#[test]
+fn further_attempts_are_counted_over_the_exact_window() {
+    let mut s = settings();
+    s.extra = Some(ExtraRation { free: 1.0, ratio: 0.0, span_ms: 1000.0 });
+    let mut h = Host::with_nodes(s, &[entry(7, 0)]);
+    h.at(1.0, Event::Request(request(1, 5000.0)));
+    assert_eq!(sent(&h.at(5.0, Event::Outcome(outcome(1, 0, 7, Verdict::Error)))), [(1, 7)]);
+    assert!(sent(&h.at(9.0, Event::Outcome(outcome(1, 1, 7, Verdict::Error)))).is_empty());
+    let next = h
+        .ring_until(3000.0)
+        .into_iter()
+        .find(|(_, a)| !sent(std::slice::from_ref(a)).is_empty())
+        .expect("later")
+        .0;
+    assert!(next > 1005.0 && next < 1030.0, "{next}");
+}
+
+#[test]
+fn an_outcome_from_before_a_fresh_start_is_harmless() {
+    // Found on a day with silent nodes: it indexed an envelope that was made anew.
+    let mut h = Host::with_nodes(settings(), &[entry(7, 0)]);
+    for id in 0..3 {
+        h.at(1.0 + f64::from(id), Event::Request(request(id, 900.0)));
+    }
+    let fresh = NodeEntry { started_ms: 10.0, ..entry(7, 0) };
+    h.at(20.0, Event::List(ListKind::Changes, vec![fresh]));
+    for id in (0..3).rev() {
+        h.at(30.0, Event::Outcome(outcome(id, 0, 7, Verdict::Served)));
+    }
+}
+
+#[test]
+fn a_node_that_turns_all_away_does_not_draw_new_objects() {
+    // Found on an incident: nodes answering full in a millisecond looked idle.
+    let mut h = Host::with_nodes(settings(), &[entry(7, 0), entry(8, 1)]);
+    let mut to = [0; 2];
+    for id in 0..60 {
+        let t = 1.0 + f64::from(id) * 10.0;
+        let q = Request { shard: None, ..request(id, t + 200.0) };
+        let mut next = sent(&h.at(t, Event::Request(q)));
+        let mut tries = [0u16; 60];
+        while let Some((i, node)) = next.pop() {
+            to[(node - 7) as usize] += 1;
+            let verdict = if node == 7 { Verdict::Full } else { Verdict::Served };
+            let n = tries[i as usize];
+            tries[i as usize] += 1;
+            next.extend(sent(&h.at(t + 1.0, Event::Outcome(outcome(i, n, node, verdict)))));
+        }
+    }
+    assert!(to[0] <= 3 && to[1] >= 55, "{to:?}");
+}
+
+#[test]
+fn senseless_events_are_ignored() {
+    let mut h = Host::with_nodes(settings(), &[entry(7, 0)]);
+    assert!(h.at(1.0, Event::Outcome(outcome(9, 0, 7, Verdict::Served))).is_empty());
+    assert!(h.at(1.0, Event::Abandoned { id: 9 }).is_empty());
+    assert!(h.at(1.0, Event::Timer { label: u64::MAX }).is_empty());
+    assert!(h.at(1.0, Event::Message { from: 9, bytes: vec![1] }).is_empty());
+    let odd = Request { units: f64::NAN, ..request(1, 500.0) };
+    assert!(refused(&h.at(1.0, Event::Request(odd)), 1));
+    let odd = Request { class: 9, ..request(2, 500.0) };
+    assert!(refused(&h.at(1.0, Event::Request(odd)), 2));
+    let mut bad = settings();
+    bad.fall_ms = f64::NAN;
+    assert_eq!(Scheduler::new(bad, 1).err().map(|e| e.field), Some("fall_ms".to_owned()));
+}
