The bound aims at answers within 0.6 of the tightest aim

Cause: at 0.35 hosts starved nodes whose answers come in more than a third of the aim by their own pace.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,7 +24,7 @@
 /// In-flight bound of a node not yet known, requests.
 const FIRST_BOUND: f64 = 3.0;
 /// The bound aims at answers within this part of the tightest aim, counted from the send.
-const SOJOURN_PART: f64 = 0.35;
+const SOJOURN_PART: f64 = 0.6;
 /// Weight of a new sample in running means: the last dozen or so count.
 const BLEND: f64 = 0.12;
 /// Requests of one extent sent in a row before the others get a look in.
@@ -605,7 +605,7 @@
         let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         if o.verdict == Verdict::Full {
             n.bound = (n.bound / 2.0).max(1.0);
-            // Danger: a node that turns everything away at once looks idle and draws ever more (a black hole),
+            // Danger: a node that turns everything away at once looks idle and draws all (a black hole),
             // whatever filled it. Rest grows while no request is served, up to the pace of a trickle.
             n.fulls = (n.fulls + 1).min(16);
             let rest = (FULL_REST_MS * f64::from(1 << (n.fulls - 1))).min(TRICKLE_MS);
@@ -734,8 +734,8 @@
         sent + 1.0 <= e.free + e.ratio * taken
     }
 
-    /// Guard, cold nodes: units that this host may send now. The budget of all hosts is stated for the coldest
-    /// moment and grows with the capacity that a node has by then at the least.
+    /// Guard, cold nodes: units that this host may send now. The budget of all hosts is stated for the
+    /// coldest moment and grows with the capacity that a node has by then at the least.
     fn cold_room(&self, n: &Node, now: f64) -> f64 {
         let age = (now - n.e.started_ms).max(0.0);
         if n.e.started_ms <= 0.0 || age >= self.s.warm_after_ms {
@@ -889,8 +889,7 @@
         Node { e, envelopes, bound, sojourn, last_word: now, rest_until: now, ..Default::default() }
     }
 
-    /// Departure, censored samples: a node without a word longer than usual counts its outstanding attempts at
-    /// their age, so that a frozen envelope moves.
+    /// Departure, censored samples: a node without a word longer than usual counts what is out at its age, so that a frozen envelope moves.
     fn silence(&self, now: f64) -> f64 {
         if self.out == 0 {
             0.0
