--- a/src/rules.rs
+++ b/src/rules.rs
@@ -889,7 +889,8 @@
         Node { e, envelopes, bound, sojourn, last_word: now, rest_until: now, ..Default::default() }
     }
 
-    /// Departure, censored samples: a node without a word longer than usual counts what is out at its age, so that a frozen envelope moves.
+    /// Departure, censored samples: a node without a word longer than usual counts what is
+    /// out at its age, so that a frozen envelope moves.
     fn silence(&self, now: f64) -> f64 {
         if self.out == 0 {
             0.0
