--- a/src/rules.rs
+++ b/src/rules.rs
@@ -220,8 +220,6 @@
     s: Settings,
     b: Books,
     random: Random,
-    /// Running cost of a unit of each class, ms.
-    unit_cost: Vec<f64>,
     tightest_aim: f64,
 }
 
@@ -233,8 +231,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let tightest_aim = settings.classes.iter().map(|c| c.aim_ms).fold(f64::INFINITY, f64::min);
-        let unit_cost = vec![0.0; settings.classes.len()];
-        Ok(Scheduler { s: settings, b: Books::default(), random: Random(seed), unit_cost, tightest_aim })
+        Ok(Scheduler { s: settings, b: Books::default(), random: Random(seed), tightest_aim })
     }
 
     /// Takes one event and appends what is to be done.
@@ -422,11 +419,12 @@
         r.grade = if within { self.s.share_worth } else { self.s.spare_worth };
     }
 
-    /// Worth for a unit of work, were the request answered in time.
+    /// Worth of a unit, were the request answered in time. Units are taken as work: answer times would hide
+    /// what writes put off.
     fn worth(&self, r: &Held) -> f64 {
         let class = &self.s.classes[usize::from(r.q.class)];
         let plan = &self.s.plans[usize::from(r.q.plan)];
-        class.worth * plan.pays * r.grade / self.unit_cost[usize::from(r.q.class)].max(1.0)
+        class.worth * plan.pays * r.grade
     }
 
     /// The same now, for a request at a node: what can no longer meet its aim counts as late.
@@ -517,16 +515,8 @@
         }
         let class = usize::from(r.q.class);
         let lane = if self.s.classes[class].ordered { r.q.key } else { 0 };
-        let flight = Flight {
-            node,
-            sent: now,
-            units: r.q.units,
-            class,
-            alone: n.out == 0,
-            lane,
-            shard: n.e.shard,
-            zone: n.e.zone,
-        };
+        let flight =
+            Flight { node, sent: now, units: r.q.units, class, lane, shard: n.e.shard, zone: n.e.zone };
         if lane != 0 {
             self.b.lanes.entry(lane).or_default().outstanding += 1;
         }
@@ -631,11 +621,6 @@
         }
         let served = n.served.add(now, f.units, STANDING_MS);
         n.capacity = served.max(n.capacity * (1.0 - took.min(WINDOW_MS) / WINDOW_MS * 0.1));
-        if f.alone && f.units > 0.0 {
-            let cost = &mut self.unit_cost[f.class];
-            let sample = took / f.units;
-            *cost = if *cost == 0.0 { sample } else { *cost + BLEND / 2.0 * (sample - *cost) };
-        }
         if let Some(r) = self.b.requests.get(&o.id) {
             if r.node == Some(f.node) {
                 n.envelopes[f.class].served(now, r.number);
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,7 +101,6 @@
     pub(crate) sent: f64,
     pub(crate) units: f64,
     pub(crate) class: usize,
-    pub(crate) alone: bool,
     pub(crate) lane: u64,
     pub(crate) shard: u16,
     pub(crate) zone: u16,
