--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,6 +26,8 @@
 /// The bound aims at answers within this part of the tightest aim, counted from the send.
 const SOJOURN_PART: f64 = 0.6;
 /// Weight of a new sample in running means: the last dozen or so count.
+/// Usual answer times that must fit before the aim for a request to count as in time: answers vary.
+const SURE: f64 = 1.6;
 const BLEND: f64 = 0.12;
 /// Requests of one extent sent in a row before the others get a look in.
 const RUN: u32 = 8;
@@ -430,7 +432,7 @@
     /// The same now, for a request at a node: what can no longer meet its aim counts as late.
     fn worth_now(&self, r: &Held, sojourn: f64, now: f64) -> (f64, f64) {
         let class = &self.s.classes[usize::from(r.q.class)];
-        let slack = r.arrived + class.aim_ms - now - sojourn;
+        let slack = r.arrived + class.aim_ms - now - SURE * sojourn;
         (self.worth(r) * if slack < 0.0 { class.late_worth } else { 1.0 }, slack)
     }
 
