--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,7 +27,7 @@
 const SOJOURN_PART: f64 = 0.6;
 /// Weight of a new sample in running means: the last dozen or so count.
 /// Usual answer times that must fit before the aim for a request to count as in time: answers vary.
-const SURE: f64 = 1.6;
+const SURE: f64 = 2.0;
 const BLEND: f64 = 0.12;
 /// Requests of one extent sent in a row before the others get a look in.
 const RUN: u32 = 8;
