--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,8 @@
 const FIRST_BOUND: f64 = 3.0;
 /// The bound aims at answers within this part of the tightest aim, counted from the send.
 const SOJOURN_PART: f64 = 0.6;
+/// Answer time presumed of a node not yet known, as part of the tightest aim: it must count as in time.
+const FIRST_SOJOURN: f64 = 0.25;
 /// Weight of a new sample in running means: the last dozen or so count.
 /// Usual answer times that must fit before the aim for a request to count as in time: answers vary.
 const SURE: f64 = 2.0;
@@ -871,7 +873,7 @@
 
 impl Node {
     fn new(e: NodeEntry, now: f64, classes: usize, aim: f64) -> Self {
-        let (envelopes, sojourn) = (vec![Envelope::new(now); classes], SOJOURN_PART * aim);
+        let (envelopes, sojourn) = (vec![Envelope::new(now); classes], FIRST_SOJOURN * aim);
         let bound = FIRST_BOUND;
         Node { e, envelopes, bound, sojourn, last_word: now, rest_until: now, ..Default::default() }
     }
