Guard, ration: a moot attempt gives back its own place

Cause: the latest further attempt was struck instead, so an older one aged out too soon and the ration could be passed. Found on reading, shown by a module test that fails without the fix.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -563,9 +563,11 @@
             if !never_ran && r.may_have_run.is_none() {
                 r.may_have_run = Some((f.sent, f.shard, f.zone));
             }
-            // A moot attempt neither ran nor counts against the ration or the limit.
-            if o.verdict == Verdict::Moot && r.tries > 1 {
-                self.b.extras.pop_back();
+            // A moot attempt takes nothing of the ration; that very one is struck: each ages by its send.
+            if o.verdict == Verdict::Moot && o.attempt > 0 {
+                if let Some(i) = self.b.extras.iter().rposition(|t| *t == f.sent) {
+                    self.b.extras.remove(i);
+                }
             }
             let alive = now < r.q.valid_until_ms - 2.0 * self.s.round_ms;
             again = alive && r.tries < self.s.max_attempts && o.verdict != Verdict::Moot;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -249,3 +249,24 @@
     }
     assert!(sends <= 12, "{sends} sends to a dead node in 0.8 s");
 }
+
+#[test]
+fn a_moot_attempt_gives_back_its_own_place_in_the_ration() {
+    let mut s = settings();
+    s.extra = Some(ExtraRation { free: 2.0, ratio: 0.0, span_ms: 1000.0 });
+    let mut h = Host::with_nodes(s, &[entry(7, 0)]);
+    for (id, t) in [(1, 1.0), (2, 501.0)] {
+        h.at(t, Event::Request(request(id, 9000.0)));
+        assert_eq!(sent(&h.at(t + 4.0, Event::Outcome(outcome(id, 0, 7, Verdict::Error)))), [(id, 7)]);
+    }
+    // The further attempt of 5 ms was moot: the one of 505 ms still counts until 1505 ms.
+    h.at(510.0, Event::Outcome(outcome(1, 1, 7, Verdict::Moot)));
+    h.at(511.0, Event::Outcome(outcome(2, 1, 7, Verdict::Served)));
+    h.ring_until(1100.0);
+    let mut again = 0;
+    for id in [3, 4] {
+        h.at(1100.0, Event::Request(request(id, 9000.0)));
+        again += sent(&h.at(1104.0, Event::Outcome(outcome(id, 0, 7, Verdict::Error)))).len();
+    }
+    assert_eq!(again, 1, "one of two places is taken");
+}
