--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -136,7 +136,6 @@
         spare_worth: num_or(&v, "Domain.SpareWorth", "", 1.0)?,
         meter_ms: num_or(&v, "Domain.MeterMs", "", 0.0)?,
     };
-    settings.check().map_err(|e| e.to_string())?;
     let names = find(&v, "Report.Fields").and_then(Value::as_array);
     let queue = names.and_then(|n| n.iter().position(|f| f.as_str() == Some("pending")));
     Ok((settings, Fields { queue }))
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,9 +27,9 @@
 const SOJOURN_PART: f64 = 0.6;
 /// Answer time presumed of a node not yet known, as part of the tightest aim: it must count as in time.
 const FIRST_SOJOURN: f64 = 0.25;
-/// Weight of a new sample in running means: the last dozen or so count.
 /// Usual answer times that must fit before the aim for a request to count as in time: answers vary.
 const SURE: f64 = 2.0;
+/// Weight of a new sample in running means: the last dozen or so count.
 const BLEND: f64 = 0.12;
 /// Requests of one extent sent in a row before the others get a look in.
 const RUN: u32 = 8;
@@ -175,7 +175,7 @@
         self.stale = true;
     }
 
-    /// R(tau) without the newcomer's share, tau being `SPANS[i]` buckets.
+    /// R(tau) with the rate raised by `more`, tau being `SPANS[i]` buckets.
     fn requests(&self, i: usize, now: f64, more: f64) -> f64 {
         let seen = (now - self.since).clamp(1_000.0, WINDOW_MS);
         let rate = (self.spans[0].sum + f64::from(self.spans[0].current)) / seen;
@@ -212,8 +212,8 @@
             (false, 1) => ((0.0, 0.0), c[0]),
             (false, n) => (c[n - 2], c[n - 1]),
         };
-        let slope = ((b.1 - a.1) / (b.0 - a.0)).max(0.0);
-        Some(b.1 + (k - b.0) * if i < c.len() { (b.1 - a.1) / (b.0 - a.0) } else { slope })
+        let slope = (b.1 - a.1) / (b.0 - a.0);
+        Some(b.1 + (k - b.0) * if i < c.len() { slope } else { slope.max(0.0) })
     }
 }
 
@@ -404,9 +404,9 @@
         }
         let asks = n.asked[i].units.add(now, r.q.units, STANDING_MS);
         // Pour what is left after the reserves out by weight; who asks for less leaves the rest to others.
-        let mut left = (n.capacity - n.reserved.add(now, 0.0, STANDING_MS)).max(0.0);
-        let faded = |a: &Asked| a.units.value * (-(now - a.units.at).max(0.0) / STANDING_MS).exp();
-        let mut thirsty: Vec<(f64, f64)> = n.asked.iter().map(|a| (faded(a) / a.weight, a.weight)).collect();
+        let mut left = (n.capacity - n.reserved.faded(now, STANDING_MS)).max(0.0);
+        let mut thirsty: Vec<(f64, f64)> =
+            n.asked.iter().map(|a| (a.units.faded(now, STANDING_MS) / a.weight, a.weight)).collect();
         thirsty.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut weights: f64 = thirsty.iter().map(|t| t.1).sum();
         let mut level = f64::INFINITY;
@@ -636,7 +636,7 @@
                 let all = used / 100.0 * plan.nominal;
                 if all > 0.0 {
                     let part =
-                        (v.own.add(now, 0.0, STANDING_MS) / all).clamp(1.0 / r.q.volume_hosts.max(1.0), 1.0);
+                        (v.own.faded(now, STANDING_MS) / all).clamp(1.0 / r.q.volume_hosts.max(1.0), 1.0);
                     v.part += BLEND * (part - v.part);
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -63,10 +63,15 @@
 
 impl Fading {
     pub(crate) fn add(&mut self, now: f64, amount: f64, span: f64) -> f64 {
-        self.value = self.value * (-(now - self.at).max(0.0) / span).exp() + amount;
+        self.value = self.faded(now, span) + amount;
         self.at = now;
         self.value
     }
+
+    /// What is left of it now.
+    pub(crate) fn faded(&self, now: f64, span: f64) -> f64 {
+        self.value * (-(now - self.at).max(0.0) / span).exp()
+    }
 }
 
 #[derive(Default)]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -19,6 +19,11 @@
         .map(|(t, _)| *t)
 }
 
+/// When the timers up to a time first make it send.
+fn first_send(h: &mut Host, until: f64) -> Option<f64> {
+    h.ring_until(until).into_iter().find(|(_, a)| !sent(std::slice::from_ref(a)).is_empty()).map(|(at, _)| at)
+}
+
 #[test]
 fn every_request_gets_one_answer_before_the_client_gives_up() {
     let mut h = Host::with_nodes(settings(), &[entry(7, 0)]);
@@ -147,12 +152,7 @@
     assert_eq!(sent(&h.at(3.0, Event::Request(free))), [(3, 7)]);
     h.at(9.0, Event::Outcome(outcome(3, 0, 7, Verdict::Served)));
     assert!(sent(&h.at(10.0, Event::Outcome(outcome(1, 0, 7, Verdict::TimedOut)))).is_empty());
-    let at = h
-        .ring_until(1500.0)
-        .into_iter()
-        .find(|(_, a)| !sent(std::slice::from_ref(a)).is_empty())
-        .expect("its turn")
-        .0;
+    let at = first_send(&mut h, 1500.0).expect("its turn");
     assert!(at >= 510.0, "rested until {at}");
 }
 
@@ -164,12 +164,7 @@
     h.at(1.0, Event::Request(request(1, 5000.0)));
     assert_eq!(sent(&h.at(5.0, Event::Outcome(outcome(1, 0, 7, Verdict::Error)))), [(1, 7)]);
     assert!(sent(&h.at(9.0, Event::Outcome(outcome(1, 1, 7, Verdict::Error)))).is_empty());
-    let next = h
-        .ring_until(3000.0)
-        .into_iter()
-        .find(|(_, a)| !sent(std::slice::from_ref(a)).is_empty())
-        .expect("later")
-        .0;
+    let next = first_send(&mut h, 3000.0).expect("later");
     assert!(next > 1005.0 && next < 1030.0, "{next}");
 }
 
