Thin views borrow: predicted room by reported load; standing by token buckets

Cause: a host with under one request a second at a node has no envelope, and the idle start admits everything, so the test sheds nothing. Change: the wait at a node is read off a line fitted over all nodes (answer time against queue or in-flight count times service time, as reported); a newcomer needs its part of the aim left, less with less standing. Standing is two token buckets a volume (reserve; weight), with the host's part of the rate, in place of pouring out what the node served this host.

--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -8,6 +8,12 @@
 pub struct Fields {
     /// Requests waiting.
     pub queue: Option<usize>,
+    /// Requests held.
+    pub in_flight: Option<usize>,
+    /// Recent service time.
+    pub latency: Option<usize>,
+    /// How busy the cores are.
+    pub util: Option<usize>,
 }
 
 fn find<'a>(v: &'a Value, path: &str) -> Option<&'a Value> {
@@ -137,6 +143,7 @@
         meter_ms: num_or(&v, "Domain.MeterMs", "", 0.0)?,
     };
     let names = find(&v, "Report.Fields").and_then(Value::as_array);
-    let queue = names.and_then(|n| n.iter().position(|f| f.as_str() == Some("pending")));
-    Ok((settings, Fields { queue }))
+    let at = |name| names.and_then(|n| n.iter().position(|f| f.as_str() == Some(name)));
+    let (queue, in_flight) = (at("pending"), at("busy_reqs"));
+    Ok((settings, Fields { queue, in_flight, latency: at("svc_ms"), util: at("cpu_share") }))
 }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -217,13 +217,10 @@
                 let complete = c.u8()? != 0;
                 let foreign_units = f64::from(c.u16()?);
                 let n = c.u8()? as usize;
-                let mut queue = None;
-                for i in 0..n {
-                    let v = f64::from(c.f32()?);
-                    if fields.is_some_and(|f| f.queue == Some(i)) {
-                        queue = Some(v);
-                    }
-                }
+                let report = (0..n).map(|_| c.f32().map(f64::from)).collect::<Result<Vec<_>, _>>()?;
+                let told = |at: fn(&Fields) -> Option<usize>| {
+                    fields.and_then(at).and_then(|i| report.get(i)).copied()
+                };
                 let used_percent = (used > 0).then(|| f64::from(used - 1));
                 Event::Outcome(Outcome {
                     id,
@@ -234,7 +231,10 @@
                     complete,
                     used_percent,
                     foreign_units,
-                    queue,
+                    queue: told(|f| f.queue),
+                    in_flight: told(|f| f.in_flight),
+                    latency_ms: told(|f| f.latency),
+                    util: told(|f| f.util),
                 })
             }
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -306,6 +306,12 @@
     pub foreign_units: f64,
     /// Requests waiting at the node, where told.
     pub queue: Option<f64>,
+    /// Requests in work or waiting at the node, where told.
+    pub in_flight: Option<f64>,
+    /// The node's recent service time without waiting, where told.
+    pub latency_ms: Option<f64>,
+    /// How busy its cores are, where told.
+    pub util: Option<f64>,
 }
 
 /// What happened.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,18 +5,17 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::VecDeque;
 
 /// The span T over which both envelopes are measured.
 const WINDOW_MS: f64 = 10_000.0;
 /// The smallest sub-window; each tau of the grid is a whole number of these.
 const BUCKET_MS: f64 = 50.0;
 /// The grid of tau, in buckets: 50 ms to 2 s, each a divisor of T.
-const SPANS: [usize; 6] = [1, 2, 4, 8, 20, 40];
+pub(crate) const SPANS: [usize; 6] = [1, 2, 4, 8, 20, 40];
 /// Gaussian 95 % point.
 const TAIL: f64 = 1.645;
 /// Largest k of the service envelope; also the hard top of the in-flight bound.
-const TOP: usize = 32;
+pub(crate) const TOP: usize = 32;
 /// The service envelope forgets in slots of T / SLOTS.
 const SLOTS: usize = 10;
 /// Samples below which a k counts as not seen: a variance needs two.
@@ -45,6 +44,18 @@
 const TRICKLE_MS: f64 = 200.0;
 /// Nothing goes for this long to a node that turned a request away as full.
 const FULL_REST_MS: f64 = 20.0;
+/// What a report says of a node holds for about this time; then the mean of all nodes stands in for it.
+const REPORT_MS: f64 = 1_500.0;
+/// Weight of a new sample in the fit of answer times to reports: the last hundred or so count.
+const FIT_BLEND: f64 = 0.01;
+/// Answers seen before that fit is used.
+const FIT_SEEN: u32 = 10;
+/// Part of its aim that a request of full standing may be predicted to take.
+const FIT_PART: f64 = 0.8;
+/// Part of its aim that is left to the wait at the least, however long the service alone takes.
+const FIT_LEAST: f64 = 0.3;
+/// Use of a volume, in parts of what its plan and weight give it, that still counts as inside its share.
+const SHARE_X: f64 = 1.5;
 /// Standing of volumes is judged over about this time, since worth is due by the second.
 const STANDING_MS: f64 = 1_000.0;
 /// Part of a guarded budget that is used; the rest covers clocks and rounding.
@@ -59,23 +70,6 @@
 
 // ---- Envelopes -----------------------------------------------------------------------------------------
 
-/// The request and service envelope of one class at one node.
-#[derive(Clone, Default)]
-pub(crate) struct Envelope {
-    bucket: i64,
-    since: f64,
-    spans: [Jumping; SPANS.len()],
-    slot: i64,
-    slots: Vec<[Sums; TOP]>,
-    totals: [Sums; TOP],
-    curve: Vec<(f64, f64)>,
-    stale: bool,
-    /// Arrival and overlap of the last TOP admitted requests; `next` numbers the one to come.
-    recent: VecDeque<(f64, usize)>,
-    next: u64,
-    latest_open: bool,
-}
-
 impl Envelope {
     fn new(now: f64) -> Self {
         let (bucket, slot) =
@@ -225,6 +219,8 @@
     b: Books,
     random: Random,
     tightest_aim: f64,
+    /// Units a second for each weight, were the nominal rates of all plans dealt out by weight.
+    weight_units: f64,
 }
 
 impl Scheduler {
@@ -235,7 +231,10 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let tightest_aim = settings.classes.iter().map(|c| c.aim_ms).fold(f64::INFINITY, f64::min);
-        Ok(Scheduler { s: settings, b: Books::default(), random: Random(seed), tightest_aim })
+        let sum = |f: fn(&Plan) -> f64| settings.plans.iter().map(f).sum::<f64>();
+        let weight_units = sum(|p| p.nominal) / sum(|p| p.weight).max(1e-6);
+        let random = Random(seed);
+        Ok(Scheduler { s: settings, b: Books::default(), random, tightest_aim, weight_units })
     }
 
     /// Takes one event and appends what is to be done.
@@ -286,10 +285,11 @@
             self.tick_soon(now, actions);
             return;
         };
+        self.stand(now, q.id);
+        let fits = self.predicted_room(now, q.id, node) >= 0.0;
         let room = self.room(node, usize::from(q.class), now);
-        self.stand(now, q.id, node);
-        if room < 0.0 && !self.make_way(now, q.id, node, actions) {
-            self.answer(now, q.id, -room, actions);
+        if (room < 0.0 || !fits) && !self.make_way(now, q.id, node, fits, actions) {
+            self.answer(now, q.id, (-room).max(0.0), actions);
             return;
         }
         self.hold(now, q.id, node);
@@ -310,9 +310,7 @@
         let hosts = self.hosts_of(q);
         let plan = &self.s.plans[usize::from(q.plan)];
         // Guard, limits: a host that restarted has forgotten what it sent, so the store starts empty.
-        let reserve = (plan.reserve + self.s.max_units) / hosts;
-        let new =
-            || Volume { reserve, reserve_at: now, store_at: now, part: 1.0 / hosts, ..Default::default() };
+        let new = || Volume { store_at: now, part: 1.0 / hosts, ..Default::default() };
         let v = self.b.volumes.entry(q.volume).or_insert_with(new);
         v.seen = now;
         v.own.add(now, q.units, STANDING_MS);
@@ -379,48 +377,51 @@
         best.map(|(_, node)| node)
     }
 
-    /// Judges the newcomer by its volume's standing: within this host's part of the reserve, within the
-    /// weighted share of what the node gives this host, or spare.
-    fn stand(&mut self, now: f64, id: u32, node: u32) {
+    /// Judges the newcomer by its volume's standing: two token buckets, one filled at the reserve, the other by
+    /// weight, each with this host's part of the rate. Inside the first, the second, or spare.
+    fn stand(&mut self, now: f64, id: u32) {
         let Some(r) = self.b.requests.get_mut(&id) else { return };
-        let Some(n) = self.b.nodes.get_mut(&node) else { return };
         let plan = &self.s.plans[usize::from(r.q.plan)];
         let Some(v) = self.b.volumes.get_mut(&r.q.volume) else { return };
-        let top = v.part * (plan.reserve * STANDING_MS / 1_000.0) + self.s.max_units;
-        v.reserve = (v.reserve + v.part * plan.reserve * (now - v.reserve_at).max(0.0) / 1_000.0).min(top);
+        let passed = (now - v.reserve_at).max(0.0) / 1_000.0;
         v.reserve_at = now;
+        let share = SHARE_X * plan.weight * self.weight_units;
+        let fill = |tokens: f64, rate: f64| {
+            let rate = rate * v.part;
+            (tokens + rate * passed).min(rate * STANDING_MS / 1_000.0 + self.s.max_units)
+        };
+        (v.reserve, v.share) = (fill(v.reserve, plan.reserve), fill(v.share, share));
         if plan.reserve > 0.0 && v.reserve >= r.q.units {
             v.reserve -= r.q.units;
             r.drew = r.q.units;
             r.grade = 1.0;
-            n.reserved.add(now, r.q.units, STANDING_MS);
-            return;
+        } else if v.share >= r.q.units {
+            v.share -= r.q.units;
+            r.grade = self.s.share_worth;
+        } else {
+            r.grade = self.s.spare_worth;
         }
-        n.asked.retain(|a| now - a.units.at < 4.0 * STANDING_MS);
-        let i = n.asked.iter().position(|a| a.volume == r.q.volume).unwrap_or(n.asked.len());
-        if i == n.asked.len() {
-            let (volume, weight) = (r.q.volume, plan.weight.max(1e-6));
-            n.asked.push(Asked { volume, weight, units: Fading::default() });
-        }
-        let asks = n.asked[i].units.add(now, r.q.units, STANDING_MS);
-        // Pour what is left after the reserves out by weight; who asks for less leaves the rest to others.
-        let mut left = (n.capacity - n.reserved.faded(now, STANDING_MS)).max(0.0);
-        let mut thirsty: Vec<(f64, f64)> =
-            n.asked.iter().map(|a| (a.units.faded(now, STANDING_MS) / a.weight, a.weight)).collect();
-        thirsty.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut weights: f64 = thirsty.iter().map(|t| t.1).sum();
-        let mut level = f64::INFINITY;
-        for (dry, weight) in thirsty {
-            level = left / weights.max(1e-9);
-            if dry > level {
-                break;
-            }
-            left -= dry * weight;
-            weights -= weight;
-            level = f64::INFINITY;
+    }
+
+    /// Departure, borrowed samples: what is left of the aims of the classes at a node when its wait is taken off.
+    /// The wait is that of all nodes at the load which this one reported last; old reports fade, so that a node
+    /// is tried again. A newcomer of less standing may use less of the aims.
+    fn predicted_room(&self, now: f64, id: u32, node: u32) -> f64 {
+        let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return 0.0 };
+        if self.b.fit.seen < FIT_SEEN {
+            return 0.0;
+        }
+        let wait = self.b.fit.slope() * n.load * (-(now - n.load_at).max(0.0) / REPORT_MS).exp();
+        let part = FIT_PART * r.grade.clamp(0.0, 1.0).sqrt();
+        let mut least = f64::INFINITY;
+        for (l, class) in self.s.classes.iter().enumerate() {
+            let own =
+                if l == usize::from(r.q.class) { r.q.valid_until_ms - r.arrived } else { f64::INFINITY };
+            let alone = self.b.offsets.get(l).copied().unwrap_or(0.0).max(0.0);
+            let aim = class.aim_ms.min(own);
+            least = least.min((aim - alone).max(aim * FIT_LEAST) * part - wait);
         }
-        let within = asks <= level * n.asked[i].weight;
-        r.grade = if within { self.s.share_worth } else { self.s.spare_worth };
+        least
     }
 
     /// Worth of a unit, were the request answered in time. Units are taken as work: answer times would hide
@@ -440,11 +441,11 @@
 
     /// Departure, standing: the test says that something must go; it is the request, held or new, that is
     /// worth least for its work. Only what was never sent may go. True: the newcomer stays.
-    fn make_way(&mut self, now: f64, id: u32, node: u32, actions: &mut Vec<Action>) -> bool {
+    fn make_way(&mut self, now: f64, id: u32, node: u32, fits: bool, actions: &mut Vec<Action>) -> bool {
         let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return false };
         let own = self.worth(r);
         // Spare capacity is used: with nothing waiting and the bound not reached, the test is moot.
-        if n.held.is_empty() && (n.out as f64) < n.bound && !n.silent {
+        if fits && n.held.is_empty() && (n.out as f64) < n.bound && !n.silent {
             return true;
         }
         let least = n
@@ -519,8 +520,7 @@
         }
         let class = usize::from(r.q.class);
         let lane = if self.s.classes[class].ordered { r.q.key } else { 0 };
-        let flight =
-            Flight { node, sent: now, units: r.q.units, class, lane, shard: n.e.shard, zone: n.e.zone };
+        let flight = Flight { node, sent: now, class, lane, shard: n.e.shard, zone: n.e.zone };
         if lane != 0 {
             self.b.lanes.entry(lane).or_default().outstanding += 1;
         }
@@ -625,8 +625,16 @@
         if gap < 0.0 || n.out as f64 + 1.0 >= n.bound.floor() {
             n.bound = (n.bound + 0.5 * gap.max(-1.0) / n.bound.sqrt()).clamp(1.0, TOP as f64);
         }
-        let served = n.served.add(now, f.units, STANDING_MS);
-        n.capacity = served.max(n.capacity * (1.0 - took.min(WINDOW_MS) / WINDOW_MS * 0.1));
+        let sane = |v: Option<f64>, top: f64| v.filter(|v| (0.0..top).contains(v));
+        let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
+        if let Some(count) = count {
+            let load = count * sane(o.latency_ms, 1e5).unwrap_or(1.0);
+            (n.load, n.load_at) = (load, now);
+            self.b.fit.add(load, took, FIT_BLEND);
+            let rest = (took - self.b.fit.slope() * load).min(self.s.classes[f.class].aim_ms);
+            self.b.offsets.resize(self.s.classes.len(), 0.0);
+            self.b.offsets[f.class] += BLEND * (rest - self.b.offsets[f.class]);
+        }
         if let Some(r) = self.b.requests.get(&o.id) {
             if r.node == Some(f.node) {
                 n.envelopes[f.class].served(now, r.number);
@@ -796,7 +804,7 @@
         for id in std::mem::take(&mut self.b.unplaced) {
             match self.choose_node(now, id) {
                 Some(node) => {
-                    self.stand(now, id, node);
+                    self.stand(now, id);
                     self.hold(now, id, node);
                 }
                 None => self.b.unplaced.push(id),
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a scheduler remembers. Plain data: every decision on it is in `rules.rs`.
 
 use crate::interface::{NodeEntry, Request};
-use crate::rules::Envelope;
+use crate::rules::{SPANS, TOP};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Counts of admitted arrivals in jumping sub-windows of one length.
@@ -20,11 +20,21 @@
     pub(crate) squares: f64,
 }
 
-/// What a volume recently asked of a node beyond its reserve, fading.
-pub(crate) struct Asked {
-    pub(crate) volume: u64,
-    pub(crate) weight: f64,
-    pub(crate) units: Fading,
+/// The request and service envelope of one class at one node.
+#[derive(Clone, Default)]
+pub(crate) struct Envelope {
+    pub(crate) bucket: i64,
+    pub(crate) since: f64,
+    pub(crate) spans: [Jumping; SPANS.len()],
+    pub(crate) slot: i64,
+    pub(crate) slots: Vec<[Sums; TOP]>,
+    pub(crate) totals: [Sums; TOP],
+    pub(crate) curve: Vec<(f64, f64)>,
+    pub(crate) stale: bool,
+    /// Arrival and overlap of the last TOP admitted requests; `next` numbers the one to come.
+    pub(crate) recent: VecDeque<(f64, usize)>,
+    pub(crate) next: u64,
+    pub(crate) latest_open: bool,
 }
 
 /// A node as this host knows it.
@@ -47,10 +57,9 @@
     pub(crate) last_key: u64,
     pub(crate) run: u32,
     pub(crate) cold_log: VecDeque<(f64, f64)>,
-    pub(crate) asked: Vec<Asked>,
-    pub(crate) reserved: Fading,
-    pub(crate) served: Fading,
-    pub(crate) capacity: f64,
+    /// Load last reported, and when.
+    pub(crate) load: f64,
+    pub(crate) load_at: f64,
     pub(crate) gone_at: f64,
 }
 
@@ -74,6 +83,37 @@
     }
 }
 
+/// Straight line through pairs, the older counting less.
+#[derive(Default)]
+pub(crate) struct Fit {
+    pub(crate) seen: u32,
+    pub(crate) x: f64,
+    pub(crate) y: f64,
+    pub(crate) xx: f64,
+    pub(crate) xy: f64,
+}
+
+impl Fit {
+    pub(crate) fn add(&mut self, x: f64, y: f64, blend: f64) {
+        self.seen = self.seen.saturating_add(1);
+        let part = blend.max(1.0 / f64::from(self.seen));
+        for (mean, value) in
+            [(&mut self.x, x), (&mut self.y, y), (&mut self.xx, x * x), (&mut self.xy, x * y)]
+        {
+            *mean += part * (value - *mean);
+        }
+    }
+
+    pub(crate) fn slope(&self) -> f64 {
+        let spread = self.xx - self.x * self.x;
+        if spread > 1e-6 * self.xx {
+            ((self.xy - self.x * self.y) / spread).max(0.0)
+        } else {
+            0.0
+        }
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Held {
     pub(crate) q: Request,
@@ -93,6 +133,7 @@
 #[derive(Default)]
 pub(crate) struct Volume {
     pub(crate) reserve: f64,
+    pub(crate) share: f64,
     pub(crate) reserve_at: f64,
     pub(crate) store: f64,
     pub(crate) store_at: f64,
@@ -104,7 +145,6 @@
 pub(crate) struct Flight {
     pub(crate) node: u32,
     pub(crate) sent: f64,
-    pub(crate) units: f64,
     pub(crate) class: usize,
     pub(crate) lane: u64,
     pub(crate) shard: u16,
@@ -146,6 +186,9 @@
     /// When requests were taken, and further attempts sent.
     pub(crate) taken: VecDeque<f64>,
     pub(crate) extras: VecDeque<f64>,
+    pub(crate) fit: Fit,
+    /// For each class, what the fit leaves of its answer times.
+    pub(crate) offsets: Vec<f64>,
     pub(crate) ticking: bool,
     pub(crate) watch_failures: u32,
     pub(crate) next_log: f64,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -75,6 +75,9 @@
         used_percent: None,
         foreign_units: 0.0,
         queue: None,
+        in_flight: None,
+        latency_ms: None,
+        util: None,
     }
 }
 
