A reported wait above the node's usual is worked off at half speed

Change: a node's usual load (mean of its reports over 2 s) fades slowly; what the last report says beyond it is worked off at half the time that passed.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,8 +44,10 @@
 const TRICKLE_MS: f64 = 200.0;
 /// Nothing goes for this long to a node that turned a request away as full.
 const FULL_REST_MS: f64 = 20.0;
-/// What a report says of a node holds for about this time; then the mean of all nodes stands in for it.
-const REPORT_MS: f64 = 1_500.0;
+/// A node's usual load is the mean of its reports over about this time; unheard of for longer, it is forgotten.
+const REPORT_MS: f64 = 2_000.0;
+/// What a report tells of a wait beyond the usual is worked off at this part of the time that passes.
+const DRAIN: f64 = 0.5;
 /// Weight of a new sample in the fit of answer times to reports: the last hundred or so count.
 const FIT_BLEND: f64 = 0.01;
 /// Answers seen before that fit is used.
@@ -411,7 +413,10 @@
         if self.b.fit.seen < FIT_SEEN {
             return 0.0;
         }
-        let wait = self.b.fit.slope() * n.load * (-(now - n.load_at).max(0.0) / REPORT_MS).exp();
+        let (age, slope) = ((now - n.load_at).max(0.0), self.b.fit.slope());
+        let usual = slope * n.usual_load * (-age / REPORT_MS).exp();
+        let above = slope * n.load - usual;
+        let wait = usual + (above.abs() - DRAIN * age).max(0.0) * above.signum();
         let part = FIT_PART * r.grade.clamp(0.0, 1.0).sqrt();
         let mut least = f64::INFINITY;
         for (l, class) in self.s.classes.iter().enumerate() {
@@ -629,6 +634,7 @@
         let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
         if let Some(count) = count {
             let load = count * sane(o.latency_ms, 1e5).unwrap_or(1.0);
+            n.usual_load += (1.0 - (-(now - n.load_at) / REPORT_MS).exp()) * (load - n.usual_load);
             (n.load, n.load_at) = (load, now);
             self.b.fit.add(load, took, FIT_BLEND);
             let rest = (took - self.b.fit.slope() * load).min(self.s.classes[f.class].aim_ms);
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,8 +57,9 @@
     pub(crate) last_key: u64,
     pub(crate) run: u32,
     pub(crate) cold_log: VecDeque<(f64, f64)>,
-    /// Load last reported, and when.
+    /// Load last reported, when, and the mean of late.
     pub(crate) load: f64,
+    pub(crate) usual_load: f64,
     pub(crate) load_at: f64,
     pub(crate) gone_at: f64,
 }
