New objects look at four nodes drawn at random, and at their predicted wait

Cause: each host ranked all nodes by its own empty envelopes; a node without samples counted as the roomiest, so the hosts herded, and placed objects worse than at random. Change: four nodes are drawn, the reported wait is taken off the room.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -56,6 +56,8 @@
 const FIT_PART: f64 = 0.8;
 /// Part of its aim that is left to the wait at the least, however long the service alone takes.
 const FIT_LEAST: f64 = 0.3;
+/// Nodes that a new object looks at.
+const LOOKED_AT: usize = 4;
 /// Use of a volume, in parts of what its plan and weight give it, that still counts as inside its share.
 const SHARE_X: f64 = 1.5;
 /// Standing of volumes is judged over about this time, since worth is due by the second.
@@ -364,12 +366,21 @@
                         || (group == Group::Shard && s == n.e.shard)
                 })
         };
-        let candidates: Vec<u32> = self.b.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
+        // A new object looks at a few nodes drawn at random: cheap with hundreds, and no herd among the hosts.
+        let mut candidates: Vec<u32> =
+            self.b.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
+        for i in 0..if shard.is_none() { LOOKED_AT.min(candidates.len()) } else { 0 } {
+            let j = i + (self.random.next() * (candidates.len() - i) as f64) as usize;
+            candidates.swap(i, j);
+        }
+        if shard.is_none() {
+            candidates.truncate(LOOKED_AT);
+        }
         let mut best = None;
         for node in candidates {
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
             let n = &self.b.nodes[&node];
-            let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound;
+            let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound + self.wait(n, now);
             let score =
                 room - waiting - if n.silent || n.fulls > 0 { WINDOW_MS } else { 0.0 } + n.e.started_ms / 1e9;
             if best.map_or(true, |(b, _)| score > b) {
@@ -405,6 +416,14 @@
         }
     }
 
+    /// Wait at a node as the fit has it.
+    fn wait(&self, n: &Node, now: f64) -> f64 {
+        let (age, slope) = ((now - n.load_at).max(0.0), self.b.fit.slope());
+        let usual = slope * n.usual_load * (-age / REPORT_MS).exp();
+        let above = slope * n.load - usual;
+        usual + (above.abs() - DRAIN * age).max(0.0) * above.signum()
+    }
+
     /// Departure, borrowed samples: what is left of the aims of the classes at a node when its wait is taken off.
     /// The wait is that of all nodes at the load which this one reported last; old reports fade, so that a node
     /// is tried again. A newcomer of less standing may use less of the aims.
@@ -413,10 +432,7 @@
         if self.b.fit.seen < FIT_SEEN {
             return 0.0;
         }
-        let (age, slope) = ((now - n.load_at).max(0.0), self.b.fit.slope());
-        let usual = slope * n.usual_load * (-age / REPORT_MS).exp();
-        let above = slope * n.load - usual;
-        let wait = usual + (above.abs() - DRAIN * age).max(0.0) * above.signum();
+        let wait = self.wait(n, now);
         let part = FIT_PART * r.grade.clamp(0.0, 1.0).sqrt();
         let mut least = f64::INFINITY;
         for (l, class) in self.s.classes.iter().enumerate() {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -25,8 +25,8 @@
             let queue = f64::from(id % 4);
             answered(&mut h, id, 1.0 + 1_000.0 * f64::from(id), Some(queue), 10.0 + 10.0 * queue);
         }
-        answered(&mut h, 50, 40_000.0, Some(30.0), 20.0);
-        assert!(sent(&h.at(40_030.0, Event::Request(request(51, 40_900.0)))).is_empty(), "300 ms of wait");
+        answered(&mut h, 50, 40_000.0, Some(30.0), 310.0);
+        assert!(sent(&h.at(40_320.0, Event::Request(request(51, 41_200.0)))).is_empty(), "300 ms of wait");
         // An old report is no reason to stay away: the node is tried again.
         assert_eq!(sent(&h.at(50_000.0, Event::Request(request(52, 50_900.0)))), [(52, 7)]);
     }
