Reports in refusals count; silence counts as wait; the aim ends with the client's patience

Change: the report of a full answer counts as load; what is out without a word counts at its age in the wait; a request is late when its client's patience or its aim runs out.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -44,7 +44,7 @@
 const TRICKLE_MS: f64 = 200.0;
 /// Nothing goes for this long to a node that turned a request away as full.
 const FULL_REST_MS: f64 = 20.0;
-/// A node's usual load is the mean of its reports over about this time; unheard of for longer, it is forgotten.
+/// A node's usual load is the mean of its reports over about this time; unheard of it fades.
 const REPORT_MS: f64 = 2_000.0;
 /// What a report tells of a wait beyond the usual is worked off at this part of the time that passes.
 const DRAIN: f64 = 0.5;
@@ -91,15 +91,7 @@
             self.bucket += 1;
             for (span, s) in SPANS.iter().zip(&mut self.spans) {
                 if self.bucket % *span as i64 == 0 {
-                    let c = std::mem::take(&mut s.current);
-                    s.counts.push_back(c);
-                    s.sum += f64::from(c);
-                    s.squares += f64::from(c) * f64::from(c);
-                    if s.counts.len() > kept as usize / span {
-                        let old = f64::from(s.counts.pop_front().unwrap_or(0));
-                        s.sum -= old;
-                        s.squares -= old * old;
-                    }
+                    s.close(kept as usize / span);
                 }
             }
         }
@@ -111,11 +103,7 @@
             }
             self.slot = slot;
             for k in 0..TOP {
-                self.totals[k] = self.slots.iter().fold(Sums::default(), |a, s| Sums {
-                    n: a.n + s[k].n,
-                    sum: a.sum + s[k].sum,
-                    squares: a.squares + s[k].squares,
-                });
+                self.totals[k] = Sums::of(self.slots.iter().map(|s| s[k]));
             }
             self.stale = true;
         }
@@ -164,11 +152,8 @@
         let chain = self.recent[at].1.min(at + 1);
         for k in 0..chain {
             let took = now - self.recent[at - k].0;
-            for s in [&mut self.slots[0][k], &mut self.totals[k]] {
-                s.n += 1.0;
-                s.sum += took;
-                s.squares += took * took;
-            }
+            self.slots[0][k].add(took);
+            self.totals[k].add(took);
         }
         self.stale = true;
     }
@@ -266,12 +251,11 @@
 
     fn on_request(&mut self, now: f64, q: Request, actions: &mut Vec<Action>) {
         self.b.taken.push_back(now);
-        let sane = q.units.is_finite() && q.units >= 0.0 && q.valid_until_ms.is_finite();
         if self.b.requests.contains_key(&q.id) {
             return;
         }
         let known = usize::from(q.class) < self.s.classes.len() && usize::from(q.plan) < self.s.plans.len();
-        if !sane || !known {
+        if !known || !q.units.is_finite() || q.units < 0.0 || !q.valid_until_ms.is_finite() {
             actions.push(Action::Refuse { id: q.id, retry_after_ms: 0.0 });
             return;
         }
@@ -366,16 +350,15 @@
                         || (group == Group::Shard && s == n.e.shard)
                 })
         };
-        // A new object looks at a few nodes drawn at random: cheap with hundreds, and no herd among the hosts.
+        // A new object looks at a few nodes drawn at random: cheap with hundreds, and no herd of hosts.
         let mut candidates: Vec<u32> =
             self.b.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
-        for i in 0..if shard.is_none() { LOOKED_AT.min(candidates.len()) } else { 0 } {
-            let j = i + (self.random.next() * (candidates.len() - i) as f64) as usize;
-            candidates.swap(i, j);
-        }
-        if shard.is_none() {
-            candidates.truncate(LOOKED_AT);
+        let looked_at = candidates.len().min(if shard.is_some() { usize::MAX } else { LOOKED_AT });
+        for i in 0..looked_at {
+            let rest = candidates.len() - i;
+            candidates.swap(i, i + (self.random.next() * rest as f64) as usize);
         }
+        candidates.truncate(looked_at);
         let mut best = None;
         for node in candidates {
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
@@ -390,8 +373,8 @@
         best.map(|(_, node)| node)
     }
 
-    /// Judges the newcomer by its volume's standing: two token buckets, one filled at the reserve, the other by
-    /// weight, each with this host's part of the rate. Inside the first, the second, or spare.
+    /// Judges the newcomer by its volume's standing: two token buckets, one filled at the reserve, the other
+    /// by weight, each with this host's part of the rate. Inside the first, the second, or spare.
     fn stand(&mut self, now: f64, id: u32) {
         let Some(r) = self.b.requests.get_mut(&id) else { return };
         let plan = &self.s.plans[usize::from(r.q.plan)];
@@ -416,17 +399,17 @@
         }
     }
 
-    /// Wait at a node as the fit has it.
+    /// Wait at a node, as all nodes had it at the load that this one reported last. Old reports fade, so that
+    /// the node is tried again. Censored samples: what is out without a word counts at its age.
     fn wait(&self, n: &Node, now: f64) -> f64 {
         let (age, slope) = ((now - n.load_at).max(0.0), self.b.fit.slope());
         let usual = slope * n.usual_load * (-age / REPORT_MS).exp();
         let above = slope * n.load - usual;
-        usual + (above.abs() - DRAIN * age).max(0.0) * above.signum()
+        (usual + (above.abs() - DRAIN * age).max(0.0) * above.signum()).max(n.silence(now))
     }
 
-    /// Departure, borrowed samples: what is left of the aims of the classes at a node when its wait is taken off.
-    /// The wait is that of all nodes at the load which this one reported last; old reports fade, so that a node
-    /// is tried again. A newcomer of less standing may use less of the aims.
+    /// Departure, borrowed samples: what is left of the aims of all classes when the wait at the node and
+    /// the service alone are taken off. A newcomer of less standing may use less of the aims.
     fn predicted_room(&self, now: f64, id: u32, node: u32) -> f64 {
         let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return 0.0 };
         if self.b.fit.seen < FIT_SEEN {
@@ -445,36 +428,27 @@
         least
     }
 
-    /// Worth of a unit, were the request answered in time. Units are taken as work: answer times would hide
-    /// what writes put off.
-    fn worth(&self, r: &Held) -> f64 {
-        let class = &self.s.classes[usize::from(r.q.class)];
-        let plan = &self.s.plans[usize::from(r.q.plan)];
-        class.worth * plan.pays * r.grade
-    }
-
-    /// The same now, for a request at a node: what can no longer meet its aim counts as late.
-    fn worth_now(&self, r: &Held, sojourn: f64, now: f64) -> (f64, f64) {
+    /// Worth of a unit now, and the time to spare: what can no longer be served before its aim, or before its
+    /// client leaves, counts as late. Units are taken as work: answer times would hide what writes put off.
+    fn worth(&self, r: &Held, sojourn: f64, now: f64) -> (f64, f64) {
         let class = &self.s.classes[usize::from(r.q.class)];
-        let slack = r.arrived + class.aim_ms - now - SURE * sojourn;
-        (self.worth(r) * if slack < 0.0 { class.late_worth } else { 1.0 }, slack)
+        let slack = (r.arrived + class.aim_ms).min(r.q.valid_until_ms) - now - SURE * sojourn;
+        let worth = class.worth * self.s.plans[usize::from(r.q.plan)].pays * r.grade;
+        (worth * if slack < 0.0 { class.late_worth } else { 1.0 }, slack)
     }
 
     /// Departure, standing: the test says that something must go; it is the request, held or new, that is
     /// worth least for its work. Only what was never sent may go. True: the newcomer stays.
     fn make_way(&mut self, now: f64, id: u32, node: u32, fits: bool, actions: &mut Vec<Action>) -> bool {
         let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return false };
-        let own = self.worth(r);
+        let own = self.worth(r, n.sojourn, now).0;
         // Spare capacity is used: with nothing waiting and the bound not reached, the test is moot.
         if fits && n.held.is_empty() && (n.out as f64) < n.bound && !n.silent {
             return true;
         }
-        let least = n
-            .held
-            .iter()
-            .filter_map(|h| self.b.requests.get(h).filter(|r| r.tries == 0).map(|r| (*h, r)))
-            .map(|(h, r)| (self.worth_now(r, n.sojourn, now).0, h))
-            .min_by(|a, b| a.0.total_cmp(&b.0));
+        let never_sent = n.held.iter().filter_map(|h| self.b.requests.get(h)).filter(|r| r.tries == 0);
+        let least =
+            never_sent.map(|r| (self.worth(r, n.sojourn, now).0, r.q.id)).min_by(|a, b| a.0.total_cmp(&b.0));
         match least {
             Some((worth, victim)) if worth * GIVE_WAY < own => {
                 self.answer(now, victim, n.sojourn, actions);
@@ -513,7 +487,7 @@
                 if (full && !n.silent && !same) || r.q.units > cold || !self.may_send(now, r) {
                     continue;
                 }
-                let (worth, slack) = self.worth_now(r, n.sojourn, now);
+                let (worth, slack) = self.worth(r, n.sojourn, now);
                 let urgency = (-slack.max(0.0) / (3.0 * n.sojourn.max(1.0))).exp();
                 let score =
                     if slack < 0.0 { worth * 1e-9 } else { worth * urgency } + if same { 1e9 } else { 0.0 };
@@ -629,6 +603,19 @@
             self.log(now, format!("node {} cannot be reached; one try at a time", f.node), actions);
         }
         let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
+        let sane = |v: Option<f64>, top: f64| v.filter(|v| (0.0..top).contains(v));
+        let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
+        if let Some(count) = count {
+            let load = count * sane(o.latency_ms, 1e5).unwrap_or(1.0);
+            n.usual_load += (1.0 - (-(now - n.load_at) / REPORT_MS).exp()) * (load - n.usual_load);
+            (n.load, n.load_at) = (load, now);
+            if o.verdict == Verdict::Served {
+                self.b.fit.add(load, took, FIT_BLEND);
+                let rest = (took - self.b.fit.slope() * load).min(self.s.classes[f.class].aim_ms);
+                self.b.offsets.resize(self.s.classes.len(), 0.0);
+                self.b.offsets[f.class] += BLEND * (rest - self.b.offsets[f.class]);
+            }
+        }
         if o.verdict == Verdict::Full {
             n.bound = (n.bound / 2.0).max(1.0);
             // Danger: a node that turns everything away at once looks idle and draws all (a black hole),
@@ -646,17 +633,6 @@
         if gap < 0.0 || n.out as f64 + 1.0 >= n.bound.floor() {
             n.bound = (n.bound + 0.5 * gap.max(-1.0) / n.bound.sqrt()).clamp(1.0, TOP as f64);
         }
-        let sane = |v: Option<f64>, top: f64| v.filter(|v| (0.0..top).contains(v));
-        let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
-        if let Some(count) = count {
-            let load = count * sane(o.latency_ms, 1e5).unwrap_or(1.0);
-            n.usual_load += (1.0 - (-(now - n.load_at) / REPORT_MS).exp()) * (load - n.usual_load);
-            (n.load, n.load_at) = (load, now);
-            self.b.fit.add(load, took, FIT_BLEND);
-            let rest = (took - self.b.fit.slope() * load).min(self.s.classes[f.class].aim_ms);
-            self.b.offsets.resize(self.s.classes.len(), 0.0);
-            self.b.offsets[f.class] += BLEND * (rest - self.b.offsets[f.class]);
-        }
         if let Some(r) = self.b.requests.get(&o.id) {
             if r.node == Some(f.node) {
                 n.envelopes[f.class].served(now, r.number);
@@ -896,7 +872,7 @@
 }
 
 impl Volume {
-    /// Guard, limits: this host's part of the store; the fill is its even part of the plan's.
+    /// Guard, limits: this host's even part of the volume's token bucket.
     fn filled(&self, now: f64, plan: &Plan, hosts: f64) -> f64 {
         let fill = SAFE_PART * plan.limit / hosts * (now - self.store_at).max(0.0) / 1_000.0;
         (self.store + fill).min(plan.burst / hosts)
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,6 +13,21 @@
     pub(crate) squares: f64,
 }
 
+impl Jumping {
+    /// Ends the current sub-window; the last `kept` count.
+    pub(crate) fn close(&mut self, kept: usize) {
+        let count = std::mem::take(&mut self.current);
+        self.counts.push_back(count);
+        self.sum += f64::from(count);
+        self.squares += f64::from(count) * f64::from(count);
+        if self.counts.len() > kept {
+            let old = f64::from(self.counts.pop_front().unwrap_or(0));
+            self.sum -= old;
+            self.squares -= old * old;
+        }
+    }
+}
+
 #[derive(Clone, Copy, Default)]
 pub(crate) struct Sums {
     pub(crate) n: f64,
@@ -20,6 +35,22 @@
     pub(crate) squares: f64,
 }
 
+impl Sums {
+    pub(crate) fn add(&mut self, value: f64) {
+        self.n += 1.0;
+        self.sum += value;
+        self.squares += value * value;
+    }
+
+    pub(crate) fn of(parts: impl Iterator<Item = Sums>) -> Sums {
+        parts.fold(Sums::default(), |a, s| Sums {
+            n: a.n + s.n,
+            sum: a.sum + s.sum,
+            squares: a.squares + s.squares,
+        })
+    }
+}
+
 /// The request and service envelope of one class at one node.
 #[derive(Clone, Default)]
 pub(crate) struct Envelope {
