Cold nodes by usual use; unanswered attempts count as a wait; no silent state by time-out

What a shard served each host before adds up to what it does warm, so a token bucket at that rate, cut to what a cold node bears, holds for all hosts together. (2) The silent mark fell on dear requests; the age of what is out, and the time waited in vain for what was given up, now count as wait at the node and let go by themselves. (3) one rest after full. Tests: a cold node with 40 and 150 hosts; a node that answers nothing and new objects.

--- a/adapter/src/settings.rs
+++ b/adapter/src/settings.rs
@@ -133,6 +133,7 @@
         drain_grace_ms: num(&v, "Safety.StopSendingWithinMs", "")?,
         cold_from: num(&v, "Safety.ColdFrom", "")?,
         warm_after_ms: num(&v, "Safety.WarmAfterMs", "")?,
+        fall_multiple: num_or(&v, "Safety.OverloadFactor", "", 1.0)?,
         fall_ms: num(&v, "Safety.FallMs", "")?,
         cold_units: num_or(&v, "Domain.ColdUnits", "", 0.0)?,
         key_rest_ms: num_or(&v, "Safety.KeyRestMs", "", 0.0)?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -105,6 +105,8 @@
     pub cold_from: f64,
     /// Time by which a started node is warm.
     pub warm_after_ms: f64,
+    /// A node falls over when it is sent more than this multiple of its capacity at that moment.
+    pub fall_multiple: f64,
     /// The span over which work sent to a cold node is counted.
     pub fall_ms: f64,
     /// Units within that span, from all hosts, that a cold node always bears.
@@ -163,6 +165,7 @@
             ("drain_grace_ms", self.drain_grace_ms),
             ("cold_from", self.cold_from),
             ("warm_after_ms", self.warm_after_ms),
+            ("fall_multiple", self.fall_multiple),
             ("fall_ms", self.fall_ms),
             ("cold_units", self.cold_units),
             ("key_rest_ms", self.key_rest_ms),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,16 +34,10 @@
 const RUN: u32 = 8;
 /// A held request gives way only to one worth this much more a unit of work: no churn among equals.
 const GIVE_WAY: f64 = 1.2;
-/// A node is held silent after this many usual answer times without a word, within the two limits below.
-const SILENT_X: f64 = 5.0;
-const SILENT_MIN_MS: f64 = 250.0;
-const SILENT_MAX_MS: f64 = 2_000.0;
 /// Moments of lost or refused connections in a row, without an answer between, that make a node silent.
 const MISSES: u32 = 3;
-/// A silent node gets one request in this time, so that its return is seen without probes.
+/// A silent or full node gets one request in this time, so that its return is seen without probes.
 const TRICKLE_MS: f64 = 200.0;
-/// Nothing goes for this long to a node that turned a request away as full.
-const FULL_REST_MS: f64 = 20.0;
 /// A node's usual load is the mean of its reports over about this time; unheard of it fades.
 const REPORT_MS: f64 = 2_000.0;
 /// What a report tells of a wait beyond the usual is worked off at this part of the time that passes.
@@ -64,6 +58,10 @@
 const STANDING_MS: f64 = 1_000.0;
 /// Part of a guarded budget that is used; the rest covers clocks and rounding.
 const SAFE_PART: f64 = 0.9;
+/// Part of what a cold node bears that the hosts fill by their usual use of the shard: use is uneven.
+const COLD_PART: f64 = 0.4;
+/// A host's usual use of a shard is the mean over about this time: longer than a restart takes.
+const USUAL_MS: f64 = 30_000.0;
 /// Held requests are looked at again at this pace where a guard or trickle holds them.
 const TICK_MS: f64 = 10.0;
 /// Gone nodes and idle volumes are remembered for this long.
@@ -310,7 +308,6 @@
     /// class stays within the aims of all classes at the node; below zero the newcomer does not fit.
     fn room(&mut self, node: u32, class: usize, now: f64) -> f64 {
         let Some(n) = self.b.nodes.get_mut(&node) else { return 0.0 };
-        let late = n.silence(now);
         let mut least = f64::INFINITY;
         for e in &mut n.envelopes {
             e.roll(now);
@@ -326,7 +323,7 @@
                     e.requests(i, now, 0.0) + (tau + self.s.classes[class].aim_ms) / WINDOW_MS
                 };
                 if let Some(s) = e.service(k) {
-                    least = least.min(tau + self.s.classes[l].aim_ms - s - late);
+                    least = least.min(tau + self.s.classes[l].aim_ms - s);
                 }
             }
         }
@@ -364,8 +361,8 @@
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
             let n = &self.b.nodes[&node];
             let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound + self.wait(n, now);
-            let score =
-                room - waiting - if n.silent || n.fulls > 0 { WINDOW_MS } else { 0.0 } + n.e.started_ms / 1e9;
+            let score = room - waiting - if n.silent || now < n.rest_until { WINDOW_MS } else { 0.0 }
+                + n.e.started_ms / 1e9;
             if best.map_or(true, |(b, _)| score > b) {
                 best = Some((score, node));
             }
@@ -506,6 +503,7 @@
     }
 
     fn send(&mut self, now: f64, node: u32, id: u32, actions: &mut Vec<Action>) {
+        let tokens = self.b.nodes.get(&node).map_or(0.0, |n| self.cold_tokens(n, now));
         let (Some(r), Some(n)) = (self.b.requests.get_mut(&id), self.b.nodes.get_mut(&node)) else { return };
         n.held.retain(|h| *h != id);
         let run_on = r.q.key != 0 && r.q.key == n.last_key;
@@ -515,7 +513,8 @@
         }
         let class = usize::from(r.q.class);
         let lane = if self.s.classes[class].ordered { r.q.key } else { 0 };
-        let flight = Flight { node, sent: now, class, lane, shard: n.e.shard, zone: n.e.zone };
+        let flight =
+            Flight { node, sent: now, units: r.q.units, class, lane, shard: n.e.shard, zone: n.e.zone };
         if lane != 0 {
             self.b.lanes.entry(lane).or_default().outstanding += 1;
         }
@@ -525,6 +524,7 @@
             n.rest_until = now + TRICKLE_MS;
         }
         n.cold_log.push_back((now, r.q.units));
+        (n.cold_tokens, n.cold_at) = (tokens - r.q.units, now);
         if r.tries > 0 {
             self.b.extras.push_back(now);
         }
@@ -605,8 +605,10 @@
         let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         let sane = |v: Option<f64>, top: f64| v.filter(|v| (0.0..top).contains(v));
         let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
-        if let Some(count) = count {
-            let load = count * sane(o.latency_ms, 1e5).unwrap_or(1.0);
+        let told = count.map(|c| c * sane(o.latency_ms, 1e5).unwrap_or(1.0));
+        // Nobody waited longer for it: a node that answers nothing is as full as one can be.
+        let unanswered = matches!(o.verdict, Verdict::TimedOut | Verdict::Cancelled);
+        if let Some(load) = if unanswered { Some(took / self.b.fit.slope().max(1e-3)) } else { told } {
             n.usual_load += (1.0 - (-(now - n.load_at) / REPORT_MS).exp()) * (load - n.usual_load);
             (n.load, n.load_at) = (load, now);
             if o.verdict == Verdict::Served {
@@ -619,15 +621,14 @@
         if o.verdict == Verdict::Full {
             n.bound = (n.bound / 2.0).max(1.0);
             // Danger: a node that turns everything away at once looks idle and draws all (a black hole),
-            // whatever filled it. Rest grows while no request is served, up to the pace of a trickle.
-            n.fulls = (n.fulls + 1).min(16);
-            let rest = (FULL_REST_MS * f64::from(1 << (n.fulls - 1))).min(TRICKLE_MS);
-            n.rest_until = n.rest_until.max(now + rest);
+            // whatever filled it; and the tries of all hosts keep it full. One try, then a rest.
+            n.rest_until = n.rest_until.max(now + TRICKLE_MS);
         }
         if o.verdict != Verdict::Served {
             return;
         }
-        n.fulls = 0;
+        let usual = self.b.usual.entry(n.e.shard).or_default();
+        usual.add(now, f.units, USUAL_MS);
         n.sojourn += BLEND * (took - n.sojourn);
         let gap = 1.0 - n.sojourn / (SOJOURN_PART * self.tightest_aim);
         if gap < 0.0 || n.out as f64 + 1.0 >= n.bound.floor() {
@@ -740,19 +741,26 @@
         sent + 1.0 <= e.free + e.ratio * taken
     }
 
-    /// Guard, cold nodes: units that this host may send now. The budget of all hosts is stated for the
-    /// coldest moment and grows with the capacity that a node has by then at the least.
+    /// Guard, cold nodes: units that this host may send now; two ways that hold for all hosts together. Few
+    /// hosts: the even part of the units that a node always bears. Many, whose even part is under one
+    /// request: the tokens below.
     fn cold_room(&self, n: &Node, now: f64) -> f64 {
-        let age = (now - n.e.started_ms).max(0.0);
-        if n.e.started_ms <= 0.0 || age >= self.s.warm_after_ms {
+        if n.e.started_ms <= 0.0 || now - n.e.started_ms >= self.s.warm_after_ms {
             return f64::INFINITY;
         }
-        let from = self.s.cold_from.max(1e-3);
-        let least = from + (1.0 - from) * (age - self.s.fall_ms).max(0.0) / self.s.warm_after_ms.max(1.0);
-        let all = self.s.cold_units * (least / from).max(1.0) * SAFE_PART;
         let window = now - self.s.fall_ms - self.s.round_ms;
         let sent: f64 = n.cold_log.iter().rev().take_while(|(t, _)| *t >= window).map(|(_, u)| u).sum();
-        all / f64::from(self.s.hosts) - sent
+        (self.s.cold_units * SAFE_PART / f64::from(self.s.hosts) - sent).max(self.cold_tokens(n, now))
+    }
+
+    /// What the shard served each host before adds up to what it can do warm: a token bucket that fills at
+    /// this host's part of that, cut to what a cold node bears at the least by now.
+    fn cold_tokens(&self, n: &Node, now: f64) -> f64 {
+        let warm = (now - n.e.started_ms - self.s.fall_ms) / self.s.warm_after_ms.max(1.0);
+        let least = self.s.cold_from + (1.0 - self.s.cold_from) * warm.clamp(0.0, 1.0);
+        let rate = COLD_PART * self.s.fall_multiple * least * n.usual_units / USUAL_MS;
+        let top = (rate * self.s.fall_ms).max(self.s.max_units);
+        (n.cold_tokens + rate * (now - n.cold_at).max(0.0)).min(top)
     }
 
     /// Guard, drains and list: nothing goes to a node from the first word that it drains or is gone.
@@ -785,7 +793,10 @@
             }
             if fresh && e.condition != Condition::Gone {
                 let entry = NodeEntry { started_ms: started, ..*e };
-                let new = Node::new(entry, now, self.s.classes.len(), self.tightest_aim);
+                let mut new = Node::new(entry, now, self.s.classes.len(), self.tightest_aim);
+                new.usual_units = self.b.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
+                // A part of one request each: by chance, not all hosts at once.
+                (new.cold_tokens, new.cold_at) = (self.random.next() * self.s.mean_units, started);
                 if let Some(mut old) = self.b.nodes.insert(e.node, new) {
                     self.b.unplaced.append(&mut old.held);
                     self.b.nodes.entry(e.node).and_modify(|n| n.out = old.out);
@@ -833,13 +844,6 @@
     fn on_tick(&mut self, now: f64, actions: &mut Vec<Action>) {
         let ids: Vec<u32> = self.b.nodes.keys().copied().collect();
         for node in ids {
-            let Some(n) = self.b.nodes.get_mut(&node) else { continue };
-            let quiet = (SILENT_X * n.sojourn).clamp(SILENT_MIN_MS, SILENT_MAX_MS);
-            if !n.silent && n.out > 0 && now - n.last_word > quiet {
-                n.silent = true;
-                n.rest_until = now + TRICKLE_MS;
-                self.log(now, format!("node {node} is silent; one try at a time"), actions);
-            }
             self.pump(now, node, actions);
         }
         if now - self.b.swept > STANDING_MS {
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,11 +83,13 @@
     /// Moments in a row at which connections failed, and the last of them.
     pub(crate) misses: u32,
     pub(crate) last_miss: f64,
-    /// Requests turned away as full since the last one served.
-    pub(crate) fulls: u32,
     pub(crate) last_key: u64,
     pub(crate) run: u32,
     pub(crate) cold_log: VecDeque<(f64, f64)>,
+    /// What its shard usually serves this host, and the tokens that gives while it is cold.
+    pub(crate) usual_units: f64,
+    pub(crate) cold_tokens: f64,
+    pub(crate) cold_at: f64,
     /// Load last reported, when, and the mean of late.
     pub(crate) load: f64,
     pub(crate) usual_load: f64,
@@ -177,6 +179,7 @@
 pub(crate) struct Flight {
     pub(crate) node: u32,
     pub(crate) sent: f64,
+    pub(crate) units: f64,
     pub(crate) class: usize,
     pub(crate) lane: u64,
     pub(crate) shard: u16,
@@ -218,6 +221,8 @@
     /// When requests were taken, and further attempts sent.
     pub(crate) taken: VecDeque<f64>,
     pub(crate) extras: VecDeque<f64>,
+    /// Units that each shard served this host of late.
+    pub(crate) usual: BTreeMap<u16, Fading>,
     pub(crate) fit: Fit,
     /// For each class, what the fit leaves of its answer times.
     pub(crate) offsets: Vec<f64>,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -35,6 +35,7 @@
         drain_grace_ms: 2000.0,
         cold_from: 0.2,
         warm_after_ms: 10_000.0,
+        fall_multiple: 2.0,
         fall_ms: 2000.0,
         cold_units: 20.0,
         key_rest_ms: 500.0,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -41,3 +41,65 @@
     }
     assert_eq!(sent(&h.at(90_000.0, Event::Request(request(99, 90_900.0)))), [(99, 7)]);
 }
+
+#[test]
+fn a_cold_node_is_used_where_the_even_part_is_under_one_request() {
+    for hosts in [40, 150] {
+        let mut h = Host::with_nodes(many(hosts), &[entry(7, 0)]);
+        // A request of two units each half second is what the shard serves this host.
+        let mut now = 1.0;
+        for id in 0..80 {
+            answered(&mut h, id, now, None, 20.0);
+            now += 500.0;
+        }
+        let fresh = NodeEntry { started_ms: now, ..entry(7, 0) };
+        h.at(now, Event::List(ListKind::Changes, vec![fresh]));
+        let (start, mut first, mut worst) = (now, f64::INFINITY, 0.0f64);
+        let mut sends: Vec<f64> = Vec::new();
+        for id in 100..200 {
+            now += 90.0;
+            let mut done = h.ring_until(now);
+            done.extend(h.at(now, Event::Request(request(id, now + 900.0))).into_iter().map(|a| (now, a)));
+            for (t, a) in done {
+                for (id, _) in sent(&[a]) {
+                    first = first.min(t - start);
+                    sends.push(t);
+                    h.at(t + 1.0, Event::Outcome(outcome(id, 0, 7, Verdict::Served)));
+                }
+            }
+            worst = worst.max(sends.iter().filter(|t| **t > now - 2_000.0).count() as f64);
+        }
+        assert!(first < 3_000.0, "the first request went after {first} ms");
+        // It served 4 units a second: of the 8 in the span a cold node bears twice a fifth, later more.
+        assert!(worst * 2.0 <= 8.0, "{worst} requests in one span");
+        assert!(sends.len() <= 16, "{} in nine seconds", sends.len());
+    }
+}
+
+#[test]
+fn a_node_that_answers_nothing_is_no_place_for_new_objects() {
+    // Without an answer there is no report: the time waited in vain stands in for it.
+    let mut h = Host::with_nodes(many(100), &[entry(7, 0), entry(8, 1)]);
+    let mut silent = 0;
+    for id in 0..60 {
+        let t = 1.0 + f64::from(id) * 400.0;
+        let mut done = h.ring_until(t);
+        let q = Request { shard: None, ..request(id, t + 900.0) };
+        done.extend(h.at(t, Event::Request(q)).into_iter().map(|a| (t, a)));
+        for (at, a) in done {
+            match a {
+                Action::Send { id, node: 8, .. } => {
+                    let told =
+                        Outcome { queue: Some(f64::from(id % 2)), ..outcome(id, 0, 8, Verdict::Served) };
+                    h.at(at + 10.0 + 10.0 * f64::from(id % 2), Event::Outcome(told));
+                }
+                Action::Send { .. } => silent += 1,
+                Action::Cancel { id, attempt } => {
+                    h.at(at + 1.0, Event::Outcome(outcome(id, attempt, 7, Verdict::Cancelled)));
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(silent <= 12, "{silent} of 60 went to the silent node");
+}
