--- a/src/rules.rs
+++ b/src/rules.rs
@@ -34,9 +34,9 @@
 const RUN: u32 = 8;
 /// A held request gives way only to one worth this much more a unit of work: no churn among equals.
 const GIVE_WAY: f64 = 1.2;
-/// Moments of lost or refused connections in a row, without an answer between, that make a node silent.
-const MISSES: u32 = 3;
-/// A silent or full node gets one request in this time, so that its return is seen without probes.
+/// Moments of lost or refused connections in a row, without an answer between, that make a node unreachable.
+const FAILURES: u32 = 3;
+/// An unreachable or full node gets one request in this time, so that its return is seen without probes.
 const TRICKLE_MS: f64 = 200.0;
 /// A node's usual load is the mean of its reports over about this time; unheard of it fades.
 const REPORT_MS: f64 = 2_000.0;
@@ -59,7 +59,7 @@
 /// Part of a guarded budget that is used; the rest covers clocks and rounding.
 const SAFE_PART: f64 = 0.9;
 /// Part of what a cold node bears that the hosts fill by their usual use of the shard: use is uneven.
-const COLD_PART: f64 = 0.4;
+const COLD_PART: f64 = 0.5;
 /// A host's usual use of a shard is the mean over about this time: longer than a restart takes.
 const USUAL_MS: f64 = 30_000.0;
 /// Held requests are looked at again at this pace where a guard or trickle holds them.
@@ -126,14 +126,7 @@
         self.next - 1
     }
 
-    /// An admitted request was given up for another: it no longer counts as admitted.
-    fn withdrawn(&mut self, number: u64) {
-        for s in &mut self.spans {
-            s.current = s.current.saturating_sub(1);
-        }
-        self.ended(number);
-    }
-
+    /// A request that was given up opens no longer chain.
     fn ended(&mut self, number: u64) {
         if number + 1 == self.next {
             self.latest_open = false;
@@ -361,7 +354,7 @@
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
             let n = &self.b.nodes[&node];
             let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound + self.wait(n, now);
-            let score = room - waiting - if n.silent || now < n.rest_until { WINDOW_MS } else { 0.0 }
+            let score = room - waiting - if n.unreachable() || now < n.rest_until { WINDOW_MS } else { 0.0 }
                 + n.e.started_ms / 1e9;
             if best.map_or(true, |(b, _)| score > b) {
                 best = Some((score, node));
@@ -440,7 +433,7 @@
         let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return false };
         let own = self.worth(r, n.sojourn, now).0;
         // Spare capacity is used: with nothing waiting and the bound not reached, the test is moot.
-        if fits && n.held.is_empty() && (n.out as f64) < n.bound && !n.silent {
+        if fits && n.held.is_empty() && (n.out as f64) < n.bound && !n.unreachable() {
             return true;
         }
         let never_sent = n.held.iter().filter_map(|h| self.b.requests.get(h)).filter(|r| r.tries == 0);
@@ -473,7 +466,7 @@
             }
             let full = n.out as f64 >= n.bound.floor();
             let run_on = n.run < RUN && n.last_key != 0;
-            if full && !n.silent && !run_on {
+            if full && !n.unreachable() && !run_on {
                 return;
             }
             let cold = self.cold_room(n, now);
@@ -481,13 +474,11 @@
             for id in &n.held {
                 let Some(r) = self.b.requests.get(id) else { continue };
                 let same = run_on && r.q.key == n.last_key;
-                if (full && !n.silent && !same) || r.q.units > cold || !self.may_send(now, r) {
+                if (full && !n.unreachable() && !same) || r.q.units > cold || !self.may_send(now, r) {
                     continue;
                 }
                 let (worth, slack) = self.worth(r, n.sojourn, now);
-                let urgency = (-slack.max(0.0) / (3.0 * n.sojourn.max(1.0))).exp();
-                let score =
-                    if slack < 0.0 { worth * 1e-9 } else { worth * urgency } + if same { 1e9 } else { 0.0 };
+                let score = worth + if same { 1e9 } else { 0.0 };
                 // Departure, late work: it earns little and queues ahead of what other hosts send, so at most
                 // one is out, and only while nothing else is; that one also keeps the answer time fresh.
                 if slack < 0.0 && n.out > 0 {
@@ -520,7 +511,7 @@
         }
         self.b.flights.insert((id, r.tries as u16), flight);
         n.out += 1;
-        if n.silent {
+        if n.unreachable() {
             n.rest_until = now + TRICKLE_MS;
         }
         n.cold_log.push_back((now, r.q.units));
@@ -558,12 +549,6 @@
             if !never_ran && r.may_have_run.is_none() {
                 r.may_have_run = Some((f.sent, f.shard, f.zone));
             }
-            // A moot attempt takes nothing of the ration; that very one is struck: each ages by its send.
-            if o.verdict == Verdict::Moot && o.attempt > 0 {
-                if let Some(i) = self.b.extras.iter().rposition(|t| *t == f.sent) {
-                    self.b.extras.remove(i);
-                }
-            }
             let alive = now < r.q.valid_until_ms - 2.0 * self.s.round_ms;
             again = alive && r.tries < self.s.max_attempts && o.verdict != Verdict::Moot;
         }
@@ -589,20 +574,21 @@
         let word = matches!(o.verdict, Verdict::Served | Verdict::Error | Verdict::Full);
         let unreached = matches!(o.verdict, Verdict::ConnectFailed | Verdict::Reset);
         // Danger: links that drop now and then would bench a sound node. The resets of one moment are one
-        // miss; only misses in a row without a word count. Harm: a dead node costs a few more tries.
+        // failure; only consecutive failures without a word count. Harm: a dead node costs a few more tries.
+        let mut news = None;
         if word {
-            (n.last_word, n.misses) = (now, 0);
-        } else if unreached && n.last_miss < now {
-            (n.last_miss, n.misses) = (now, n.misses + 1);
-        }
-        if word && n.silent {
-            (n.silent, n.bound, n.rest_until) = (false, 1.0, now);
-            self.log(now, format!("node {} answers again; starting slowly", f.node), actions);
-        } else if unreached && !n.silent && n.misses >= MISSES {
-            (n.silent, n.rest_until) = (true, now + TRICKLE_MS);
-            self.log(now, format!("node {} cannot be reached; one try at a time", f.node), actions);
+            if n.unreachable() {
+                n.bound = 1.0;
+                news = Some("answers again; starting slowly");
+            }
+            (n.last_word, n.failures) = (now, 0);
+        } else if unreached && n.last_failure < now {
+            (n.last_failure, n.failures) = (now, n.failures + 1);
+            if n.unreachable() {
+                n.rest_until = now + TRICKLE_MS;
+                news = Some("cannot be reached; one try at a time");
+            }
         }
-        let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         let sane = |v: Option<f64>, top: f64| v.filter(|v| (0.0..top).contains(v));
         let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
         let told = count.map(|c| c * sane(o.latency_ms, 1e5).unwrap_or(1.0));
@@ -612,8 +598,10 @@
             n.usual_load += (1.0 - (-(now - n.load_at) / REPORT_MS).exp()) * (load - n.usual_load);
             (n.load, n.load_at) = (load, now);
             if o.verdict == Verdict::Served {
+                // One dear request must not bend the line.
+                let took = took.min(self.s.classes[f.class].aim_ms);
                 self.b.fit.add(load, took, FIT_BLEND);
-                let rest = (took - self.b.fit.slope() * load).min(self.s.classes[f.class].aim_ms);
+                let rest = took - self.b.fit.slope() * load;
                 self.b.offsets.resize(self.s.classes.len(), 0.0);
                 self.b.offsets[f.class] += BLEND * (rest - self.b.offsets[f.class]);
             }
@@ -624,6 +612,10 @@
             // whatever filled it; and the tries of all hosts keep it full. One try, then a rest.
             n.rest_until = n.rest_until.max(now + TRICKLE_MS);
         }
+        if let Some(news) = news {
+            self.log(now, format!("node {} {news}", f.node), actions);
+        }
+        let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         if o.verdict != Verdict::Served {
             return;
         }
@@ -640,12 +632,8 @@
             }
             let plan = &self.s.plans[usize::from(r.q.plan)];
             if let (Some(used), Some(v)) = (o.used_percent, self.b.volumes.get_mut(&r.q.volume)) {
-                let all = used / 100.0 * plan.nominal;
-                if all > 0.0 {
-                    let part =
-                        (v.own.faded(now, STANDING_MS) / all).clamp(1.0 / r.q.volume_hosts.max(1.0), 1.0);
-                    v.part += BLEND * (part - v.part);
-                }
+                let part = v.own.faded(now, STANDING_MS) / (used / 100.0 * plan.nominal).max(1e-3);
+                v.part += BLEND * (part.clamp(1.0 / r.q.volume_hosts.max(1.0), 1.0) - v.part);
             }
         }
     }
@@ -656,11 +644,7 @@
         self.b.unplaced.retain(|u| *u != id);
         if let Some(n) = r.node.and_then(|n| self.b.nodes.get_mut(&n)) {
             if let Some(e) = n.envelopes.get_mut(usize::from(r.q.class)) {
-                if r.tries == 0 {
-                    e.withdrawn(r.number);
-                } else {
-                    e.ended(r.number);
-                }
+                e.ended(r.number);
             }
             n.held.retain(|h| *h != id);
         }
@@ -773,13 +757,13 @@
             return;
         }
         self.b.watch_failures = 0;
+        let since = *self.b.since.get_or_insert(now);
         if kind == ListKind::Cached && self.s.list_on_request {
             actions.push(Action::Watch(true));
         }
         if kind != ListKind::Changes {
-            let listed: Vec<u32> = entries.iter().map(|e| e.node).collect();
-            let lost: Vec<u32> = self.b.nodes.keys().filter(|n| !listed.contains(n)).copied().collect();
-            for node in lost {
+            let listed = |node: &u32| entries.iter().any(|e| e.node == *node);
+            for node in self.b.nodes.keys().filter(|n| !listed(n)).copied().collect::<Vec<u32>>() {
                 self.set_condition(now, node, Condition::Gone);
             }
         }
@@ -794,7 +778,8 @@
             if fresh && e.condition != Condition::Gone {
                 let entry = NodeEntry { started_ms: started, ..*e };
                 let mut new = Node::new(entry, now, self.s.classes.len(), self.tightest_aim);
-                new.usual_units = self.b.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
+                let usual = self.b.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
+                new.usual_units = usual / (1.0 - (-(now - since).max(self.s.fall_ms) / USUAL_MS).exp());
                 // A part of one request each: by chance, not all hosts at once.
                 (new.cold_tokens, new.cold_at) = (self.random.next() * self.s.mean_units, started);
                 if let Some(mut old) = self.b.nodes.insert(e.node, new) {
@@ -890,6 +875,10 @@
         Node { e, envelopes, bound, sojourn, last_word: now, rest_until: now, ..Default::default() }
     }
 
+    fn unreachable(&self) -> bool {
+        self.failures >= FAILURES
+    }
+
     /// Departure, censored samples: a node without a word longer than usual counts what is
     /// out at its age, so that a frozen envelope moves.
     fn silence(&self, now: f64) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,11 +78,10 @@
     pub(crate) bound: f64,
     pub(crate) sojourn: f64,
     pub(crate) last_word: f64,
-    pub(crate) silent: bool,
     pub(crate) rest_until: f64,
     /// Moments in a row at which connections failed, and the last of them.
-    pub(crate) misses: u32,
-    pub(crate) last_miss: f64,
+    pub(crate) failures: u32,
+    pub(crate) last_failure: f64,
     pub(crate) last_key: u64,
     pub(crate) run: u32,
     pub(crate) cold_log: VecDeque<(f64, f64)>,
@@ -138,10 +137,11 @@
         }
     }
 
+    /// Never falling, nor so steep that it starts below zero.
     pub(crate) fn slope(&self) -> f64 {
         let spread = self.xx - self.x * self.x;
         if spread > 1e-6 * self.xx {
-            ((self.xy - self.x * self.y) / spread).max(0.0)
+            ((self.xy - self.x * self.y) / spread).clamp(0.0, self.y / self.x)
         } else {
             0.0
         }
@@ -223,6 +223,8 @@
     pub(crate) extras: VecDeque<f64>,
     /// Units that each shard served this host of late.
     pub(crate) usual: BTreeMap<u16, Fading>,
+    /// When the first list came.
+    pub(crate) since: Option<f64>,
     pub(crate) fit: Fit,
     /// For each class, what the fit leaves of its answer times.
     pub(crate) offsets: Vec<f64>,
