A host that stood still

Danger: after a stall (also a suspended machine, a clock that jumps) the host reads its own gap as silence of its nodes, its answers as slow, and gives what came meanwhile an aim that starts only now. Change: a heartbeat of 50 ms where nothing waits; a gap past 150 ms is its own: last words move by it, requests start when their client's patience says, answer times are the wire's. Harm: a short gap of the process costs nothing but a later mark of silence. A volume's number of hosts is bounded by the hosts there are.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -64,6 +64,9 @@
 const USUAL_MS: f64 = 30_000.0;
 /// Held requests are looked at again at this pace where a guard or trickle holds them.
 const TICK_MS: f64 = 10.0;
+/// The pace where nothing is held or out: a host that misses it by more than STALL_MS stood still itself.
+const IDLE_TICK_MS: f64 = 50.0;
+const STALL_MS: f64 = 150.0;
 /// Gone nodes and idle volumes are remembered for this long.
 const FORGET_MS: f64 = 60_000.0;
 
@@ -219,6 +222,7 @@
 
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
+        self.stood_still(now);
         match event {
             Event::List(kind, entries) => self.on_list(now, kind, &entries, actions),
             Event::Request(q) => self.on_request(now, q, actions),
@@ -240,7 +244,7 @@
 
     // ---- Arrivals: the ordinary path -------------------------------------------------------------------
 
-    fn on_request(&mut self, now: f64, q: Request, actions: &mut Vec<Action>) {
+    fn on_request(&mut self, now: f64, mut q: Request, actions: &mut Vec<Action>) {
         self.b.taken.push_back(now);
         if self.b.requests.contains_key(&q.id) {
             return;
@@ -250,10 +254,14 @@
             actions.push(Action::Refuse { id: q.id, retry_after_ms: 0.0 });
             return;
         }
+        let all = f64::from(self.s.hosts);
+        q.volume_hosts = if q.volume_hosts >= 1.0 { q.volume_hosts.min(all) } else { all };
         // Guard, one final answer: its timer rings before the client gives up, whatever else happens.
         let at_ms = (q.valid_until_ms - 2.0 * self.s.round_ms).max(now);
         actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
-        let held = Held { q, arrived: now, grade: 1.0, ..Default::default() };
+        let (from, to) = if self.b.stalled.1 == now { self.b.stalled } else { (now, now) };
+        let arrived = (q.valid_until_ms - self.s.classes[usize::from(q.class)].deadline_ms).clamp(from, to);
+        let held = Held { q, arrived, grade: 1.0, ..Default::default() };
         self.b.requests.insert(q.id, held);
         self.meet_volume(now, &q);
         if self.s.classes[usize::from(q.class)].ordered && q.key != 0 {
@@ -276,17 +284,8 @@
         self.tick_soon(now, actions);
     }
 
-    /// Hosts of a volume, at least one.
-    fn hosts_of(&self, q: &Request) -> f64 {
-        if q.volume_hosts >= 1.0 {
-            q.volume_hosts
-        } else {
-            f64::from(self.s.hosts)
-        }
-    }
-
     fn meet_volume(&mut self, now: f64, q: &Request) {
-        let hosts = self.hosts_of(q);
+        let hosts = q.volume_hosts;
         let plan = &self.s.plans[usize::from(q.plan)];
         // Guard, limits: a host that restarted has forgotten what it sent, so the store starts empty.
         let new = || Volume { store_at: now, part: 1.0 / hosts, ..Default::default() };
@@ -328,17 +327,17 @@
     fn choose_node(&mut self, now: f64, id: u32) -> Option<u32> {
         let r = self.b.requests.get(&id)?;
         let (shard, class, ran) = (r.q.shard, usize::from(r.q.class), r.may_have_run);
-        let group = self.s.classes[class].group;
         let keyed = self.s.classes[class].effect == Effect::Keyed;
+        let group = if keyed { self.s.classes[class].group } else { Group::All };
+        let in_group = |n: &Node, shard, zone| match group {
+            Group::All => true,
+            Group::Zone => zone == n.e.zone,
+            Group::Shard => shard == n.e.shard,
+        };
         let fits = |n: &Node| {
             n.e.condition == Condition::Ready
                 && shard.map_or(true, |s| s == n.e.shard)
-                && ran.map_or(true, |(_, s, z)| {
-                    !keyed
-                        || group == Group::All
-                        || (group == Group::Zone && z == n.e.zone)
-                        || (group == Group::Shard && s == n.e.shard)
-                })
+                && ran.map_or(true, |(_, shard, zone)| in_group(n, shard, zone))
         };
         // A new object looks at a few nodes drawn at random: cheap with hundreds, and no herd of hosts.
         let mut candidates: Vec<u32> =
@@ -409,10 +408,10 @@
         let part = FIT_PART * r.grade.clamp(0.0, 1.0).sqrt();
         let mut least = f64::INFINITY;
         for (l, class) in self.s.classes.iter().enumerate() {
-            let own =
-                if l == usize::from(r.q.class) { r.q.valid_until_ms - r.arrived } else { f64::INFINITY };
             let alone = self.b.offsets.get(l).copied().unwrap_or(0.0).max(0.0);
-            let aim = class.aim_ms.min(own);
+            let own = l == usize::from(r.q.class);
+            let ends = (r.arrived + class.aim_ms).min(if own { r.q.valid_until_ms } else { f64::INFINITY });
+            let aim = if own { (ends - now).max(0.0) } else { class.aim_ms };
             least = least.min((aim - alone).max(aim * FIT_LEAST) * part - wait);
         }
         least
@@ -543,22 +542,20 @@
         }
         self.learn(now, o, &f, actions);
         let never_ran = matches!(o.verdict, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot);
-        let mut again = false;
         if let Some(r) = self.b.requests.get_mut(&o.id) {
             r.outstanding = r.outstanding.saturating_sub(1);
             if !never_ran && r.may_have_run.is_none() {
                 r.may_have_run = Some((f.sent, f.shard, f.zone));
             }
-            let alive = now < r.q.valid_until_ms - 2.0 * self.s.round_ms;
-            again = alive && r.tries < self.s.max_attempts && o.verdict != Verdict::Moot;
         }
         if o.verdict == Verdict::Served || o.complete {
             self.end(o.id);
-        } else if self.b.requests.contains_key(&o.id) {
-            let resendable = self.b.requests.get(&o.id).is_some_and(|r| self.may_resend(now, r));
-            match if again && resendable { self.choose_node(now, o.id) } else { None } {
+        } else if let Some(r) = self.b.requests.get(&o.id) {
+            let alive = now < r.q.valid_until_ms - 2.0 * self.s.round_ms && o.verdict != Verdict::Moot;
+            let again = alive && self.may_resend(now, r);
+            match if again { self.choose_node(now, o.id) } else { None } {
                 Some(node) => self.hold(now, o.id, node),
-                None if again && resendable => self.b.unplaced.push(o.id),
+                None if again => self.b.unplaced.push(o.id),
                 None => self.answer(now, o.id, 0.0, actions),
             }
         }
@@ -570,7 +567,8 @@
     fn learn(&mut self, now: f64, o: &Outcome, f: &Flight, actions: &mut Vec<Action>) {
         let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         n.out = n.out.saturating_sub(1);
-        let took = now - f.sent;
+        // The wire's own figure, where it has one: a host that stood still hears of answers late.
+        let took = if (0.0..now - f.sent).contains(&o.elapsed_ms) { o.elapsed_ms } else { now - f.sent };
         let word = matches!(o.verdict, Verdict::Served | Verdict::Error | Verdict::Full);
         let unreached = matches!(o.verdict, Verdict::ConnectFailed | Verdict::Reset);
         // Danger: links that drop now and then would bench a sound node. The resets of one moment are one
@@ -633,7 +631,7 @@
             let plan = &self.s.plans[usize::from(r.q.plan)];
             if let (Some(used), Some(v)) = (o.used_percent, self.b.volumes.get_mut(&r.q.volume)) {
                 let part = v.own.faded(now, STANDING_MS) / (used / 100.0 * plan.nominal).max(1e-3);
-                v.part += BLEND * (part.clamp(1.0 / r.q.volume_hosts.max(1.0), 1.0) - v.part);
+                v.part += BLEND * (part.clamp(1.0 / r.q.volume_hosts, 1.0) - v.part);
             }
         }
     }
@@ -688,7 +686,7 @@
         let plan = &self.s.plans[usize::from(r.q.plan)];
         if plan.limit > 0.0 && !r.charged {
             let Some(v) = self.b.volumes.get(&r.q.volume) else { return false };
-            if v.filled(now, plan, self.hosts_of(&r.q)) < r.q.units {
+            if v.filled(now, plan, r.q.volume_hosts) < r.q.units {
                 return false;
             }
         }
@@ -818,12 +816,23 @@
     }
 
     fn tick_soon(&mut self, now: f64, actions: &mut Vec<Action>) {
-        let waiting =
-            !self.b.unplaced.is_empty() || self.b.nodes.values().any(|n| !n.held.is_empty() || n.out > 0);
-        if !self.b.ticking && waiting {
+        if !self.b.ticking {
             self.b.ticking = true;
-            actions.push(Action::SetTimer { at_ms: now + TICK_MS, label: TIMER_TICK });
+            let idle = self.b.requests.is_empty();
+            let at_ms = now + if idle { IDLE_TICK_MS } else { TICK_MS };
+            actions.push(Action::SetTimer { at_ms, label: TIMER_TICK });
+        }
+    }
+
+    /// Danger: a host that stood still (a stall, a suspended machine, a clock that jumps) would read its own
+    /// gap as silence of all nodes, and give what came meanwhile an aim that starts only now.
+    fn stood_still(&mut self, now: f64) {
+        let gap = now - self.b.last_event;
+        if gap > STALL_MS && self.b.ticking {
+            self.b.stalled = (self.b.last_event, now);
+            self.b.nodes.values_mut().for_each(|n| n.last_word += gap);
         }
+        self.b.last_event = self.b.last_event.max(now);
     }
 
     fn on_tick(&mut self, now: f64, actions: &mut Vec<Action>) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -229,6 +229,9 @@
     /// For each class, what the fit leaves of its answer times.
     pub(crate) offsets: Vec<f64>,
     pub(crate) ticking: bool,
+    pub(crate) last_event: f64,
+    /// The last time the host stood still: from, to.
+    pub(crate) stalled: (f64, f64),
     pub(crate) watch_failures: u32,
     pub(crate) next_log: f64,
     pub(crate) swept: f64,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -13,7 +13,7 @@
     h.ring_until(now);
     let node = sent(&h.at(now, Event::Request(request(id, now + 900.0))))[0].1;
     h.ring_until(now + took);
-    let told = Outcome { queue, ..outcome(id, 0, node, Verdict::Served) };
+    let told = Outcome { queue, elapsed_ms: took, ..outcome(id, 0, node, Verdict::Served) };
     h.at(now + took, Event::Outcome(told));
 }
 
@@ -28,6 +28,7 @@
         answered(&mut h, 50, 40_000.0, Some(30.0), 310.0);
         assert!(sent(&h.at(40_320.0, Event::Request(request(51, 41_200.0)))).is_empty(), "300 ms of wait");
         // An old report is no reason to stay away: the node is tried again.
+        h.ring_until(50_000.0);
         assert_eq!(sent(&h.at(50_000.0, Event::Request(request(52, 50_900.0)))), [(52, 7)]);
     }
 }
@@ -103,3 +104,19 @@
     }
     assert!(silent <= 12, "{silent} of 60 went to the silent node");
 }
+
+#[test]
+fn a_host_that_stood_still_does_not_hold_its_gap_against_the_nodes() {
+    let mut h = Host::with_nodes(many(100), &[entry(7, 0)]);
+    for id in 0..30 {
+        let queue = f64::from(id % 2);
+        answered(&mut h, id, 1.0 + 400.0 * f64::from(id), Some(queue), 10.0 + 10.0 * queue);
+    }
+    h.ring_until(14_000.0);
+    assert_eq!(sent(&h.at(14_000.0, Event::Request(request(50, 14_990.0)))), [(50, 7)]);
+    // No turn for 600 ms; then what came meanwhile is found before the answer that lies behind it.
+    let done = h.at(14_600.0, Event::Request(request(51, 15_590.0)));
+    assert_eq!(sent(&done), [(51, 7)], "a fresh request goes to the node that was never silent");
+    // One whose aim ran out during the gap is late: it does not go beside other work.
+    assert!(sent(&h.at(14_600.0, Event::Request(request(52, 15_100.0)))).is_empty());
+}
