Deleted: the unreachable state beyond a rest, tokens given back by refused requests

Three consecutive failures now bring the same rest as a full answer, and the wait does what 'starting slowly' did.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -353,8 +353,8 @@
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
             let n = &self.b.nodes[&node];
             let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound + self.wait(n, now);
-            let score = room - waiting - if n.unreachable() || now < n.rest_until { WINDOW_MS } else { 0.0 }
-                + n.e.started_ms / 1e9;
+            let score =
+                room - waiting - if now < n.rest_until { WINDOW_MS } else { 0.0 } + n.e.started_ms / 1e9;
             if best.map_or(true, |(b, _)| score > b) {
                 best = Some((score, node));
             }
@@ -378,7 +378,6 @@
         (v.reserve, v.share) = (fill(v.reserve, plan.reserve), fill(v.share, share));
         if plan.reserve > 0.0 && v.reserve >= r.q.units {
             v.reserve -= r.q.units;
-            r.drew = r.q.units;
             r.grade = 1.0;
         } else if v.share >= r.q.units {
             v.share -= r.q.units;
@@ -432,7 +431,7 @@
         let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return false };
         let own = self.worth(r, n.sojourn, now).0;
         // Spare capacity is used: with nothing waiting and the bound not reached, the test is moot.
-        if fits && n.held.is_empty() && (n.out as f64) < n.bound && !n.unreachable() {
+        if fits && n.held.is_empty() && (n.out as f64) < n.bound {
             return true;
         }
         let never_sent = n.held.iter().filter_map(|h| self.b.requests.get(h)).filter(|r| r.tries == 0);
@@ -465,7 +464,7 @@
             }
             let full = n.out as f64 >= n.bound.floor();
             let run_on = n.run < RUN && n.last_key != 0;
-            if full && !n.unreachable() && !run_on {
+            if full && !run_on {
                 return;
             }
             let cold = self.cold_room(n, now);
@@ -473,7 +472,7 @@
             for id in &n.held {
                 let Some(r) = self.b.requests.get(id) else { continue };
                 let same = run_on && r.q.key == n.last_key;
-                if (full && !n.unreachable() && !same) || r.q.units > cold || !self.may_send(now, r) {
+                if (full && !same) || r.q.units > cold || !self.may_send(now, r) {
                     continue;
                 }
                 let (worth, slack) = self.worth(r, n.sojourn, now);
@@ -510,9 +509,6 @@
         }
         self.b.flights.insert((id, r.tries as u16), flight);
         n.out += 1;
-        if n.unreachable() {
-            n.rest_until = now + TRICKLE_MS;
-        }
         n.cold_log.push_back((now, r.q.units));
         (n.cold_tokens, n.cold_at) = (tokens - r.q.units, now);
         if r.tries > 0 {
@@ -573,19 +569,12 @@
         let unreached = matches!(o.verdict, Verdict::ConnectFailed | Verdict::Reset);
         // Danger: links that drop now and then would bench a sound node. The resets of one moment are one
         // failure; only consecutive failures without a word count. Harm: a dead node costs a few more tries.
-        let mut news = None;
+        let mut lost = false;
         if word {
-            if n.unreachable() {
-                n.bound = 1.0;
-                news = Some("answers again; starting slowly");
-            }
             (n.last_word, n.failures) = (now, 0);
         } else if unreached && n.last_failure < now {
             (n.last_failure, n.failures) = (now, n.failures + 1);
-            if n.unreachable() {
-                n.rest_until = now + TRICKLE_MS;
-                news = Some("cannot be reached; one try at a time");
-            }
+            lost = n.failures == FAILURES;
         }
         let sane = |v: Option<f64>, top: f64| v.filter(|v| (0.0..top).contains(v));
         let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
@@ -604,14 +593,14 @@
                 self.b.offsets[f.class] += BLEND * (rest - self.b.offsets[f.class]);
             }
         }
-        if o.verdict == Verdict::Full {
+        if o.verdict == Verdict::Full || n.failures >= FAILURES {
             n.bound = (n.bound / 2.0).max(1.0);
             // Danger: a node that turns everything away at once looks idle and draws all (a black hole),
             // whatever filled it; and the tries of all hosts keep it full. One try, then a rest.
             n.rest_until = n.rest_until.max(now + TRICKLE_MS);
         }
-        if let Some(news) = news {
-            self.log(now, format!("node {} {news}", f.node), actions);
+        if lost {
+            self.log(now, format!("node {} cannot be reached; a few tries at a time", f.node), actions);
         }
         let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
         if o.verdict != Verdict::Served {
@@ -646,11 +635,6 @@
             }
             n.held.retain(|h| *h != id);
         }
-        if r.tries == 0 {
-            if let Some(v) = self.b.volumes.get_mut(&r.q.volume) {
-                v.reserve += r.drew;
-            }
-        }
         if let Some(lane) = self.b.lanes.get_mut(&r.q.key) {
             lane.queue.retain(|q| *q != id);
         }
@@ -884,10 +868,6 @@
         Node { e, envelopes, bound, sojourn, last_word: now, rest_until: now, ..Default::default() }
     }
 
-    fn unreachable(&self) -> bool {
-        self.failures >= FAILURES
-    }
-
     /// Departure, censored samples: a node without a word longer than usual counts what is
     /// out at its age, so that a frozen envelope moves.
     fn silence(&self, now: f64) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -156,9 +156,8 @@
     pub(crate) number: u64,
     pub(crate) tries: u32,
     pub(crate) outstanding: u32,
-    /// Part of full worth that its volume's standing gave it, and what it drew from the reserve for that.
+    /// Part of full worth that its volume's standing gave it.
     pub(crate) grade: f64,
-    pub(crate) drew: f64,
     pub(crate) charged: bool,
     /// First send that may have run, with the node's shard and zone.
     pub(crate) may_have_run: Option<(f64, u16, u16)>,
