One token bucket guards cold nodes

The log of the even part and the bucket by use covered the same ground; now one bucket fills at the larger of the two.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -492,7 +492,7 @@
     }
 
     fn send(&mut self, now: f64, node: u32, id: u32, actions: &mut Vec<Action>) {
-        let tokens = self.b.nodes.get(&node).map_or(0.0, |n| self.cold_tokens(n, now));
+        let tokens = self.b.nodes.get(&node).map_or(0.0, |n| self.cold_room(n, now));
         let (Some(r), Some(n)) = (self.b.requests.get_mut(&id), self.b.nodes.get_mut(&node)) else { return };
         n.held.retain(|h| *h != id);
         let run_on = r.q.key != 0 && r.q.key == n.last_key;
@@ -509,7 +509,6 @@
         }
         self.b.flights.insert((id, r.tries as u16), flight);
         n.out += 1;
-        n.cold_log.push_back((now, r.q.units));
         (n.cold_tokens, n.cold_at) = (tokens - r.q.units, now);
         if r.tries > 0 {
             self.b.extras.push_back(now);
@@ -707,26 +706,21 @@
         sent + 1.0 <= e.free + e.ratio * taken
     }
 
-    /// Guard, cold nodes: units that this host may send now; two ways that hold for all hosts together. Few
-    /// hosts: the even part of the units that a node always bears. Many, whose even part is under one
-    /// request: the tokens below.
+    /// Guard, cold nodes: units that this host may send now; a token bucket that holds for all hosts
+    /// together. It fills at the larger of two parts. Few hosts: an even one of the units that a node always
+    /// bears, half as rate, half as depth. Many, whose even part is under one request: what the shard served
+    /// each host before adds up to what it does warm; of its part, what a cold node bears by now.
     fn cold_room(&self, n: &Node, now: f64) -> f64 {
         if n.e.started_ms <= 0.0 || now - n.e.started_ms >= self.s.warm_after_ms {
             return f64::INFINITY;
         }
-        let window = now - self.s.fall_ms - self.s.round_ms;
-        let sent: f64 = n.cold_log.iter().rev().take_while(|(t, _)| *t >= window).map(|(_, u)| u).sum();
-        (self.s.cold_units * SAFE_PART / f64::from(self.s.hosts) - sent).max(self.cold_tokens(n, now))
-    }
-
-    /// What the shard served each host before adds up to what it can do warm: a token bucket that fills at
-    /// this host's part of that, cut to what a cold node bears at the least by now.
-    fn cold_tokens(&self, n: &Node, now: f64) -> f64 {
-        let warm = (now - n.e.started_ms - self.s.fall_ms) / self.s.warm_after_ms.max(1.0);
+        let span = self.s.fall_ms.max(1.0);
+        let warm = (now - n.e.started_ms - span) / self.s.warm_after_ms.max(1.0);
         let least = self.s.cold_from + (1.0 - self.s.cold_from) * warm.clamp(0.0, 1.0);
-        let rate = COLD_PART * self.s.fall_multiple * least * n.usual_units / USUAL_MS;
-        let top = (rate * self.s.fall_ms).max(self.s.max_units);
-        (n.cold_tokens + rate * (now - n.cold_at).max(0.0)).min(top)
+        let even = 0.5 * SAFE_PART * self.s.cold_units / f64::from(self.s.hosts) / span;
+        let rate = even.max(COLD_PART * self.s.fall_multiple * least * n.usual_units / USUAL_MS);
+        let tokens = n.cold_tokens + rate * (now - n.cold_at).max(0.0);
+        tokens.min((rate * span).max(self.s.max_units))
     }
 
     /// Guard, drains and list: nothing goes to a node from the first word that it drains or is gone.
@@ -762,8 +756,10 @@
                 let mut new = Node::new(entry, now, self.s.classes.len(), self.tightest_aim);
                 let usual = self.b.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
                 new.usual_units = usual / (1.0 - (-(now - since).max(self.s.fall_ms) / USUAL_MS).exp());
-                // A part of one request each: by chance, not all hosts at once.
-                (new.cold_tokens, new.cold_at) = (self.random.next() * self.s.mean_units, started);
+                // The even part, and a part of one request by chance: not all hosts at once.
+                let even = 0.5 * SAFE_PART * self.s.cold_units / f64::from(self.s.hosts);
+                new.cold_tokens = even + self.random.next() * self.s.mean_units;
+                new.cold_at = started;
                 if let Some(mut old) = self.b.nodes.insert(e.node, new) {
                     self.b.unplaced.append(&mut old.held);
                     self.b.nodes.entry(e.node).and_modify(|n| n.out = old.out);
@@ -836,8 +832,6 @@
         let kept = now - self.s.extra.map_or(0.0, |e| e.span_ms) - 2.0 * self.s.round_ms;
         self.b.taken.retain(|t| *t >= kept);
         self.b.extras.retain(|t| *t >= kept);
-        let kept = now - self.s.fall_ms - 2.0 * self.s.round_ms;
-        self.b.nodes.values_mut().for_each(|n| n.cold_log.retain(|(t, _)| *t >= kept));
         self.b.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
         let lost = |n: &Node| n.e.condition == Condition::Gone && n.out == 0;
         self.b.nodes.retain(|_, n| !lost(n) || now - n.gone_at < FORGET_MS);
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,7 +84,6 @@
     pub(crate) last_failure: f64,
     pub(crate) last_key: u64,
     pub(crate) run: u32,
-    pub(crate) cold_log: VecDeque<(f64, f64)>,
     /// What its shard usually serves this host, and the tokens that gives while it is cold.
     pub(crate) usual_units: f64,
     pub(crate) cold_tokens: f64,
