A client refused by the prediction comes again when the excess should be worked off

Cause: the retry-after was the lack of room in the ten-second envelopes, often a second or zero, also where the reports refused. Change: where the prediction refuses, its excess over the pace of draining; where the envelopes do, theirs.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -273,10 +273,11 @@
             return;
         };
         self.stand(now, q.id);
-        let fits = self.predicted_room(now, q.id, node) >= 0.0;
+        let predicted = self.predicted_room(now, q.id, node);
+        let fits = predicted >= 0.0;
         let room = self.room(node, usize::from(q.class), now);
         if (room < 0.0 || !fits) && !self.make_way(now, q.id, node, fits, actions) {
-            self.answer(now, q.id, (-room).max(0.0), actions);
+            self.answer(now, q.id, if fits { -room } else { -predicted / DRAIN }, actions);
             return;
         }
         self.hold(now, q.id, node);
