--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -120,3 +120,18 @@
     // One whose aim ran out during the gap is late: it does not go beside other work.
     assert!(sent(&h.at(14_600.0, Event::Request(request(52, 15_100.0)))).is_empty());
 }
+
+#[test]
+fn any_number_of_hosts_and_nodes_is_borne() {
+    for hosts in [1, 10_000] {
+        let nodes: Vec<NodeEntry> = (0..400).map(|n| entry(n, n as u16)).collect();
+        let mut h = Host::with_nodes(many(hosts), &nodes);
+        // Through more hosts than there are, through none, and through no number at all.
+        for (id, volume_hosts) in [(1, 1e9), (2, 0.0), (3, f64::NAN), (4, -5.0)] {
+            let q = Request { volume_hosts, shard: None, ..request(id, 900.0) };
+            assert_eq!(sent(&h.at(1.0, Event::Request(q))).len(), 1, "request {id}");
+        }
+    }
+    let none = Scheduler::new(many(0), 1).err().map(|e| e.field);
+    assert_eq!(none, Some("hosts".to_owned()));
+}
