--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,15 +14,15 @@
 pub(crate) const SPANS: [usize; 6] = [1, 2, 4, 8, 20, 40];
 /// Gaussian 95 % point.
 const TAIL: f64 = 1.645;
-/// Largest k of the service envelope; also the hard top of the in-flight bound.
+/// Largest k of the service envelope; also the hard top of the in-flight limit.
 pub(crate) const TOP: usize = 32;
 /// The service envelope forgets in slots of T / SLOTS.
 const SLOTS: usize = 10;
 /// Samples below which a k counts as not seen: a variance needs two.
 const SEEN: f64 = 2.0;
-/// In-flight bound of a node not yet known, requests.
-const FIRST_BOUND: f64 = 3.0;
-/// The bound aims at answers within this part of the tightest aim, counted from the send.
+/// In-flight limit of a node not yet known, requests.
+const FIRST_LIMIT: f64 = 3.0;
+/// The limit aims at answers within this part of the tightest aim, counted from the send.
 const SOJOURN_PART: f64 = 0.6;
 /// Answer time presumed of a node not yet known, as part of the tightest aim: it must count as in time.
 const FIRST_SOJOURN: f64 = 0.25;
@@ -198,8 +198,8 @@
 
 /// Decides for one host.
 pub struct Scheduler {
-    s: Settings,
-    b: Books,
+    settings: Settings,
+    books: Books,
     random: Random,
     tightest_aim: f64,
     /// Units a second for each weight, were the nominal rates of all plans dealt out by weight.
@@ -217,7 +217,7 @@
         let sum = |f: fn(&Plan) -> f64| settings.plans.iter().map(f).sum::<f64>();
         let weight_units = sum(|p| p.nominal) / sum(|p| p.weight).max(1e-6);
         let random = Random(seed);
-        Ok(Scheduler { s: settings, b: Books::default(), random, tightest_aim, weight_units })
+        Ok(Scheduler { settings, books: Books::default(), random, tightest_aim, weight_units })
     }
 
     /// Takes one event and appends what is to be done.
@@ -229,7 +229,7 @@
             Event::Outcome(o) => self.on_outcome(now, &o, actions),
             Event::AnswerBegan { id } | Event::Abandoned { id } => self.end(id),
             Event::Timer { label: TIMER_TICK } => {
-                self.b.ticking = false;
+                self.books.ticking = false;
                 self.on_tick(now, actions);
             }
             Event::Timer { label: TIMER_WATCH } => actions.push(Action::Watch(true)),
@@ -245,30 +245,32 @@
     // ---- Arrivals: the ordinary path -------------------------------------------------------------------
 
     fn on_request(&mut self, now: f64, mut q: Request, actions: &mut Vec<Action>) {
-        self.b.taken.push_back(now);
-        if self.b.requests.contains_key(&q.id) {
+        self.books.taken.push_back(now);
+        if self.books.requests.contains_key(&q.id) {
             return;
         }
-        let known = usize::from(q.class) < self.s.classes.len() && usize::from(q.plan) < self.s.plans.len();
+        let known = usize::from(q.class) < self.settings.classes.len()
+            && usize::from(q.plan) < self.settings.plans.len();
         if !known || !q.units.is_finite() || q.units < 0.0 || !q.valid_until_ms.is_finite() {
             actions.push(Action::Refuse { id: q.id, retry_after_ms: 0.0 });
             return;
         }
-        let all = f64::from(self.s.hosts);
+        let all = f64::from(self.settings.hosts);
         q.volume_hosts = if q.volume_hosts >= 1.0 { q.volume_hosts.min(all) } else { all };
         // Guard, one final answer: its timer rings before the client gives up, whatever else happens.
-        let at_ms = (q.valid_until_ms - 2.0 * self.s.round_ms).max(now);
+        let at_ms = (q.valid_until_ms - 2.0 * self.settings.round_ms).max(now);
         actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
-        let (from, to) = if self.b.stalled.1 == now { self.b.stalled } else { (now, now) };
-        let arrived = (q.valid_until_ms - self.s.classes[usize::from(q.class)].deadline_ms).clamp(from, to);
+        let (from, to) = if self.books.stalled.1 == now { self.books.stalled } else { (now, now) };
+        let arrived =
+            (q.valid_until_ms - self.settings.classes[usize::from(q.class)].deadline_ms).clamp(from, to);
         let held = Held { q, arrived, grade: 1.0, ..Default::default() };
-        self.b.requests.insert(q.id, held);
+        self.books.requests.insert(q.id, held);
         self.meet_volume(now, &q);
-        if self.s.classes[usize::from(q.class)].ordered && q.key != 0 {
-            self.b.lanes.entry(q.key).or_default().queue.push_back(q.id);
+        if self.settings.classes[usize::from(q.class)].ordered && q.key != 0 {
+            self.books.lanes.entry(q.key).or_default().queue.push_back(q.id);
         }
         let Some(node) = self.choose_node(now, q.id) else {
-            self.b.unplaced.push(q.id);
+            self.books.unplaced.push(q.id);
             self.tick_soon(now, actions);
             return;
         };
@@ -287,20 +289,20 @@
 
     fn meet_volume(&mut self, now: f64, q: &Request) {
         let hosts = q.volume_hosts;
-        let plan = &self.s.plans[usize::from(q.plan)];
-        // Guard, limits: a host that restarted has forgotten what it sent, so the store starts empty.
-        let new = || Volume { store_at: now, part: 1.0 / hosts, ..Default::default() };
-        let v = self.b.volumes.entry(q.volume).or_insert_with(new);
+        let plan = &self.settings.plans[usize::from(q.plan)];
+        // Guard, limits: a host that restarted has forgotten what it sent, so the token bucket starts empty.
+        let new = || Volume { tokens_at: now, part: 1.0 / hosts, ..Default::default() };
+        let v = self.books.volumes.entry(q.volume).or_insert_with(new);
         v.seen = now;
         v.own.add(now, q.units, STANDING_MS);
-        v.store = v.filled(now, plan, hosts);
-        v.store_at = now;
+        v.tokens = v.filled(now, plan, hosts);
+        v.tokens_at = now;
     }
 
     /// The LMAC test: the least time, over the grid, that the request curve raised by one newcomer of this
     /// class stays within the aims of all classes at the node; below zero the newcomer does not fit.
     fn room(&mut self, node: u32, class: usize, now: f64) -> f64 {
-        let Some(n) = self.b.nodes.get_mut(&node) else { return 0.0 };
+        let Some(n) = self.books.nodes.get_mut(&node) else { return 0.0 };
         let mut least = f64::INFINITY;
         for e in &mut n.envelopes {
             e.roll(now);
@@ -313,10 +315,10 @@
                 let k = if own {
                     e.requests(i, now, 1.0 / WINDOW_MS)
                 } else {
-                    e.requests(i, now, 0.0) + (tau + self.s.classes[class].aim_ms) / WINDOW_MS
+                    e.requests(i, now, 0.0) + (tau + self.settings.classes[class].aim_ms) / WINDOW_MS
                 };
                 if let Some(s) = e.service(k) {
-                    least = least.min(tau + self.s.classes[l].aim_ms - s);
+                    least = least.min(tau + self.settings.classes[l].aim_ms - s);
                 }
             }
         }
@@ -326,10 +328,10 @@
     /// A request of a named shard has one node; a new object goes where the test leaves most room, less what
     /// this host already has waiting there.
     fn choose_node(&mut self, now: f64, id: u32) -> Option<u32> {
-        let r = self.b.requests.get(&id)?;
+        let r = self.books.requests.get(&id)?;
         let (shard, class, ran) = (r.q.shard, usize::from(r.q.class), r.may_have_run);
-        let keyed = self.s.classes[class].effect == Effect::Keyed;
-        let group = if keyed { self.s.classes[class].group } else { Group::All };
+        let keyed = self.settings.classes[class].effect == Effect::Keyed;
+        let group = if keyed { self.settings.classes[class].group } else { Group::All };
         let in_group = |n: &Node, shard, zone| match group {
             Group::All => true,
             Group::Zone => zone == n.e.zone,
@@ -342,7 +344,7 @@
         };
         // A new object looks at a few nodes drawn at random: cheap with hundreds, and no herd of hosts.
         let mut candidates: Vec<u32> =
-            self.b.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
+            self.books.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
         let looked_at = candidates.len().min(if shard.is_some() { usize::MAX } else { LOOKED_AT });
         for i in 0..looked_at {
             let rest = candidates.len() - i;
@@ -352,8 +354,8 @@
         let mut best = None;
         for node in candidates {
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
-            let n = &self.b.nodes[&node];
-            let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.bound + self.wait(n, now);
+            let n = &self.books.nodes[&node];
+            let waiting = (n.held.len() + n.out) as f64 * n.sojourn / n.in_flight_limit + self.wait(n, now);
             let score =
                 room - waiting - if now < n.rest_until { WINDOW_MS } else { 0.0 } + n.e.started_ms / 1e9;
             if best.map_or(true, |(b, _)| score > b) {
@@ -366,15 +368,15 @@
     /// Judges the newcomer by its volume's standing: two token buckets, one filled at the reserve, the other
     /// by weight, each with this host's part of the rate. Inside the first, the second, or spare.
     fn stand(&mut self, now: f64, id: u32) {
-        let Some(r) = self.b.requests.get_mut(&id) else { return };
-        let plan = &self.s.plans[usize::from(r.q.plan)];
-        let Some(v) = self.b.volumes.get_mut(&r.q.volume) else { return };
+        let Some(r) = self.books.requests.get_mut(&id) else { return };
+        let plan = &self.settings.plans[usize::from(r.q.plan)];
+        let Some(v) = self.books.volumes.get_mut(&r.q.volume) else { return };
         let passed = (now - v.reserve_at).max(0.0) / 1_000.0;
         v.reserve_at = now;
         let share = SHARE_X * plan.weight * self.weight_units;
         let fill = |tokens: f64, rate: f64| {
             let rate = rate * v.part;
-            (tokens + rate * passed).min(rate * STANDING_MS / 1_000.0 + self.s.max_units)
+            (tokens + rate * passed).min(rate * STANDING_MS / 1_000.0 + self.settings.max_units)
         };
         (v.reserve, v.share) = (fill(v.reserve, plan.reserve), fill(v.share, share));
         if plan.reserve > 0.0 && v.reserve >= r.q.units {
@@ -382,16 +384,16 @@
             r.grade = 1.0;
         } else if v.share >= r.q.units {
             v.share -= r.q.units;
-            r.grade = self.s.share_worth;
+            r.grade = self.settings.share_worth;
         } else {
-            r.grade = self.s.spare_worth;
+            r.grade = self.settings.spare_worth;
         }
     }
 
     /// Wait at a node, as all nodes had it at the load that this one reported last. Old reports fade, so that
     /// the node is tried again. Censored samples: what is out without a word counts at its age.
     fn wait(&self, n: &Node, now: f64) -> f64 {
-        let (age, slope) = ((now - n.load_at).max(0.0), self.b.fit.slope());
+        let (age, slope) = ((now - n.load_at).max(0.0), self.books.fit.slope());
         let usual = slope * n.usual_load * (-age / REPORT_MS).exp();
         let above = slope * n.load - usual;
         (usual + (above.abs() - DRAIN * age).max(0.0) * above.signum()).max(n.silence(now))
@@ -400,15 +402,17 @@
     /// Departure, borrowed samples: what is left of the aims of all classes when the wait at the node and
     /// the service alone are taken off. A newcomer of less standing may use less of the aims.
     fn predicted_room(&self, now: f64, id: u32, node: u32) -> f64 {
-        let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return 0.0 };
-        if self.b.fit.seen < FIT_SEEN {
+        let (Some(r), Some(n)) = (self.books.requests.get(&id), self.books.nodes.get(&node)) else {
+            return 0.0;
+        };
+        if self.books.fit.seen < FIT_SEEN {
             return 0.0;
         }
         let wait = self.wait(n, now);
         let part = FIT_PART * r.grade.clamp(0.0, 1.0).sqrt();
         let mut least = f64::INFINITY;
-        for (l, class) in self.s.classes.iter().enumerate() {
-            let alone = self.b.offsets.get(l).copied().unwrap_or(0.0).max(0.0);
+        for (l, class) in self.settings.classes.iter().enumerate() {
+            let alone = self.books.offsets.get(l).copied().unwrap_or(0.0).max(0.0);
             let own = l == usize::from(r.q.class);
             let ends = (r.arrived + class.aim_ms).min(if own { r.q.valid_until_ms } else { f64::INFINITY });
             let aim = if own { (ends - now).max(0.0) } else { class.aim_ms };
@@ -420,22 +424,24 @@
     /// Worth of a unit now, and the time to spare: what can no longer be served before its aim, or before its
     /// client leaves, counts as late. Units are taken as work: answer times would hide what writes put off.
     fn worth(&self, r: &Held, sojourn: f64, now: f64) -> (f64, f64) {
-        let class = &self.s.classes[usize::from(r.q.class)];
+        let class = &self.settings.classes[usize::from(r.q.class)];
         let slack = (r.arrived + class.aim_ms).min(r.q.valid_until_ms) - now - SURE * sojourn;
-        let worth = class.worth * self.s.plans[usize::from(r.q.plan)].pays * r.grade;
+        let worth = class.worth * self.settings.plans[usize::from(r.q.plan)].pays * r.grade;
         (worth * if slack < 0.0 { class.late_worth } else { 1.0 }, slack)
     }
 
     /// Departure, standing: the test says that something must go; it is the request, held or new, that is
     /// worth least for its work. Only what was never sent may go. True: the newcomer stays.
     fn make_way(&mut self, now: f64, id: u32, node: u32, fits: bool, actions: &mut Vec<Action>) -> bool {
-        let (Some(r), Some(n)) = (self.b.requests.get(&id), self.b.nodes.get(&node)) else { return false };
+        let (Some(r), Some(n)) = (self.books.requests.get(&id), self.books.nodes.get(&node)) else {
+            return false;
+        };
         let own = self.worth(r, n.sojourn, now).0;
-        // Spare capacity is used: with nothing waiting and the bound not reached, the test is moot.
-        if fits && n.held.is_empty() && (n.out as f64) < n.bound {
+        // Spare capacity is used: with nothing waiting and room in flight, the test is moot.
+        if fits && n.held.is_empty() && (n.out as f64) < n.in_flight_limit {
             return true;
         }
-        let never_sent = n.held.iter().filter_map(|h| self.b.requests.get(h)).filter(|r| r.tries == 0);
+        let never_sent = n.held.iter().filter_map(|h| self.books.requests.get(h)).filter(|r| r.tries == 0);
         let least =
             never_sent.map(|r| (self.worth(r, n.sojourn, now).0, r.q.id)).min_by(|a, b| a.0.total_cmp(&b.0));
         match least {
@@ -448,7 +454,9 @@
     }
 
     fn hold(&mut self, now: f64, id: u32, node: u32) {
-        let (Some(r), Some(n)) = (self.b.requests.get_mut(&id), self.b.nodes.get_mut(&node)) else { return };
+        let (Some(r), Some(n)) = (self.books.requests.get_mut(&id), self.books.nodes.get_mut(&node)) else {
+            return;
+        };
         r.node = Some(node);
         r.number = n.envelopes[usize::from(r.q.class)].admitted(now);
         n.held.push(id);
@@ -459,11 +467,11 @@
     /// Sends what may go to a node now.
     fn pump(&mut self, now: f64, node: u32, actions: &mut Vec<Action>) {
         loop {
-            let Some(n) = self.b.nodes.get(&node) else { return };
+            let Some(n) = self.books.nodes.get(&node) else { return };
             if n.held.is_empty() || n.e.condition != Condition::Ready || now < n.rest_until || n.out >= TOP {
                 return;
             }
-            let full = n.out as f64 >= n.bound.floor();
+            let full = n.out as f64 >= n.in_flight_limit.floor();
             let run_on = n.run < RUN && n.last_key != 0;
             if full && !run_on {
                 return;
@@ -471,7 +479,7 @@
             let cold = self.cold_room(n, now);
             let mut best: Option<(f64, u32)> = None;
             for id in &n.held {
-                let Some(r) = self.b.requests.get(id) else { continue };
+                let Some(r) = self.books.requests.get(id) else { continue };
                 let same = run_on && r.q.key == n.last_key;
                 if (full && !same) || r.q.units > cold || !self.may_send(now, r) {
                     continue;
@@ -493,8 +501,10 @@
     }
 
     fn send(&mut self, now: f64, node: u32, id: u32, actions: &mut Vec<Action>) {
-        let tokens = self.b.nodes.get(&node).map_or(0.0, |n| self.cold_room(n, now));
-        let (Some(r), Some(n)) = (self.b.requests.get_mut(&id), self.b.nodes.get_mut(&node)) else { return };
+        let tokens = self.books.nodes.get(&node).map_or(0.0, |n| self.cold_room(n, now));
+        let (Some(r), Some(n)) = (self.books.requests.get_mut(&id), self.books.nodes.get_mut(&node)) else {
+            return;
+        };
         n.held.retain(|h| *h != id);
         let run_on = r.q.key != 0 && r.q.key == n.last_key;
         (n.run, n.last_key) = (if run_on { n.run + 1 } else { 0 }, r.q.key);
@@ -502,22 +512,22 @@
             n.last_word = now;
         }
         let class = usize::from(r.q.class);
-        let lane = if self.s.classes[class].ordered { r.q.key } else { 0 };
+        let lane = if self.settings.classes[class].ordered { r.q.key } else { 0 };
         let flight =
             Flight { node, sent: now, units: r.q.units, class, lane, shard: n.e.shard, zone: n.e.zone };
         if lane != 0 {
-            self.b.lanes.entry(lane).or_default().outstanding += 1;
+            self.books.lanes.entry(lane).or_default().outstanding += 1;
         }
-        self.b.flights.insert((id, r.tries as u16), flight);
+        self.books.flights.insert((id, r.tries as u16), flight);
         n.out += 1;
         (n.cold_tokens, n.cold_at) = (tokens - r.q.units, now);
         if r.tries > 0 {
-            self.b.extras.push_back(now);
+            self.books.extras.push_back(now);
         }
         if !r.charged {
             r.charged = true;
-            if let Some(v) = self.b.volumes.get_mut(&r.q.volume) {
-                v.store -= r.q.units;
+            if let Some(v) = self.books.volumes.get_mut(&r.q.volume) {
+                v.tokens -= r.q.units;
             }
         }
         r.tries += 1;
@@ -528,17 +538,17 @@
     // ---- Outcomes --------------------------------------------------------------------------------------
 
     fn on_outcome(&mut self, now: f64, o: &Outcome, actions: &mut Vec<Action>) {
-        let Some(f) = self.b.flights.remove(&(o.id, o.attempt)) else { return };
+        let Some(f) = self.books.flights.remove(&(o.id, o.attempt)) else { return };
         let unclear = matches!(o.verdict, Verdict::TimedOut | Verdict::Reset | Verdict::Cancelled);
-        if let Some(lane) = self.b.lanes.get_mut(&f.lane) {
+        if let Some(lane) = self.books.lanes.get_mut(&f.lane) {
             lane.outstanding = lane.outstanding.saturating_sub(1);
             if unclear {
-                lane.rest_until = now + self.s.key_rest_ms;
+                lane.rest_until = now + self.settings.key_rest_ms;
             }
         }
         self.learn(now, o, &f, actions);
         let never_ran = matches!(o.verdict, Verdict::Full | Verdict::ConnectFailed | Verdict::Moot);
-        if let Some(r) = self.b.requests.get_mut(&o.id) {
+        if let Some(r) = self.books.requests.get_mut(&o.id) {
             r.outstanding = r.outstanding.saturating_sub(1);
             if !never_ran && r.may_have_run.is_none() {
                 r.may_have_run = Some((f.sent, f.shard, f.zone));
@@ -546,12 +556,12 @@
         }
         if o.verdict == Verdict::Served || o.complete {
             self.end(o.id);
-        } else if let Some(r) = self.b.requests.get(&o.id) {
-            let alive = now < r.q.valid_until_ms - 2.0 * self.s.round_ms && o.verdict != Verdict::Moot;
+        } else if let Some(r) = self.books.requests.get(&o.id) {
+            let alive = now < r.q.valid_until_ms - 2.0 * self.settings.round_ms && o.verdict != Verdict::Moot;
             let again = alive && self.may_resend(now, r);
             match if again { self.choose_node(now, o.id) } else { None } {
                 Some(node) => self.hold(now, o.id, node),
-                None if again => self.b.unplaced.push(o.id),
+                None if again => self.books.unplaced.push(o.id),
                 None => self.answer(now, o.id, 0.0, actions),
             }
         }
@@ -561,7 +571,7 @@
 
     /// What an outcome tells of its node and volume.
     fn learn(&mut self, now: f64, o: &Outcome, f: &Flight, actions: &mut Vec<Action>) {
-        let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
+        let Some(n) = self.books.nodes.get_mut(&f.node) else { return };
         n.out = n.out.saturating_sub(1);
         // The wire's own figure, where it has one: a host that stood still hears of answers late.
         let took = if (0.0..now - f.sent).contains(&o.elapsed_ms) { o.elapsed_ms } else { now - f.sent };
@@ -581,20 +591,20 @@
         let told = count.map(|c| c * sane(o.latency_ms, 1e5).unwrap_or(1.0));
         // Nobody waited longer for it: a node that answers nothing is as full as one can be.
         let unanswered = matches!(o.verdict, Verdict::TimedOut | Verdict::Cancelled);
-        if let Some(load) = if unanswered { Some(took / self.b.fit.slope().max(1e-3)) } else { told } {
+        if let Some(load) = if unanswered { Some(took / self.books.fit.slope().max(1e-3)) } else { told } {
             n.usual_load += (1.0 - (-(now - n.load_at) / REPORT_MS).exp()) * (load - n.usual_load);
             (n.load, n.load_at) = (load, now);
             if o.verdict == Verdict::Served {
                 // One dear request must not bend the line.
-                let took = took.min(self.s.classes[f.class].aim_ms);
-                self.b.fit.add(load, took, FIT_BLEND);
-                let rest = took - self.b.fit.slope() * load;
-                self.b.offsets.resize(self.s.classes.len(), 0.0);
-                self.b.offsets[f.class] += BLEND * (rest - self.b.offsets[f.class]);
+                let took = took.min(self.settings.classes[f.class].aim_ms);
+                self.books.fit.add(load, took, FIT_BLEND);
+                let rest = took - self.books.fit.slope() * load;
+                self.books.offsets.resize(self.settings.classes.len(), 0.0);
+                self.books.offsets[f.class] += BLEND * (rest - self.books.offsets[f.class]);
             }
         }
         if o.verdict == Verdict::Full || n.failures >= FAILURES {
-            n.bound = (n.bound / 2.0).max(1.0);
+            n.in_flight_limit = (n.in_flight_limit / 2.0).max(1.0);
             // Danger: a node that turns everything away at once looks idle and draws all (a black hole),
             // whatever filled it; and the tries of all hosts keep it full. One try, then a rest.
             n.rest_until = n.rest_until.max(now + TRICKLE_MS);
@@ -602,23 +612,24 @@
         if lost {
             self.log(now, format!("node {} cannot be reached; a few tries at a time", f.node), actions);
         }
-        let Some(n) = self.b.nodes.get_mut(&f.node) else { return };
+        let Some(n) = self.books.nodes.get_mut(&f.node) else { return };
         if o.verdict != Verdict::Served {
             return;
         }
-        let usual = self.b.usual.entry(n.e.shard).or_default();
+        let usual = self.books.usual.entry(n.e.shard).or_default();
         usual.add(now, f.units, USUAL_MS);
         n.sojourn += BLEND * (took - n.sojourn);
         let gap = 1.0 - n.sojourn / (SOJOURN_PART * self.tightest_aim);
-        if gap < 0.0 || n.out as f64 + 1.0 >= n.bound.floor() {
-            n.bound = (n.bound + 0.5 * gap.max(-1.0) / n.bound.sqrt()).clamp(1.0, TOP as f64);
+        if gap < 0.0 || n.out as f64 + 1.0 >= n.in_flight_limit.floor() {
+            n.in_flight_limit =
+                (n.in_flight_limit + 0.5 * gap.max(-1.0) / n.in_flight_limit.sqrt()).clamp(1.0, TOP as f64);
         }
-        if let Some(r) = self.b.requests.get(&o.id) {
+        if let Some(r) = self.books.requests.get(&o.id) {
             if r.node == Some(f.node) {
                 n.envelopes[f.class].served(now, r.number);
             }
-            let plan = &self.s.plans[usize::from(r.q.plan)];
-            if let (Some(used), Some(v)) = (o.used_percent, self.b.volumes.get_mut(&r.q.volume)) {
+            let plan = &self.settings.plans[usize::from(r.q.plan)];
+            if let (Some(used), Some(v)) = (o.used_percent, self.books.volumes.get_mut(&r.q.volume)) {
                 let part = v.own.faded(now, STANDING_MS) / (used / 100.0 * plan.nominal).max(1e-3);
                 v.part += BLEND * (part.clamp(1.0 / r.q.volume_hosts, 1.0) - v.part);
             }
@@ -627,23 +638,23 @@
 
     /// Takes a request off the books.
     fn end(&mut self, id: u32) {
-        let Some(r) = self.b.requests.remove(&id) else { return };
-        self.b.unplaced.retain(|u| *u != id);
-        if let Some(n) = r.node.and_then(|n| self.b.nodes.get_mut(&n)) {
+        let Some(r) = self.books.requests.remove(&id) else { return };
+        self.books.unplaced.retain(|u| *u != id);
+        if let Some(n) = r.node.and_then(|n| self.books.nodes.get_mut(&n)) {
             if let Some(e) = n.envelopes.get_mut(usize::from(r.q.class)) {
                 e.ended(r.number);
             }
             n.held.retain(|h| *h != id);
         }
-        if let Some(lane) = self.b.lanes.get_mut(&r.q.key) {
+        if let Some(lane) = self.books.lanes.get_mut(&r.q.key) {
             lane.queue.retain(|q| *q != id);
         }
     }
 
     /// The final answer where it was not served: refused if that does no harm, failed otherwise.
     fn answer(&mut self, now: f64, id: u32, wait: f64, actions: &mut Vec<Action>) {
-        let Some(r) = self.b.requests.get(&id) else { return };
-        let class = &self.s.classes[usize::from(r.q.class)];
+        let Some(r) = self.books.requests.get(&id) else { return };
+        let class = &self.settings.classes[usize::from(r.q.class)];
         let harmless = match class.effect {
             Effect::Safe => true,
             Effect::Keyed => class.group == Group::All || (r.may_have_run.is_none() && r.outstanding == 0),
@@ -652,12 +663,12 @@
         if harmless {
             // The client comes again when the excess should be gone, and with time left for its try.
             let left = (r.q.valid_until_ms - now).max(0.0) / 2.0;
-            let retry_after_ms = wait.clamp(0.0, left.min(self.s.max_retry_after_ms));
+            let retry_after_ms = wait.clamp(0.0, left.min(self.settings.max_retry_after_ms));
             actions.push(Action::Refuse { id, retry_after_ms });
         } else {
             actions.push(Action::Fail { id });
         }
-        if self.s.cancel && r.outstanding > 0 {
+        if self.settings.cancel && r.outstanding > 0 {
             actions.push(Action::Cancel { id, attempt: (r.tries - 1) as u16 });
         }
         self.end(id);
@@ -665,17 +676,17 @@
 
     // ---- Guards ----------------------------------------------------------------------------------------
 
-    /// Guard, limits, ration and order: whether this request may be sent at all now.
+    /// Guard, limits, retry budget and order: whether this request may be sent at all now.
     fn may_send(&self, now: f64, r: &Held) -> bool {
-        let plan = &self.s.plans[usize::from(r.q.plan)];
+        let plan = &self.settings.plans[usize::from(r.q.plan)];
         if plan.limit > 0.0 && !r.charged {
-            let Some(v) = self.b.volumes.get(&r.q.volume) else { return false };
+            let Some(v) = self.books.volumes.get(&r.q.volume) else { return false };
             if v.filled(now, plan, r.q.volume_hosts) < r.q.units {
                 return false;
             }
         }
-        if self.s.classes[usize::from(r.q.class)].ordered && r.q.key != 0 {
-            if let Some(lane) = self.b.lanes.get(&r.q.key) {
+        if self.settings.classes[usize::from(r.q.class)].ordered && r.q.key != 0 {
+            if let Some(lane) = self.books.lanes.get(&r.q.key) {
                 let turn = lane.queue.front() == Some(&r.q.id);
                 if !turn || (r.tries == 0 && (lane.outstanding > 0 || now < lane.rest_until)) {
                     return false;
@@ -687,8 +698,8 @@
 
     /// Guard, no effect twice: whether another attempt can do no harm.
     fn may_resend(&self, now: f64, r: &Held) -> bool {
-        let class = &self.s.classes[usize::from(r.q.class)];
-        if r.outstanding > 0 || r.tries >= self.s.max_attempts {
+        let class = &self.settings.classes[usize::from(r.q.class)];
+        if r.outstanding > 0 || r.tries >= self.settings.max_attempts {
             return false;
         }
         match (class.effect, r.may_have_run) {
@@ -698,12 +709,13 @@
         }
     }
 
-    /// Guard, ration of further attempts over the exact window.
+    /// Guard, retry budget: further attempts over the exact window.
     fn extra_left(&self, now: f64) -> bool {
-        let Some(e) = self.s.extra else { return true };
+        let Some(e) = self.settings.extra else { return true };
         let from = now - e.span_ms;
-        let taken = self.b.taken.iter().rev().take_while(|t| **t > from).count() as f64;
-        let sent = self.b.extras.iter().rev().take_while(|t| **t >= from - self.s.round_ms).count() as f64;
+        let taken = self.books.taken.iter().rev().take_while(|t| **t > from).count() as f64;
+        let sent = self.books.extras.iter().rev().take_while(|t| **t >= from - self.settings.round_ms).count()
+            as f64;
         sent + 1.0 <= e.free + e.ratio * taken
     }
 
@@ -712,41 +724,41 @@
     /// bears, half as rate, half as depth. Many, whose even part is under one request: what the shard served
     /// each host before adds up to what it does warm; of its part, what a cold node bears by now.
     fn cold_room(&self, n: &Node, now: f64) -> f64 {
-        if n.e.started_ms <= 0.0 || now - n.e.started_ms >= self.s.warm_after_ms {
+        if n.e.started_ms <= 0.0 || now - n.e.started_ms >= self.settings.warm_after_ms {
             return f64::INFINITY;
         }
-        let span = self.s.fall_ms.max(1.0);
-        let warm = (now - n.e.started_ms - span) / self.s.warm_after_ms.max(1.0);
-        let least = self.s.cold_from + (1.0 - self.s.cold_from) * warm.clamp(0.0, 1.0);
-        let even = 0.5 * SAFE_PART * self.s.cold_units / f64::from(self.s.hosts) / span;
-        let rate = even.max(COLD_PART * self.s.fall_multiple * least * n.usual_units / USUAL_MS);
+        let span = self.settings.fall_ms.max(1.0);
+        let warm = (now - n.e.started_ms - span) / self.settings.warm_after_ms.max(1.0);
+        let least = self.settings.cold_from + (1.0 - self.settings.cold_from) * warm.clamp(0.0, 1.0);
+        let even = 0.5 * SAFE_PART * self.settings.cold_units / f64::from(self.settings.hosts) / span;
+        let rate = even.max(COLD_PART * self.settings.fall_multiple * least * n.usual_units / USUAL_MS);
         let tokens = n.cold_tokens + rate * (now - n.cold_at).max(0.0);
-        tokens.min((rate * span).max(self.s.max_units))
+        tokens.min((rate * span).max(self.settings.max_units))
     }
 
     /// Guard, drains and list: nothing goes to a node from the first word that it drains or is gone.
     fn on_list(&mut self, now: f64, kind: ListKind, entries: &[NodeEntry], actions: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            self.b.watch_failures = (self.b.watch_failures + 1).min(4);
-            let wait = 250.0 * f64::from(1 << self.b.watch_failures) * (0.5 + self.random.next());
+            self.books.watch_failures = (self.books.watch_failures + 1).min(4);
+            let wait = 250.0 * f64::from(1 << self.books.watch_failures) * (0.5 + self.random.next());
             actions.push(Action::SetTimer { at_ms: now + wait, label: TIMER_WATCH });
             self.log(now, "the node list cannot be had; going on with the last one".to_owned(), actions);
             return;
         }
-        self.b.watch_failures = 0;
-        let since = *self.b.since.get_or_insert(now);
-        if kind == ListKind::Cached && self.s.list_on_request {
+        self.books.watch_failures = 0;
+        let since = *self.books.since.get_or_insert(now);
+        if kind == ListKind::Cached && self.settings.list_on_request {
             actions.push(Action::Watch(true));
         }
         if kind != ListKind::Changes {
             let listed = |node: &u32| entries.iter().any(|e| e.node == *node);
-            for node in self.b.nodes.keys().filter(|n| !listed(n)).copied().collect::<Vec<u32>>() {
+            for node in self.books.nodes.keys().filter(|n| !listed(n)).copied().collect::<Vec<u32>>() {
                 self.set_condition(now, node, Condition::Gone);
             }
         }
         for e in entries {
             let started = if e.started_ms.is_finite() { e.started_ms } else { now };
-            let known = self.b.nodes.get_mut(&e.node);
+            let known = self.books.nodes.get_mut(&e.node);
             let fresh = known.as_ref().map_or(true, |n| started > n.e.started_ms);
             // Listed again with the start it had: it was missed by the list, not replaced.
             if let Some(n) = known.filter(|n| !fresh && n.e.condition == Condition::Gone) {
@@ -754,19 +766,20 @@
             }
             if fresh && e.condition != Condition::Gone {
                 let entry = NodeEntry { started_ms: started, ..*e };
-                let mut new = Node::new(entry, now, self.s.classes.len(), self.tightest_aim);
-                let usual = self.b.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
-                new.usual_units = usual / (1.0 - (-(now - since).max(self.s.fall_ms) / USUAL_MS).exp());
+                let mut new = Node::new(entry, now, self.settings.classes.len(), self.tightest_aim);
+                let usual = self.books.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
+                new.usual_units =
+                    usual / (1.0 - (-(now - since).max(self.settings.fall_ms) / USUAL_MS).exp());
                 // The even part, and a part of one request by chance: not all hosts at once.
-                let even = 0.5 * SAFE_PART * self.s.cold_units / f64::from(self.s.hosts);
-                new.cold_tokens = even + self.random.next() * self.s.mean_units;
+                let even = 0.5 * SAFE_PART * self.settings.cold_units / f64::from(self.settings.hosts);
+                new.cold_tokens = even + self.random.next() * self.settings.mean_units;
                 new.cold_at = started;
-                if let Some(mut old) = self.b.nodes.insert(e.node, new) {
-                    self.b.unplaced.append(&mut old.held);
-                    self.b.nodes.entry(e.node).and_modify(|n| n.out = old.out);
+                if let Some(mut old) = self.books.nodes.insert(e.node, new) {
+                    self.books.unplaced.append(&mut old.held);
+                    self.books.nodes.entry(e.node).and_modify(|n| n.out = old.out);
                 }
                 // What is out there was counted in envelopes that are gone.
-                for r in self.b.requests.values_mut().filter(|r| r.node == Some(e.node)) {
+                for r in self.books.requests.values_mut().filter(|r| r.node == Some(e.node)) {
                     r.node = None;
                 }
             }
@@ -774,32 +787,32 @@
                 self.set_condition(now, e.node, e.condition);
             }
         }
-        for id in std::mem::take(&mut self.b.unplaced) {
+        for id in std::mem::take(&mut self.books.unplaced) {
             match self.choose_node(now, id) {
                 Some(node) => {
                     self.stand(now, id);
                     self.hold(now, id, node);
                 }
-                None => self.b.unplaced.push(id),
+                None => self.books.unplaced.push(id),
             }
         }
         self.on_tick(now, actions);
     }
 
     fn set_condition(&mut self, now: f64, node: u32, condition: Condition) {
-        let Some(n) = self.b.nodes.get_mut(&node) else { return };
+        let Some(n) = self.books.nodes.get_mut(&node) else { return };
         if n.e.condition == Condition::Gone {
             return;
         }
         n.e.condition = condition;
         n.gone_at = now;
-        self.b.unplaced.append(&mut n.held);
+        self.books.unplaced.append(&mut n.held);
     }
 
     fn tick_soon(&mut self, now: f64, actions: &mut Vec<Action>) {
-        if !self.b.ticking {
-            self.b.ticking = true;
-            let idle = self.b.requests.is_empty();
+        if !self.books.ticking {
+            self.books.ticking = true;
+            let idle = self.books.requests.is_empty();
             let at_ms = now + if idle { IDLE_TICK_MS } else { TICK_MS };
             actions.push(Action::SetTimer { at_ms, label: TIMER_TICK });
         }
@@ -808,41 +821,41 @@
     /// Danger: a host that stood still (a stall, a suspended machine, a clock that jumps) would read its own
     /// gap as silence of all nodes, and give what came meanwhile an aim that starts only now.
     fn stood_still(&mut self, now: f64) {
-        let gap = now - self.b.last_event;
-        if gap > STALL_MS && self.b.ticking {
-            self.b.stalled = (self.b.last_event, now);
-            self.b.nodes.values_mut().for_each(|n| n.last_word += gap);
+        let gap = now - self.books.last_event;
+        if gap > STALL_MS && self.books.ticking {
+            self.books.stalled = (self.books.last_event, now);
+            self.books.nodes.values_mut().for_each(|n| n.last_word += gap);
         }
-        self.b.last_event = self.b.last_event.max(now);
+        self.books.last_event = self.books.last_event.max(now);
     }
 
     fn on_tick(&mut self, now: f64, actions: &mut Vec<Action>) {
-        let ids: Vec<u32> = self.b.nodes.keys().copied().collect();
+        let ids: Vec<u32> = self.books.nodes.keys().copied().collect();
         for node in ids {
             self.pump(now, node, actions);
         }
-        if now - self.b.swept > STANDING_MS {
-            self.b.swept = now;
+        if now - self.books.swept > STANDING_MS {
+            self.books.swept = now;
             self.sweep(now);
         }
         self.tick_soon(now, actions);
     }
 
-    /// Keeps state bounded, and fills the limit stores.
+    /// Keeps state bounded, and forgets what is idle.
     fn sweep(&mut self, now: f64) {
-        let kept = now - self.s.extra.map_or(0.0, |e| e.span_ms) - 2.0 * self.s.round_ms;
-        self.b.taken.retain(|t| *t >= kept);
-        self.b.extras.retain(|t| *t >= kept);
-        self.b.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
+        let kept = now - self.settings.extra.map_or(0.0, |e| e.span_ms) - 2.0 * self.settings.round_ms;
+        self.books.taken.retain(|t| *t >= kept);
+        self.books.extras.retain(|t| *t >= kept);
+        self.books.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
         let lost = |n: &Node| n.e.condition == Condition::Gone && n.out == 0;
-        self.b.nodes.retain(|_, n| !lost(n) || now - n.gone_at < FORGET_MS);
-        // A forgotten volume starts again with an empty store, which is never more than it has.
-        self.b.volumes.retain(|_, v| now - v.seen < FORGET_MS);
+        self.books.nodes.retain(|_, n| !lost(n) || now - n.gone_at < FORGET_MS);
+        // A forgotten volume starts again with an empty bucket, which is never more than it has.
+        self.books.volumes.retain(|_, v| now - v.seen < FORGET_MS);
     }
 
     fn log(&mut self, now: f64, text: String, actions: &mut Vec<Action>) {
-        if now >= self.b.next_log {
-            self.b.next_log = now + STANDING_MS;
+        if now >= self.books.next_log {
+            self.books.next_log = now + STANDING_MS;
             actions.push(Action::Log(text));
         }
     }
@@ -851,16 +864,16 @@
 impl Volume {
     /// Guard, limits: this host's even part of the volume's token bucket.
     fn filled(&self, now: f64, plan: &Plan, hosts: f64) -> f64 {
-        let fill = SAFE_PART * plan.limit / hosts * (now - self.store_at).max(0.0) / 1_000.0;
-        (self.store + fill).min(plan.burst / hosts)
+        let fill = SAFE_PART * plan.limit / hosts * (now - self.tokens_at).max(0.0) / 1_000.0;
+        (self.tokens + fill).min(plan.burst / hosts)
     }
 }
 
 impl Node {
     fn new(e: NodeEntry, now: f64, classes: usize, aim: f64) -> Self {
         let (envelopes, sojourn) = (vec![Envelope::new(now); classes], FIRST_SOJOURN * aim);
-        let bound = FIRST_BOUND;
-        Node { e, envelopes, bound, sojourn, last_word: now, rest_until: now, ..Default::default() }
+        let in_flight_limit = FIRST_LIMIT;
+        Node { e, envelopes, in_flight_limit, sojourn, last_word: now, rest_until: now, ..Default::default() }
     }
 
     /// Departure, censored samples: a node without a word longer than usual counts what is
