Tidy after a last reading: shared pieces, a second look-up and a no-op pass gone

One function tells when the aim that counts ends, one the even part of the cold units; the per-class offsets are made at start; a tick visits only nodes that hold something; the line of a lost node is logged without looking the node up again; the meter's figure passes the same check as the reports, so nonsense is passed over; two clamps that would panic on bounds out of order are min and max.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -129,7 +129,7 @@
         self.next - 1
     }
 
-    /// A request that was given up opens no longer chain.
+    /// The request is over: it is no longer there for a newcomer to overlap with.
     fn ended(&mut self, number: u64) {
         if number + 1 == self.next {
             self.latest_open = false;
@@ -217,7 +217,8 @@
         let sum = |f: fn(&Plan) -> f64| settings.plans.iter().map(f).sum::<f64>();
         let weight_units = sum(|p| p.nominal) / sum(|p| p.weight).max(1e-6);
         let random = Random(seed);
-        Ok(Scheduler { settings, books: Books::default(), random, tightest_aim, weight_units })
+        let books = Books { offsets: vec![0.0; settings.classes.len()], ..Default::default() };
+        Ok(Scheduler { settings, books, random, tightest_aim, weight_units })
     }
 
     /// Takes one event and appends what is to be done.
@@ -262,7 +263,7 @@
         actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
         let (from, to) = if self.books.stalled.1 == now { self.books.stalled } else { (now, now) };
         let arrived =
-            (q.valid_until_ms - self.settings.classes[usize::from(q.class)].deadline_ms).clamp(from, to);
+            (q.valid_until_ms - self.settings.classes[usize::from(q.class)].deadline_ms).max(from).min(to);
         let held = Held { q, arrived, grade: 1.0, ..Default::default() };
         self.books.requests.insert(q.id, held);
         self.meet_volume(now, &q);
@@ -412,20 +413,24 @@
         let part = FIT_PART * r.grade.clamp(0.0, 1.0).sqrt();
         let mut least = f64::INFINITY;
         for (l, class) in self.settings.classes.iter().enumerate() {
-            let alone = self.books.offsets.get(l).copied().unwrap_or(0.0).max(0.0);
+            let alone = self.books.offsets[l].max(0.0);
             let own = l == usize::from(r.q.class);
-            let ends = (r.arrived + class.aim_ms).min(if own { r.q.valid_until_ms } else { f64::INFINITY });
-            let aim = if own { (ends - now).max(0.0) } else { class.aim_ms };
+            let aim = if own { (self.aim_ends(r) - now).max(0.0) } else { class.aim_ms };
             least = least.min((aim - alone).max(aim * FIT_LEAST) * part - wait);
         }
         least
     }
 
+    /// The aim that counts ends with the class's or with the client's patience.
+    fn aim_ends(&self, r: &Held) -> f64 {
+        (r.arrived + self.settings.classes[usize::from(r.q.class)].aim_ms).min(r.q.valid_until_ms)
+    }
+
     /// Worth of a unit now, and the time to spare: what can no longer be served before its aim, or before its
     /// client leaves, counts as late. Units are taken as work: answer times would hide what writes put off.
     fn worth(&self, r: &Held, sojourn: f64, now: f64) -> (f64, f64) {
         let class = &self.settings.classes[usize::from(r.q.class)];
-        let slack = (r.arrived + class.aim_ms).min(r.q.valid_until_ms) - now - SURE * sojourn;
+        let slack = self.aim_ends(r) - now - SURE * sojourn;
         let worth = class.worth * self.settings.plans[usize::from(r.q.plan)].pays * r.grade;
         (worth * if slack < 0.0 { class.late_worth } else { 1.0 }, slack)
     }
@@ -599,7 +604,6 @@
                 let took = took.min(self.settings.classes[f.class].aim_ms);
                 self.books.fit.add(load, took, FIT_BLEND);
                 let rest = took - self.books.fit.slope() * load;
-                self.books.offsets.resize(self.settings.classes.len(), 0.0);
                 self.books.offsets[f.class] += BLEND * (rest - self.books.offsets[f.class]);
             }
         }
@@ -609,11 +613,10 @@
             // whatever filled it; and the tries of all hosts keep it full. One try, then a rest.
             n.rest_until = n.rest_until.max(now + TRICKLE_MS);
         }
-        if lost {
-            self.log(now, format!("node {} cannot be reached; a few tries at a time", f.node), actions);
-        }
-        let Some(n) = self.books.nodes.get_mut(&f.node) else { return };
         if o.verdict != Verdict::Served {
+            if lost {
+                self.log(now, format!("node {} cannot be reached; a few tries at a time", f.node), actions);
+            }
             return;
         }
         let usual = self.books.usual.entry(n.e.shard).or_default();
@@ -629,7 +632,9 @@
                 n.envelopes[f.class].served(now, r.number);
             }
             let plan = &self.settings.plans[usize::from(r.q.plan)];
-            if let (Some(used), Some(v)) = (o.used_percent, self.books.volumes.get_mut(&r.q.volume)) {
+            if let (Some(used), Some(v)) =
+                (sane(o.used_percent, 1e6), self.books.volumes.get_mut(&r.q.volume))
+            {
                 let part = v.own.faded(now, STANDING_MS) / (used / 100.0 * plan.nominal).max(1e-3);
                 v.part += BLEND * (part.clamp(1.0 / r.q.volume_hosts, 1.0) - v.part);
             }
@@ -730,12 +735,17 @@
         let span = self.settings.fall_ms.max(1.0);
         let warm = (now - n.e.started_ms - span) / self.settings.warm_after_ms.max(1.0);
         let least = self.settings.cold_from + (1.0 - self.settings.cold_from) * warm.clamp(0.0, 1.0);
-        let even = 0.5 * SAFE_PART * self.settings.cold_units / f64::from(self.settings.hosts) / span;
+        let even = self.even_cold_units() / span;
         let rate = even.max(COLD_PART * self.settings.fall_multiple * least * n.usual_units / USUAL_MS);
         let tokens = n.cold_tokens + rate * (now - n.cold_at).max(0.0);
         tokens.min((rate * span).max(self.settings.max_units))
     }
 
+    /// Rate within the span of the guard, and depth, of the even part.
+    fn even_cold_units(&self) -> f64 {
+        0.5 * SAFE_PART * self.settings.cold_units / f64::from(self.settings.hosts)
+    }
+
     /// Guard, drains and list: nothing goes to a node from the first word that it drains or is gone.
     fn on_list(&mut self, now: f64, kind: ListKind, entries: &[NodeEntry], actions: &mut Vec<Action>) {
         if kind == ListKind::Failed {
@@ -771,8 +781,7 @@
                 new.usual_units =
                     usual / (1.0 - (-(now - since).max(self.settings.fall_ms) / USUAL_MS).exp());
                 // The even part, and a part of one request by chance: not all hosts at once.
-                let even = 0.5 * SAFE_PART * self.settings.cold_units / f64::from(self.settings.hosts);
-                new.cold_tokens = even + self.random.next() * self.settings.mean_units;
+                new.cold_tokens = self.even_cold_units() + self.random.next() * self.settings.mean_units;
                 new.cold_at = started;
                 if let Some(mut old) = self.books.nodes.insert(e.node, new) {
                     self.books.unplaced.append(&mut old.held);
@@ -830,8 +839,8 @@
     }
 
     fn on_tick(&mut self, now: f64, actions: &mut Vec<Action>) {
-        let ids: Vec<u32> = self.books.nodes.keys().copied().collect();
-        for node in ids {
+        let waiting = self.books.nodes.iter().filter(|(_, n)| !n.held.is_empty()).map(|(id, _)| *id);
+        for node in waiting.collect::<Vec<u32>>() {
             self.pump(now, node, actions);
         }
         if now - self.books.swept > STANDING_MS {
--- a/src/state.rs
+++ b/src/state.rs
@@ -103,10 +103,9 @@
 }
 
 impl Fading {
-    pub(crate) fn add(&mut self, now: f64, amount: f64, span: f64) -> f64 {
+    pub(crate) fn add(&mut self, now: f64, amount: f64, span: f64) {
         self.value = self.faded(now, span) + amount;
         self.at = now;
-        self.value
     }
 
     /// What is left of it now.
@@ -140,7 +139,7 @@
     pub(crate) fn slope(&self) -> f64 {
         let spread = self.xx - self.x * self.x;
         if spread > 1e-6 * self.xx {
-            ((self.xy - self.x * self.y) / spread).clamp(0.0, self.y / self.x)
+            ((self.xy - self.x * self.y) / spread).min(self.y / self.x).max(0.0)
         } else {
             0.0
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -111,6 +111,13 @@
         actions
     }
 
+    /// Rings what is due up to a time, then gives an event; returns all that is to be done, and when.
+    pub fn on_to(&mut self, now: f64, event: Event) -> Vec<(f64, Action)> {
+        let mut out = self.ring_until(now);
+        out.extend(self.at(now, event).into_iter().map(|a| (now, a)));
+        out
+    }
+
     /// Rings all timers due up to a time, in order.
     pub fn ring_until(&mut self, until: f64) -> Vec<(f64, Action)> {
         let mut out = Vec::new();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -128,9 +128,7 @@
     for id in 0..300 {
         let t = 1.0 + f64::from(id) * 10.0;
         let q = Request { volume_hosts: 2.0, ..request(id, t + 900.0) };
-        let mut done = h.ring_until(t);
-        done.extend(h.at(t, Event::Request(q)).into_iter().map(|a| (t, a)));
-        let done: Vec<Action> = done.into_iter().map(|d| d.1).collect();
+        let done: Vec<Action> = h.on_to(t, Event::Request(q)).into_iter().map(|d| d.1).collect();
         for (i, _) in sent(&done) {
             units += 2.0;
             h.at(t + 1.0, Event::Outcome(outcome(i, 0, 7, Verdict::Served)));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -59,9 +59,7 @@
         let mut sends: Vec<f64> = Vec::new();
         for id in 100..200 {
             now += 90.0;
-            let mut done = h.ring_until(now);
-            done.extend(h.at(now, Event::Request(request(id, now + 900.0))).into_iter().map(|a| (now, a)));
-            for (t, a) in done {
+            for (t, a) in h.on_to(now, Event::Request(request(id, now + 900.0))) {
                 for (id, _) in sent(&[a]) {
                     first = first.min(t - start);
                     sends.push(t);
@@ -84,10 +82,8 @@
     let mut silent = 0;
     for id in 0..60 {
         let t = 1.0 + f64::from(id) * 400.0;
-        let mut done = h.ring_until(t);
         let q = Request { shard: None, ..request(id, t + 900.0) };
-        done.extend(h.at(t, Event::Request(q)).into_iter().map(|a| (t, a)));
-        for (at, a) in done {
+        for (at, a) in h.on_to(t, Event::Request(q)) {
             match a {
                 Action::Send { id, node: 8, .. } => {
                     let told =
