--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -3,8 +3,8 @@
 
 pub mod request;
 
-use pearfork_gateway::script::Day;
-use pearfork_host::settings::HostPlan;
+use pearfork_day::script::Day;
+use pearfork_host::settings::{HostPlan, Overrides};
 use pearfork_match::{Gravity, Rules};
 use serde::Serialize;
 use std::path::Path;
@@ -36,10 +36,17 @@
     pub warnings: Vec<String>,
     /// What there is to know of it.
     pub summary: String,
+    /// Of settings: the checksum of all that they say, for `pearfork-gateway serve --expect`.
+    pub fingerprint: Option<String>,
 }
 
 /// Checks a file of any kind: `.rules` are matching rules, TOML with a `[day]` is a day, all else settings.
 pub fn file(path: &Path) -> Verdict {
+    file_with(path, &Overrides::default())
+}
+
+/// The same with variables and flags over settings files.
+pub fn file_with(path: &Path, over: &Overrides) -> Verdict {
     let name = path.display().to_string();
     let verdict = |kind, faults: String, warnings, summary: String| Verdict {
         file: name.clone(),
@@ -48,6 +55,7 @@
         faults,
         warnings,
         summary,
+        fingerprint: None,
     };
     let text = match std::fs::read(path) {
         Ok(text) => text,
@@ -81,16 +89,18 @@
         });
         return verdict(Some(Kind::Day), faults, Vec::new(), summary);
     }
-    match HostPlan::load(path) {
+    match HostPlan::load_with(path, over) {
         Ok(plan) => {
             let summary = format!(
-                "{} classes and routes, {} plans, {} volumes; {}",
+                "{} classes and routes, {} plans, {} volumes; {}; fingerprint {}",
                 plan.class_names.len(),
                 plan.plan_names.len(),
                 plan.volumes.len(),
-                of_rules(plan.matching.rules())
+                of_rules(plan.matching.rules()),
+                plan.provenance.fingerprint()
             );
-            verdict(Some(Kind::Settings), String::new(), plan.warnings, summary)
+            let fingerprint = Some(plan.provenance.fingerprint());
+            Verdict { fingerprint, ..verdict(Some(Kind::Settings), String::new(), plan.warnings, summary) }
         }
         Err(faults) => verdict(Some(Kind::Settings), faults.to_string(), Vec::new(), String::new()),
     }
--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -1,9 +1,9 @@
-//! `pearfork-check`: checks files, explains what a request would get, formats rules.
+//! `pearfork-check`: checks files, explains values and what a request would get, migrates settings, formats rules.
 
 use clap::{Parser, Subcommand};
-use pearfork_check::{file, request};
-use pearfork_cli::{Exit, Output};
-use pearfork_host::settings::HostPlan;
+use pearfork_check::{file_with, request};
+use pearfork_cli::{Common, Exit, Mark, Output, SettingsArguments};
+use pearfork_host::settings::{HostPlan, Overrides};
 use pearfork_match::Gravity;
 use serde::Serialize;
 use std::path::{Path, PathBuf};
@@ -15,11 +15,17 @@
 #[command(name = "pearfork-check", version, about)]
 struct Arguments {
     #[command(flatten)]
-    output: Output,
+    common: Common,
     #[command(subcommand)]
     command: Command,
 }
 
+impl AsRef<Common> for Arguments {
+    fn as_ref(&self) -> &Common {
+        &self.common
+    }
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Check files: settings, `.rules`, days.
@@ -27,12 +33,35 @@
         /// The files.
         #[arg(required = true)]
         files: Vec<PathBuf>,
+        /// Put a value over those of settings files, as a host would be started with.
+        #[arg(long = "set", value_name = "KEY=VALUE")]
+        set: Vec<String>,
+    },
+    /// Say what a value of the settings is, where it came from, and what it hides.
+    Explain {
+        /// `rules.drain_grace`, `class.write`, `volume."a.b".size`: a value, or all of a table or entry.
+        key: String,
+        #[command(flatten)]
+        settings: SettingsArguments,
+    },
+    /// Print the settings as one text: includes, variables and flags put together.
+    Resolve {
+        #[command(flatten)]
+        settings: SettingsArguments,
+    },
+    /// Write settings files of an older form anew.
+    Migrate {
+        /// The files.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// Change nothing; say what would change, and end with 1 if anything would.
+        #[arg(long)]
+        check: bool,
     },
     /// Say which class, plan and key a request would get, and what each test on the way gave.
     Request {
-        /// Settings file.
-        #[arg(long)]
-        config: PathBuf,
+        #[command(flatten)]
+        settings: SettingsArguments,
         #[command(flatten)]
         asked: request::Asked,
     },
@@ -52,28 +81,33 @@
         Ok(arguments) => arguments,
         Err(end) => return end,
     };
-    let output = arguments.output;
+    let output = arguments.common.output;
     let done = match arguments.command {
-        Command::Files { files } => Ok(check(&files, output)),
-        Command::Request { config, asked } => explain(&config, &asked, output),
+        Command::Files { files, set } => Ok(check(&files, set, output)),
+        Command::Explain { key, settings } => value(&key, &settings, output),
+        Command::Resolve { settings } => resolve(&settings, output),
+        Command::Migrate { files, check } => migrate(&files, check, output),
+        Command::Request { settings, asked } => request(&settings, &asked, output),
         Command::Format { files, check } => format(&files, check, output),
     };
-    let end = done.unwrap_or_else(|e| {
-        eprintln!("pearfork-check: {e}");
-        Exit::Unusable
-    });
-    end.into()
+    pearfork_cli::end("pearfork-check", done)
 }
 
-fn check(files: &[PathBuf], output: Output) -> Exit {
+fn load(settings: &SettingsArguments) -> Result<HostPlan, String> {
+    let over = Overrides::new(pearfork_cli::environment(), settings.set.clone());
+    HostPlan::load_with(&settings.config, &over).map_err(|e| format!("the settings are refused\n{e}"))
+}
+
+fn check(files: &[PathBuf], set: Vec<String>, output: Output) -> Exit {
+    let over = Overrides::new(pearfork_cli::environment(), set);
     let mut end = Exit::Fine;
     for path in files {
-        let v = file(path);
+        let v = file_with(path, &over);
         let warnings: String = v.warnings.iter().map(|w| format!("{w}\n")).collect();
         let words = if v.right {
-            format!("{}: right; {}\n{warnings}", v.file, v.summary)
+            format!("{}: {}; {}\n{warnings}", v.file, output.paint(Mark::Good, "right"), v.summary)
         } else {
-            format!("{}: refused\n{}\n", v.file, v.faults)
+            format!("{}: {}\n{}\n", v.file, output.paint(Mark::Bad, "refused"), v.faults)
         };
         output.put(&v, &words);
         let own = match (v.right, v.kind) {
@@ -86,46 +120,99 @@
     end
 }
 
-fn explain(config: &Path, asked: &request::Asked, output: Output) -> Result<Exit, String> {
-    let plan = HostPlan::load(config).map_err(|e| format!("the settings are refused\n{e}"))?;
+fn value(key: &str, settings: &SettingsArguments, output: Output) -> Result<Exit, String> {
+    let plan = load(settings)?;
+    let found = match plan.provenance.explain(key) {
+        Ok(found) => found,
+        Err(unknown) => {
+            eprintln!("pearfork-check: {unknown}");
+            return Ok(Exit::No);
+        }
+    };
+    for e in &found {
+        let hidden = |(origin, value): &(_, String)| format!("    hides {value} of {origin}\n");
+        let hides: String = e.hides.iter().map(hidden).collect();
+        output.put(e, &format!("{} = {}  ({})\n{hides}", e.key, e.value, e.origin));
+    }
+    Ok(Exit::Fine)
+}
+
+#[derive(Serialize)]
+struct Resolved<'a> {
+    files: &'a [String],
+    fingerprint: String,
+    settings: &'a str,
+}
+
+fn resolve(settings: &SettingsArguments, output: Output) -> Result<Exit, String> {
+    let plan = load(settings)?;
+    let p = &plan.provenance;
+    let (files, fingerprint, settings) = (p.files(), p.fingerprint(), p.resolved());
+    let words = format!("# of {}; fingerprint {fingerprint}\n{settings}", files.join(", "));
+    output.put(&Resolved { files, fingerprint, settings }, &words);
+    Ok(Exit::Fine)
+}
+
+fn request(settings: &SettingsArguments, asked: &request::Asked, output: Output) -> Result<Exit, String> {
+    let plan = load(settings)?;
     let answer = request::explain(&plan, asked)?;
     output.put(&answer, &answer.words);
     Ok(Exit::Fine)
 }
 
 #[derive(Serialize)]
-struct Formatted<'a> {
+struct Rewritten<'a> {
     file: &'a str,
     changes: bool,
 }
 
-fn format(files: &[PathBuf], check: bool, output: Output) -> Result<Exit, String> {
+/// Writes files in another way. `check` changes nothing.
+fn rewrite(
+    files: &[PathBuf],
+    check: bool,
+    output: Output,
+    anew: impl Fn(&str, &[u8]) -> Result<Option<String>, String>,
+) -> Result<Exit, String> {
     let mut end = Exit::Fine;
     for path in files {
         let name = path.display().to_string();
         let text = std::fs::read(path).map_err(|e| format!("{name}: {e}"))?;
-        let told = |f: pearfork_match::Faults| {
-            format!("{name} stays as it is\n{}", f.render(&name, &text, Gravity::Fault))
+        let written = anew(&name, &text)?.filter(|w| w.as_bytes() != text);
+        let changes = written.is_some();
+        let words = match (changes, check) {
+            (false, _) => format!("{name} stays as it is\n"),
+            (true, true) => format!("{name} would change\n"),
+            (true, false) => format!("{name} written anew\n"),
         };
-        let written = pearfork_match::format(&text).map_err(told)?;
-        let changes = written.as_bytes() != text;
-        let words = if !changes {
-            String::new()
-        } else if check {
-            format!("{name} would change\n")
-        } else {
-            format!("{name} written anew\n")
-        };
-        output.put(&Formatted { file: &name, changes }, &words);
-        if changes && check {
-            end = Exit::No;
-        } else if changes {
-            // Danger: a write that breaks off would leave half a file; the new one takes its place as a whole.
-            let beside = path.with_extension("rules.new");
-            std::fs::write(&beside, written)
-                .and_then(|()| std::fs::rename(&beside, path))
-                .map_err(|e| format!("{name}: {e}"))?;
+        output.put(&Rewritten { file: &name, changes }, &words);
+        match written {
+            Some(_) if check => end = Exit::No,
+            Some(written) => replace(path, &written).map_err(|e| format!("{name}: {e}"))?,
+            None => {}
         }
     }
     Ok(end)
 }
+
+/// Danger: a write that breaks off would leave half a file; the new one takes its place as a whole.
+fn replace(path: &Path, written: &str) -> std::io::Result<()> {
+    let mut beside = path.as_os_str().to_owned();
+    beside.push(".new");
+    std::fs::write(&beside, written).and_then(|()| std::fs::rename(&beside, path))
+}
+
+fn migrate(files: &[PathBuf], check: bool, output: Output) -> Result<Exit, String> {
+    rewrite(files, check, output, |name, text| {
+        let text = std::str::from_utf8(text).map_err(|e| format!("{name}: {e}"))?;
+        pearfork_host::settings::migrate(text).map_err(|e| format!("{name} stays as it is\n{e}"))
+    })
+}
+
+fn format(files: &[PathBuf], check: bool, output: Output) -> Result<Exit, String> {
+    rewrite(files, check, output, |name, text| {
+        let told = |f: pearfork_match::Faults| {
+            format!("{name} stays as it is\n{}", f.render(name, text, Gravity::Fault))
+        };
+        pearfork_match::format(text).map(Some).map_err(told)
+    })
+}
--- a/crates/cli/src/bin/pearfork.rs
+++ b/crates/cli/src/bin/pearfork.rs
@@ -4,11 +4,14 @@
 use std::process::{Command, ExitCode};
 
 /// Programs of the project, for the list; any `pearfork-NAME` is found.
-const PROGRAMS: [(&str, &str); 4] = [
-    ("check", "check settings, rule files and days; explain a request; format rules"),
-    ("ctl", "ask running hosts for health, nodes, volumes, metrics"),
-    ("gateway", "run a host; play a scripted day; show the demo"),
+const PROGRAMS: [(&str, &str); 7] = [
+    ("check", "check settings, rule files and days; explain a value or a request; migrate; format rules"),
+    ("ctl", "ask running hosts for health, nodes, volumes, metrics; drain one"),
+    ("day", "play a scripted day and prove the seven rules; the demo"),
+    ("gateway", "run a host"),
     ("load", "load an iSCSI unit, and prove what it holds"),
+    ("replay", "prove the seven rules from a recorded day"),
+    ("report", "a report of a recorded day, as a page or as text"),
 ];
 
 fn find(name: &str) -> PathBuf {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,9 +1,13 @@
-//! What the programs share: exit codes, where output goes and in which form, man pages and completions.
+//! What the programs share: exit codes, where output goes and in which form, the log, settings with what goes over
+//! them, man pages and completions.
 
-use clap::{CommandFactory, Parser};
-use clap_complete::Shell;
-use serde::Serialize;
-use std::io::{IsTerminal, Write};
+mod generate;
+mod output;
+
+pub use output::{Color, Mark, Output};
+
+use clap::{CommandFactory, Parser, ValueEnum};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// How a program ends. The same in all of them.
@@ -23,59 +27,102 @@
     }
 }
 
-/// Flags for output; the same in all programs.
-#[derive(Clone, Copy, Debug, clap::Args)]
-pub struct Output {
-    /// Lines of JSON; so it is anyway where the output is no terminal, unless this is `false`.
-    #[arg(long, global = true, num_args = 0..=1, default_missing_value = "true")]
-    pub json: Option<bool>,
+/// Flags that every program has.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Common {
+    /// Where results go.
+    #[command(flatten)]
+    pub output: Output,
+    /// Form of the log on standard error.
+    #[arg(long, value_enum, default_value_t = LogForm::Text, global = true)]
+    pub log: LogForm,
+    /// What is logged: a level, or filters such as `pearfork_host=debug`.
+    #[arg(long, default_value = "warn", global = true)]
+    pub log_filter: String,
 }
 
-impl Output {
-    /// Whether JSON is wanted.
-    pub fn is_json(self) -> bool {
-        self.json.unwrap_or_else(|| !std::io::stdout().is_terminal())
-    }
+/// Form of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum LogForm {
+    /// Lines for people.
+    Text,
+    /// JSON, a line each.
+    Json,
+}
 
-    /// Prints a line of JSON, or words. A reader that has gone away is no fault of ours.
-    pub fn put(self, value: &impl Serialize, words: &str) {
-        let mut out = std::io::stdout().lock();
-        let _ = if self.is_json() {
-            writeln!(out, "{}", serde_json::to_string(value).unwrap_or_default())
-        } else {
-            write!(out, "{words}")
+impl Common {
+    /// Begins to log to standard error.
+    ///
+    /// # Errors
+    /// A filter that can't be read, in words.
+    pub fn start_log(&self) -> Result<(), String> {
+        let filter = tracing_subscriber::EnvFilter::try_new(&self.log_filter)
+            .map_err(|e| format!("--log-filter `{}`: {e}", self.log_filter))?;
+        let log = tracing_subscriber::fmt()
+            .with_writer(std::io::stderr)
+            .with_ansi(self.output.paints(std::io::IsTerminal::is_terminal(&std::io::stderr())))
+            .with_env_filter(filter);
+        // A log that was begun before is the caller's own.
+        let _ = match self.log {
+            LogForm::Text => log.try_init(),
+            LogForm::Json => log.json().try_init(),
         };
+        Ok(())
     }
 }
 
-/// Parses the arguments. `--generate man` prints the program's man page, `--generate bash|zsh|fish|elvish|powershell`
-/// its completions.
+/// A settings file, and what goes over it.
+#[derive(Clone, Debug, clap::Args)]
+pub struct SettingsArguments {
+    /// Settings file.
+    #[arg(long)]
+    pub config: PathBuf,
+    /// Put a value over the file's: `--set host.listen=127.0.0.1:3261`, `--set class.write.deadline=3s`. Later ones win.
+    #[arg(long = "set", value_name = "KEY=VALUE")]
+    pub set: Vec<String>,
+}
+
+/// Variables of the environment that settings are taken from begin so.
+pub const VARIABLES: &str = "PEARFORK__";
+
+/// Those variables of this process, by name.
+pub fn environment() -> Vec<(String, String)> {
+    let mut all: Vec<(String, String)> = std::env::vars_os()
+        .filter_map(|(name, value)| Some((name.into_string().ok()?, value)))
+        .filter(|(name, _)| name.starts_with(VARIABLES))
+        .map(|(name, value)| (name, value.to_string_lossy().into_owned()))
+        .collect();
+    all.sort();
+    all
+}
+
+/// Parses the arguments and begins to log. `--generate man` prints the program's man page, `--generate
+/// bash|zsh|fish|elvish|powershell` its completions.
 ///
 /// # Errors
 /// How to end where that was all that was wanted.
-pub fn parse<P: Parser + CommandFactory>() -> Result<P, ExitCode> {
-    let arguments: Vec<String> = std::env::args().collect();
+pub fn parse<P: Parser + CommandFactory + AsRef<Common>>() -> Result<P, ExitCode> {
+    let arguments: Vec<String> = std::env::args_os().map(|a| a.to_string_lossy().into_owned()).collect();
     if let [_, flag, what] = &arguments[..] {
         if flag == "--generate" {
-            return Err(generate(&mut P::command(), what).into());
+            return Err(generate::print(&mut P::command(), what).into());
         }
     }
-    Ok(P::parse())
-}
-
-fn generate(command: &mut clap::Command, what: &str) -> Exit {
-    let mut out = Vec::new();
-    if what == "man" {
-        if clap_mangen::Man::new(command.clone()).render(&mut out).is_err() {
-            return Exit::Unusable;
+    let parsed = P::parse();
+    match parsed.as_ref().start_log() {
+        Ok(()) => Ok(parsed),
+        Err(e) => {
+            eprintln!("{e}");
+            Err(Exit::Unusable.into())
         }
-    } else if let Ok(shell) = what.parse::<Shell>() {
-        let name = command.get_name().to_owned();
-        clap_complete::generate(shell, command, name, &mut out);
-    } else {
-        eprintln!("`{what}` is none of man, bash, zsh, fish, elvish, powershell");
-        return Exit::Unusable;
     }
-    let _ = std::io::stdout().write_all(&out);
-    Exit::Fine
+}
+
+/// Ends as the work did; what went wrong goes to standard error under the program's name.
+pub fn end(program: &str, done: Result<Exit, String>) -> ExitCode {
+    done.unwrap_or_else(|e| {
+        eprintln!("{program}: {e}");
+        Exit::Unusable
+    })
+    .into()
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,11 +1,11 @@
-//! Asks running hosts how they are, over their HTTP; and lays the answers out. [`table`] does no I/O.
+//! Asks running hosts how they are, or to drain, over their HTTP; and lays the answers out. [`table`] does no I/O.
 
 pub mod table;
 
-use pearfork_net::http::get;
+use pearfork_net::http::{get, post};
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What can be asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -18,6 +18,8 @@
     Volumes,
     /// Its metrics, as they are.
     Metrics,
+    /// To stop in order: take no more sessions, answer what was taken, go.
+    Drain,
 }
 
 impl Question {
@@ -27,6 +29,7 @@
             Question::Nodes => "/nodes",
             Question::Volumes => "/volumes",
             Question::Metrics => "/metrics",
+            Question::Drain => "/drain",
         }
     }
 }
@@ -46,12 +49,16 @@
 
 /// Asks one host, and waits so long at the most.
 pub fn ask(host: SocketAddr, question: Question, within: Duration) -> Told {
-    let (status, body) = match get(host, question.path(), within) {
+    let called = match question {
+        Question::Drain => post(host, question.path(), within),
+        _ => get(host, question.path(), within),
+    };
+    let (status, body) = match called {
         Ok(answer) => answer,
         Err(e) => return Told::Silent(e.to_string()),
     };
     let words = String::from_utf8_lossy(&body).trim_end().to_owned();
-    if status != 200 {
+    if !matches!(status, 200 | 202) {
         return Told::Ill(format!("{status}: {words}"));
     }
     match (question, serde_json::from_slice(&body)) {
@@ -60,3 +67,26 @@
         _ => Told::Words(words),
     }
 }
+
+/// How often a draining host is looked at.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// Asks a host to drain and waits until it is gone: words where it is, ill where it still stands when `wait` is over.
+pub fn drain(host: SocketAddr, wait: Duration, patience: Duration) -> Told {
+    let until = Instant::now() + wait;
+    let told = ask(host, Question::Drain, patience);
+    if !matches!(told, Told::Words(_)) || wait.is_zero() {
+        return told;
+    }
+    loop {
+        let now = ask(host, Question::Health, patience);
+        if matches!(now, Told::Silent(_)) {
+            return Told::Words("gone".to_owned());
+        }
+        if Instant::now() >= until {
+            let (Told::Ill(words) | Told::Words(words)) = now else { return now };
+            return Told::Ill(format!("still there: {words}"));
+        }
+        std::thread::sleep(LOOK);
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,26 +1,37 @@
-//! `pearfork-ctl`: asks running hosts how they are.
+//! `pearfork-ctl`: asks running hosts how they are, or to drain.
 
 use clap::Parser;
-use pearfork_cli::{Exit, Output};
-use pearfork_ctl::{ask, table, Question, Told};
+use pearfork_cli::{Common, Exit, Mark};
+use pearfork_ctl::{ask, drain, table, Question, Told};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// Asks hosts how they are, over their HTTP. Exit codes: 0 fine, 1 a host is ill, 2 one can't be asked.
+/// Asks hosts how they are, or one to drain, over their HTTP. Exit codes: 0 fine, 1 a host is ill or did not drain in time,
+/// 2 one can't be asked.
 #[derive(Parser)]
 #[command(name = "pearfork-ctl", version, about)]
 struct Arguments {
     #[command(flatten)]
-    output: Output,
+    common: Common,
     /// What is asked.
     question: Question,
-    /// HTTP addresses of the hosts, as `http` in their settings has them.
-    #[arg(long = "host", default_values = ["127.0.0.1:9180"])]
+    /// HTTP addresses of the hosts, as `http` in their settings has them; 127.0.0.1:9180 where none is named, but `drain`
+    /// wants its host named.
+    #[arg(long = "host")]
     hosts: Vec<SocketAddr>,
+    /// Seconds that `drain` waits for the host to be gone; 0 waits for nothing.
+    #[arg(long, default_value_t = 30)]
+    wait: u64,
 }
 
-/// How long one host may take.
+impl AsRef<Common> for Arguments {
+    fn as_ref(&self) -> &Common {
+        &self.common
+    }
+}
+
+/// How long one host may take for an answer.
 const PATIENCE: Duration = Duration::from_secs(3);
 
 fn main() -> ExitCode {
@@ -28,22 +39,44 @@
         Ok(arguments) => arguments,
         Err(end) => return end,
     };
+    pearfork_cli::end("pearfork-ctl", run(&a))
+}
+
+fn run(a: &Arguments) -> Result<Exit, String> {
+    let hosts = match (&a.hosts[..], a.question) {
+        // Danger: a tired hand that forgets the flag would stop whatever runs here.
+        ([], Question::Drain) => return Err("name the host to drain: --host ADDRESS".to_owned()),
+        ([], _) => vec![SocketAddr::from(([127, 0, 0, 1], 9180))],
+        (named, _) => named.to_vec(),
+    };
+    let output = a.common.output;
     let mut end = Exit::Fine;
-    for host in &a.hosts {
-        let told = ask(*host, a.question, PATIENCE);
-        let head = if a.hosts.len() > 1 { format!("{host}\n") } else { String::new() };
+    for host in &hosts {
+        let told = match a.question {
+            Question::Drain => drain(*host, Duration::from_secs(a.wait), PATIENCE),
+            question => ask(*host, question, PATIENCE),
+        };
+        let head = if hosts.len() > 1 { format!("{host}\n") } else { String::new() };
         let (own, words, value) = match &told {
             Told::Rows(rows) => {
                 (Exit::Fine, table::lay_out(rows), serde_json::json!({"host": host, "rows": rows}))
             }
             Told::Words(w) => (Exit::Fine, format!("{w}\n"), serde_json::json!({"host": host, "words": w})),
-            Told::Ill(w) => (Exit::No, format!("ill: {w}\n"), serde_json::json!({"host": host, "ill": w})),
+            Told::Ill(w) => {
+                let words = format!("{} {w}\n", output.paint(Mark::Bad, "ill:"));
+                (Exit::No, words, serde_json::json!({"host": host, "ill": w}))
+            }
             Told::Silent(w) => {
-                (Exit::Unusable, format!("silent: {w}\n"), serde_json::json!({"host": host, "silent": w}))
+                let words = format!("{} {w}\n", output.paint(Mark::Bad, "silent:"));
+                (Exit::Unusable, words, serde_json::json!({"host": host, "silent": w}))
             }
         };
-        a.output.put(&value, &(head + &words));
+        output.put(&value, &(head + &words));
         end = end.max(own);
+        // One that would not drain leaves the others running: draining a whole fleet at once is nobody's wish.
+        if a.question == Question::Drain && own != Exit::Fine {
+            break;
+        }
     }
-    end.into()
+    Ok(end)
 }
--- a/crates/gateway/benches/retries.rs
+++ b/crates/day/benches/retries.rs
@@ -1,10 +1,10 @@
 //! A third of the nodes hang, and near full load a third are slow: a host with a retry budget, spread and second copies,
 //! and one that tries again at once as often as it may. Turn about, in one run.
 //!
-//! `cargo bench -p pearfork-gateway --bench retries` prints a table for `docs/results/`. No figure here is a test.
+//! `cargo bench -p pearfork-day --bench retries` prints a table for `docs/results/`. No figure here is a test.
 
-use pearfork_gateway::day::{play, DayResult};
-use pearfork_gateway::script::Day;
+use pearfork_day::script::Day;
+use pearfork_day::{play, DayResult};
 use pearfork_host::settings::HostPlan;
 use pearfork_rulecheck::wire::NodeTag;
 use pearfork_rulecheck::{Place, What};
--- a/crates/gateway/src/figures.rs
+++ b/crates/day/src/figures.rs
@@ -6,10 +6,9 @@
 use pearfork_rulecheck::wire::{Op, Touch};
 use pearfork_scsi::{Media, MediaOp};
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
-/// The figures that a record of hosts with this plan is judged by.
-pub fn of_plan(plan: &HostPlan, margin_ms: f64) -> Figures {
+/// The figures that a record of hosts with this plan is judged by; `began_ms` is when it began, of the Unix epoch.
+pub fn of_plan(plan: &HostPlan, margin_ms: f64, began_ms: f64) -> Figures {
     let m = &plan.module;
     let classes = plan.class_names.iter().zip(&m.classes).map(|(name, c)| Class {
         name: name.clone(),
@@ -29,8 +28,6 @@
         ordered: c.ordered,
     });
     let own = plan.clone();
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let now_ms = now.as_secs_f64() * 1_000.0;
     let class_of = move |volume: u32, t: &Touch| {
         let volume = own.volumes.get(volume as usize)?;
         let op = match t.op {
@@ -41,9 +38,9 @@
             Op::CompareAndWrite => MediaOp::CompareAndWrite,
         };
         // A record does not hold who asked, nor the time of day. The rules of a scripted day do not ask for the first;
-        // for the second the hour of the judgement stands, which is that of the day but for a change of hour within it.
+        // for the second the start of the record stands: a day must not run over an hour that its rules name.
         let media = Media { op, lba: t.lba, blocks: u32::try_from(t.blocks).ok()?, fua: false, group: 0 };
-        Some(usize::from(own.matching.class_of(&own.fields_of(volume, &media, "", now_ms))))
+        Some(usize::from(own.matching.class_of(&own.fields_of(volume, &media, "", began_ms))))
     };
     let volumes = plan.volumes.iter().map(|v| {
         let p = &m.plans[usize::from(v.plan)];
--- /dev/null
+++ b/crates/day/src/main.rs
@@ -0,0 +1,118 @@
+//! `pearfork-day`: plays a scripted day on loopback, records it, and proves the seven rules.
+
+use clap::{Parser, Subcommand};
+use pearfork_cli::{Common, Exit, SettingsArguments};
+use pearfork_day::script::Day;
+use pearfork_day::summary::Summary;
+use pearfork_day::{play, DEMO};
+use pearfork_host::settings::{HostPlan, Overrides};
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Plays scripted days of troubles on loopback, and proves the seven rules from what passed over the sockets. Exit
+/// codes: 0 fine, 1 a rule was broken, a block was stale or a node fell over, 2 nothing could be played.
+#[derive(Parser)]
+#[command(name = "pearfork-day", version, about)]
+struct Arguments {
+    #[command(flatten)]
+    common: Common,
+    #[command(subcommand)]
+    command: Command,
+}
+
+impl AsRef<Common> for Arguments {
+    fn as_ref(&self) -> &Common {
+        &self.common
+    }
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a day.
+    Play {
+        /// The day.
+        day: PathBuf,
+        #[command(flatten)]
+        settings: SettingsArguments,
+        /// Write the record here, for `pearfork-replay` and `pearfork-report`.
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Play the short bad day that comes with the program.
+    Demo {
+        /// Write the record here.
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+}
+
+#[derive(Serialize)]
+struct Progress<'a> {
+    at_s: f64,
+    words: &'a str,
+}
+
+fn main() -> ExitCode {
+    let arguments = match pearfork_cli::parse::<Arguments>() {
+        Ok(arguments) => arguments,
+        Err(end) => return end,
+    };
+    let done = match &arguments.command {
+        Command::Play { day, settings, record } => asked(day, settings)
+            .and_then(|(name, text, plan)| run(&name, &text, &plan, record.as_deref(), &arguments.common)),
+        Command::Demo { record } => HostPlan::from_toml(DEMO.1)
+            .map_err(|e| format!("settings:\n{e}"))
+            .and_then(|plan| run("demo", DEMO.0, &plan, record.as_deref(), &arguments.common)),
+    };
+    pearfork_cli::end("pearfork-day", done)
+}
+
+fn asked(day: &Path, settings: &SettingsArguments) -> Result<(String, String, HostPlan), String> {
+    let text = std::fs::read_to_string(day).map_err(|e| format!("{}: {e}", day.display()))?;
+    let over = Overrides::new(pearfork_cli::environment(), settings.set.clone());
+    let plan =
+        HostPlan::load_with(&settings.config, &over).map_err(|e| format!("the settings are refused\n{e}"))?;
+    plan.warnings.iter().for_each(|w| eprintln!("{w}"));
+    Ok((day.display().to_string(), text, plan))
+}
+
+fn run(
+    name: &str,
+    day: &str,
+    plan: &HostPlan,
+    record: Option<&Path>,
+    common: &Common,
+) -> Result<Exit, String> {
+    let output = common.output;
+    let day = Day::from_toml(day).map_err(|e| format!("{name}: {e}"))?;
+    // A place that can't be written is told before the day is played, not after.
+    let file = record
+        .map(|path| std::fs::File::create(path).map_err(|e| format!("{}: {e}", path.display())))
+        .transpose()?;
+    let told = |at: Duration, words: &str| {
+        let at_s = at.as_secs_f64();
+        output.put(&Progress { at_s, words }, &format!("{at_s:6.2} s  {words}\n"));
+    };
+    told(
+        Duration::ZERO,
+        &format!(
+            "{} nodes, {} hosts, {} kinds of clients, {} troubles, {:.0} s",
+            day.nodes.count,
+            day.day.hosts,
+            day.client.len(),
+            day.event.len(),
+            day.day.length.ms() / 1_000.0
+        ),
+    );
+    let result = play(&day, plan, told).map_err(|e| e.to_string())?;
+    let summary = Summary::of(&result);
+    output.put(&summary, &summary.words(output));
+    if let (Some(file), Some(path)) = (file, record) {
+        let recording = result.recording(name, &day, plan);
+        pearfork_record::write(std::io::BufWriter::new(file), &recording)
+            .map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(if summary.right { Exit::Fine } else { Exit::No })
+}
--- a/crates/gateway/src/day.rs
+++ b/crates/day/src/play.rs
@@ -1,17 +1,16 @@
 //! Plays a scripted day on loopback: nodes, hosts and clients, troubles at their times, and the verdict.
 
-use crate::figures;
-use crate::fleet::{Fleet, FleetSpec};
 use crate::script::{Day, EventKind, EventTable};
+use crate::{figures, judge_notes};
 use pearfork_host::dispatcher::ClassCounts;
 use pearfork_host::settings::HostPlan;
 use pearfork_host::{Host, HostError};
-use pearfork_rulecheck::{check, Note, Report, What};
-use pearfork_scsi::unit_of;
-use pearfork_stand::{Client, ClientSpec, ClientTally, Fault, Recorder};
+use pearfork_record::{Counted, Head, Recording, Said};
+use pearfork_rulecheck::{Note, Report, What};
+use pearfork_stand::{Client, ClientSpec, ClientTally, Fault, Fleet, FleetSpec, Recorder};
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A day that could not be played.
 #[derive(Debug, thiserror::Error)]
@@ -44,6 +43,10 @@
     pub figures: pearfork_rulecheck::Figures,
     /// Nodes that fell over cold.
     pub fallen: Vec<u32>,
+    /// What the script did.
+    pub said: Vec<Said>,
+    /// Start of the record, milliseconds of the Unix epoch.
+    pub began_ms: f64,
 }
 
 impl DayResult {
@@ -51,6 +54,40 @@
     pub fn stale(&self) -> Vec<&str> {
         self.clients.iter().flat_map(|(_, t)| t.stale.iter().map(String::as_str)).collect()
     }
+
+    /// The record of the day, to be kept.
+    pub fn recording(&self, name: &str, day: &Day, plan: &HostPlan) -> Recording {
+        let head = Head {
+            name: name.to_owned(),
+            hosts: day.day.hosts,
+            length_ms: day.day.length.ms(),
+            margin_ms: day.day.margin.ms(),
+            began_ms: self.began_ms,
+            settings: plan.provenance.resolved().to_owned(),
+            ..Head::default()
+        };
+        let counted = |(host, classes): (usize, &Vec<ClassCounts>)| {
+            let of_class = |(class, c): (&String, &ClassCounts)| Counted {
+                host: host as u16,
+                class: class.clone(),
+                taken: c.taken,
+                served: c.served,
+                late: c.late,
+                refused: c.refused,
+                failed: c.failed,
+                abandoned: c.abandoned,
+                ..Counted::default()
+            };
+            self.class_names.iter().zip(classes).map(of_class).collect::<Vec<_>>()
+        };
+        Recording {
+            head,
+            said: self.said.clone(),
+            notes: self.notes.clone(),
+            counted: self.hosts.iter().enumerate().flat_map(counted).collect(),
+            whole: true,
+        }
+    }
 }
 
 enum Step {
@@ -73,7 +110,9 @@
     if luns.len() != plan.volumes.len() {
         return Err(DayError::Unfit("in a day, each volume needs a unit number of its own".to_owned()));
     }
+    let began_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1_000.0;
     let recorder = Recorder::default();
+    let mut said = Vec::new();
     let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
     let spec = FleetSpec {
         count: day.nodes.count,
@@ -86,7 +125,7 @@
         repeats_dropped: day.nodes.repeats_dropped.duration(),
     };
     let late = day.day.directory_late.duration();
-    let fleet = Fleet::start(&spec, plan, anywhere, late, &recorder)?;
+    let fleet = Fleet::start(&spec, &plan.module, anywhere, late, &recorder)?;
     let mut hosts: Vec<Option<Host>> = Vec::new();
     let mut plans: Vec<HostPlan> = Vec::new();
     for number in 0..day.day.hosts {
@@ -116,6 +155,7 @@
                 Step::Begin(e) => begin(e, &fleet, &mut hosts, &mut earlier, &clients, &recorder),
                 Step::End(e) => end(e, &fleet, &mut hosts, &plans, &clients)?,
             };
+            said.push(Said { at_us: recorder.elapsed_us(), words: words.clone() });
             progress(began.elapsed(), &words);
             next_step += 1;
         }
@@ -138,12 +178,8 @@
     }
     std::thread::sleep(Duration::from_millis(50));
     let notes = recorder.notes();
-    let figures = figures::of_plan(plan, day.day.margin.ms());
-    let volume_of = |_: u16, lun: u64| {
-        let unit = unit_of(lun)?;
-        plan.volumes.iter().find(|v| v.unit_number == unit).map(|v| v.id.0)
-    };
-    let rules = check(&notes, &figures, &volume_of);
+    let figures = figures::of_plan(plan, day.day.margin.ms(), began_ms);
+    let rules = judge_notes(&notes, plan, &figures);
     let fallen = fleet.nodes().iter().filter(|n| n.has_fallen()).map(|n| n.spec().id).collect();
     Ok(DayResult {
         clients: done,
@@ -153,6 +189,8 @@
         notes,
         figures,
         fallen,
+        said,
+        began_ms,
     })
 }
 
--- /dev/null
+++ b/crates/day/src/summary.rs
@@ -0,0 +1,190 @@
+//! What came of a day, for people and for programs.
+
+use crate::DayResult;
+use pearfork_cli::{Mark, Output};
+use pearfork_rulecheck::Report;
+use serde::Serialize;
+use std::fmt::Write;
+
+/// One rule.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RuleLine {
+    /// Its name.
+    pub rule: String,
+    /// How often there was something to judge.
+    pub checks: u64,
+    /// Nearest approach, 1 being at the limit; none where it has no measure.
+    pub nearest: Option<f64>,
+    /// How often it was broken.
+    pub broken: usize,
+    /// The first breaks, in words.
+    pub words: Vec<String>,
+}
+
+/// Breaks of one rule that are put into words.
+const BREAKS: usize = 3;
+
+/// The findings of a report.
+pub fn rules(report: &Report) -> Vec<RuleLine> {
+    let line = |f: &pearfork_rulecheck::Finding| RuleLine {
+        rule: f.rule.to_string(),
+        checks: f.checks,
+        nearest: f.nearest,
+        broken: f.broken.len(),
+        words: f.broken.iter().take(BREAKS).cloned().collect(),
+    };
+    report.0.iter().map(line).collect()
+}
+
+/// The seven rules as a table.
+pub fn rules_table(lines: &[RuleLine], output: Output) -> String {
+    let mut out = String::new();
+    for l in lines {
+        let nearest = l.nearest.map_or("-".to_owned(), |n| format!("{:.0} %", n * 100.0));
+        let (mark, verdict) = match (l.broken, l.checks) {
+            (0, 0) => (Mark::Look, "nothing to judge".to_owned()),
+            (0, _) => (Mark::Good, "kept".to_owned()),
+            (n, _) => (Mark::Bad, format!("BROKEN {n} times")),
+        };
+        let verdict = output.paint(mark, &format!("{verdict:<17}"));
+        let _ = writeln!(out, "  {:<17} {verdict} checks {:>7}  nearest {nearest:>6}", l.rule, l.checks);
+        for words in &l.words {
+            let _ = writeln!(out, "      {words}");
+        }
+    }
+    out
+}
+
+/// Answers of all hosts to one class.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ClassLine {
+    /// The class.
+    pub class: String,
+    /// Commands taken.
+    pub taken: u64,
+    /// Served.
+    pub served: u64,
+    /// Of those, late.
+    pub late: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Left by the client.
+    pub left: u64,
+}
+
+/// What a kind of client saw.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct ClientLine {
+    /// The kind.
+    pub client: String,
+    /// Requests sent, with tries after a refusal.
+    pub sent: u64,
+    /// Served.
+    pub served: u64,
+    /// Middle answer time, milliseconds.
+    pub p50_ms: f64,
+    /// 99 of 100 were faster, milliseconds.
+    pub p99_ms: f64,
+    /// Blocks proved to hold what they must.
+    pub proved: u64,
+    /// Blocks that did not.
+    pub stale: usize,
+}
+
+/// What came of a day.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Summary {
+    /// Whether all rules were kept, no block was stale, and no node fell over.
+    pub right: bool,
+    /// Answers by class.
+    pub classes: Vec<ClassLine>,
+    /// What clients saw.
+    pub clients: Vec<ClientLine>,
+    /// The first stale blocks, in words.
+    pub stale: Vec<String>,
+    /// Nodes that fell over.
+    pub fallen: Vec<u32>,
+    /// The seven rules.
+    pub rules: Vec<RuleLine>,
+}
+
+impl Summary {
+    /// Sums a day up.
+    pub fn of(r: &DayResult) -> Summary {
+        let class = |(i, name): (usize, &String)| {
+            let sum = |f: fn(&pearfork_host::dispatcher::ClassCounts) -> u64| -> u64 {
+                r.hosts.iter().map(|h| f(&h[i])).sum()
+            };
+            ClassLine {
+                class: name.clone(),
+                taken: sum(|c| c.taken),
+                served: sum(|c| c.served),
+                late: sum(|c| c.late),
+                refused: sum(|c| c.refused),
+                failed: sum(|c| c.failed),
+                left: sum(|c| c.abandoned),
+            }
+        };
+        let client = |(name, t): &(String, pearfork_stand::ClientTally)| {
+            let ms = |q| t.times.value_at_quantile(q) as f64 / 1_000.0;
+            ClientLine {
+                client: name.clone(),
+                sent: t.sent,
+                served: t.served,
+                p50_ms: ms(0.5),
+                p99_ms: ms(0.99),
+                proved: t.proved,
+                stale: t.stale.len(),
+            }
+        };
+        Summary {
+            right: r.rules.kept() && r.stale().is_empty() && r.fallen.is_empty(),
+            classes: r.class_names.iter().enumerate().map(class).collect(),
+            clients: r.clients.iter().map(client).collect(),
+            stale: r.stale().iter().take(5).map(|s| (*s).to_owned()).collect(),
+            fallen: r.fallen.clone(),
+            rules: rules(&r.rules),
+        }
+    }
+
+    /// In words.
+    pub fn words(&self, output: Output) -> String {
+        let mut out = format!(
+            "\n{}\n  {:<18} {:>8} {:>8} {:>6} {:>8} {:>7} {:>6}\n",
+            output.paint(Mark::Head, "answers of all hosts by class"),
+            "class",
+            "taken",
+            "served",
+            "late",
+            "refused",
+            "failed",
+            "left"
+        );
+        for c in &self.classes {
+            let _ = writeln!(
+                out,
+                "  {:<18} {:>8} {:>8} {:>6} {:>8} {:>7} {:>6}",
+                c.class, c.taken, c.served, c.late, c.refused, c.failed, c.left
+            );
+        }
+        let _ = writeln!(out, "\n{}", output.paint(Mark::Head, "clients"));
+        for c in &self.clients {
+            let _ = writeln!(
+                out,
+                "  {:<18} sent {:>6} served {:>6} p50 {:>6.1} ms p99 {:>6.1} ms  blocks proved {:>7} stale {}",
+                c.client, c.sent, c.served, c.p50_ms, c.p99_ms, c.proved, c.stale
+            );
+        }
+        for words in &self.stale {
+            let _ = writeln!(out, "  {} {words}", output.paint(Mark::Bad, "STALE"));
+        }
+        for node in &self.fallen {
+            let _ = writeln!(out, "  {}", output.paint(Mark::Bad, &format!("node {node} fell over")));
+        }
+        let head = output.paint(Mark::Head, "the seven rules, from what passed over the sockets");
+        let _ = write!(out, "\n{head}\n{}", rules_table(&self.rules, output));
+        out
+    }
+}
--- a/crates/gateway/tests/customers.rs
+++ b/crates/day/tests/customers.rs
@@ -1,7 +1,7 @@
 //! Each customer's rules in front of its own short bad day.
 
-use pearfork_gateway::day::{play, DayResult};
-use pearfork_gateway::script::Day;
+use pearfork_day::script::Day;
+use pearfork_day::{play, DayResult};
 use pearfork_host::settings::HostPlan;
 use std::path::{Path, PathBuf};
 
--- a/crates/gateway/tests/day.rs
+++ b/crates/day/tests/day.rs
@@ -1,7 +1,7 @@
 //! The scripted bad day, and the same record broken on purpose.
 
-use pearfork_gateway::day::{play, DayResult};
-use pearfork_gateway::script::Day;
+use pearfork_day::script::Day;
+use pearfork_day::{play, DayResult};
 use pearfork_host::settings::HostPlan;
 use pearfork_rulecheck::wire::NodeTag;
 use pearfork_rulecheck::{check, Note, Place, Rule, What};
--- a/crates/gateway/benches/bed/mod.rs
+++ b/crates/gateway/benches/bed/mod.rs
@@ -2,12 +2,11 @@
 #![allow(dead_code)]
 
 use hdrhistogram::Histogram;
-use pearfork_gateway::fleet::{Fleet, FleetSpec};
 use pearfork_host::settings::HostPlan;
 use pearfork_iscsi::{Command, InitiatorConfig, Payload};
 use pearfork_net::{Connection, ConnectionEvent, TapRef, Token};
 use pearfork_scsi::{Media, MediaOp};
-use pearfork_stand::Recorder;
+use pearfork_stand::{Fleet, FleetSpec, Recorder};
 use std::io::Read;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::channel;
@@ -196,5 +195,5 @@
     let work = Duration::from_nanos(1);
     let spec = FleetSpec { count: 1, racks: 1, waiting: 1000, work, ..FleetSpec::default() };
     let nowhere = ([127, 0, 0, 1], 0).into();
-    Fleet::start(&spec, &plan, nowhere, Duration::ZERO, &Recorder::off()).expect("a node")
+    Fleet::start(&spec, &plan.module, nowhere, Duration::ZERO, &Recorder::off()).expect("a node")
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,222 +1,191 @@
-//! `pearfork-gateway`: serve volumes over iSCSI, play a scripted day, show a demo.
+//! `pearfork-gateway`: serves volumes to iSCSI initiators.
 
-use clap::{Parser, Subcommand, ValueEnum};
-use pearfork_gateway::day::{self, DayResult};
-use pearfork_gateway::fleet::{Fleet, FleetSpec};
-use pearfork_gateway::script::Day;
-use pearfork_host::settings::HostPlan;
+use clap::{Parser, Subcommand};
+use crossbeam_channel::{bounded, select, Receiver};
+use pearfork_cli::{Common, Exit, Output, SettingsArguments};
+use pearfork_host::settings::{HostPlan, Overrides};
 use pearfork_host::Host;
-use pearfork_stand::Recorder;
+use pearfork_stand::{Fleet, FleetSpec, Recorder};
+use serde::Serialize;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// A storage gateway that schedules a host's reads and writes over storage nodes.
+/// A storage gateway that schedules a host's reads and writes over storage nodes. Exit codes: 0 fine, 1 it stopped before
+/// all that was taken had an answer, 2 the input or the machine does not allow it.
 #[derive(Parser)]
-#[command(version, about)]
+#[command(name = "pearfork-gateway", version, about)]
 struct Arguments {
-    /// Form of the log on standard error.
-    #[arg(long, value_enum, default_value_t = LogForm::Text, global = true)]
-    log: LogForm,
-    /// What is logged: a level, or filters such as `pearfork_host=debug`.
-    #[arg(long, default_value = "warn", global = true)]
-    log_filter: String,
+    #[command(flatten)]
+    common: Common,
     #[command(subcommand)]
     command: Command,
 }
 
-#[derive(Clone, Copy, ValueEnum)]
-enum LogForm {
-    /// Lines for people.
-    Text,
-    /// JSON, a line each.
-    Json,
+impl AsRef<Common> for Arguments {
+    fn as_ref(&self) -> &Common {
+        &self.common
+    }
 }
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve volumes to iSCSI initiators until SIGTERM or SIGINT.
+    /// Serve volumes to iSCSI initiators until SIGTERM, SIGINT or `pearfork-ctl drain`.
     Serve {
-        /// Settings file.
-        #[arg(long)]
-        config: PathBuf,
-        /// Listen here instead of where the file says.
+        #[command(flatten)]
+        settings: SettingsArguments,
+        /// Listen here instead of where the settings say; the same as `--set host.listen=ADDRESS`.
         #[arg(long)]
         listen: Option<SocketAddr>,
-    },
-    /// Play a scripted day on loopback and prove the seven rules.
-    Day {
-        /// The day.
-        day: PathBuf,
-        /// Settings of the hosts.
+        /// Start only if the settings have this fingerprint, as `pearfork-check files` told it.
         #[arg(long)]
-        config: PathBuf,
+        expect: Option<String>,
     },
-    /// Play a short bad day that comes with the program.
-    Demo,
 }
 
-/// Exit codes: 0 fine, 1 a rule was broken, data was stale, 2 the input or the machine does not allow it.
-const BROKEN: u8 = 1;
-const UNUSABLE: u8 = 2;
+/// What is told when something happens.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+enum Told<'a> {
+    Listening {
+        address: SocketAddr,
+        http: Option<SocketAddr>,
+        settings: String,
+        volumes: Vec<VolumeLine<'a>>,
+    },
+    MatchingTakenAnew,
+    Stopping {
+        why: &'a str,
+    },
+}
 
-const DEMO_DAY: &str = include_str!("../days/bad-day.toml");
-const DEMO_CONFIG: &str = include_str!("../days/bad-day-hosts.toml");
+#[derive(Serialize)]
+struct VolumeLine<'a> {
+    name: &'a str,
+    target: &'a str,
+    lun: u16,
+    blocks: u64,
+    block: u32,
+}
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
-    let log = tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .with_env_filter(tracing_subscriber::EnvFilter::new(&arguments.log_filter));
-    match arguments.log {
-        LogForm::Text => log.init(),
-        LogForm::Json => log.json().init(),
-    }
+    let arguments = match pearfork_cli::parse::<Arguments>() {
+        Ok(arguments) => arguments,
+        Err(end) => return end,
+    };
+    let output = arguments.common.output;
     let done = match arguments.command {
-        Command::Serve { config, listen } => serve(&config, listen),
-        Command::Day { day, config } => {
-            read(&day).and_then(|d| Ok((d, load(&config)?))).and_then(|(d, plan)| play(&d, &plan))
+        Command::Serve { mut settings, listen, expect } => {
+            settings.set.extend(listen.map(|at| format!("host.listen=\"{at}\"")));
+            serve(&settings, expect.as_deref(), output)
         }
-        Command::Demo => HostPlan::from_toml(DEMO_CONFIG)
-            .map_err(|e| format!("settings:\n{e}"))
-            .and_then(|plan| play(DEMO_DAY, &plan)),
     };
-    done.unwrap_or_else(|e| {
-        eprintln!("pearfork-gateway: {e}");
-        ExitCode::from(UNUSABLE)
-    })
+    pearfork_cli::end("pearfork-gateway", done)
 }
 
-fn read(path: &Path) -> Result<String, String> {
-    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
-}
-
-/// A plan from a settings file; what the operator is to be told goes to standard error.
-fn load(config: &Path) -> Result<HostPlan, String> {
-    let plan = HostPlan::load(config).map_err(|e| format!("the settings are refused\n{e}"))?;
+/// A plan from the settings; what the operator is to be told goes to standard error.
+fn load(settings: &SettingsArguments) -> Result<HostPlan, String> {
+    let over = Overrides::new(pearfork_cli::environment(), settings.set.clone());
+    let plan =
+        HostPlan::load_with(&settings.config, &over).map_err(|e| format!("the settings are refused\n{e}"))?;
     plan.warnings.iter().for_each(|w| eprintln!("{w}"));
     Ok(plan)
 }
 
-fn serve(config: &Path, listen: Option<SocketAddr>) -> Result<ExitCode, String> {
-    let mut plan = load(config)?;
-    if let Some(listen) = listen {
-        plan.listen = listen;
-    }
-    let fleet = match &plan.embedded {
-        Some(e) => {
-            let spec = FleetSpec {
-                count: e.nodes,
-                racks: 1,
-                replicas: 1,
-                cores: e.cores,
-                waiting: e.waiting,
-                work: e.work.duration(),
-                deferred: 0.0,
-                repeats_dropped: longest_window(&plan),
-            };
-            let recorder = Recorder::off();
-            let fleet = Fleet::start(&spec, &plan, plan.directory, Duration::ZERO, &recorder);
-            Some(fleet.map_err(|e| format!("embedded nodes, directory at {}: {e}", plan.directory))?)
-        }
-        None => None,
+/// The embedded nodes that the settings ask for.
+fn embedded(plan: &HostPlan) -> Result<Option<Fleet>, String> {
+    let Some(e) = &plan.embedded else { return Ok(None) };
+    let longest = plan.module.classes.iter().map(|c| c.window_ms).fold(0.0, f64::max);
+    let spec = FleetSpec {
+        count: e.nodes,
+        racks: 1,
+        replicas: 1,
+        cores: e.cores,
+        waiting: e.waiting,
+        work: e.work.duration(),
+        deferred: 0.0,
+        repeats_dropped: Duration::from_secs_f64(longest / 1_000.0),
     };
-    let mut signals = signal_hook::iterator::Signals::new([
-        signal_hook::consts::SIGTERM,
-        signal_hook::consts::SIGINT,
-        signal_hook::consts::SIGHUP,
-    ])
-    .map_err(|e| e.to_string())?;
-    let host = Host::start(plan).map_err(|e| e.to_string())?;
-    println!("listening on {}", host.address());
-    for v in &host.plan().volumes {
-        println!(
-            "  volume {}: {} LUN {}, {} blocks of {}",
-            v.name, v.target, v.unit_number, v.unit.blocks, v.unit.block_len
-        );
-    }
-    if let Some(http) = host.http_address() {
-        println!("  health, metrics, nodes, volumes: http://{http}/");
+    Fleet::start(&spec, &plan.module, plan.directory, Duration::ZERO, &Recorder::off())
+        .map(Some)
+        .map_err(|e| format!("embedded nodes, directory at {}: {e}", plan.directory))
+}
+
+/// Signals as they come.
+fn signals() -> Result<Receiver<i32>, String> {
+    let mut signals =
+        signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| e.to_string())?;
+    let (to, from) = bounded(16);
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .stack_size(64 << 10)
+        .spawn(move || signals.forever().try_for_each(|signal| to.send(signal)))
+        .map_err(|e| e.to_string())?;
+    Ok(from)
+}
+
+fn serve(settings: &SettingsArguments, expect: Option<&str>, output: Output) -> Result<Exit, String> {
+    let plan = load(settings)?;
+    let fingerprint = plan.provenance.fingerprint();
+    // Danger: a file, an include or a variable that changed between the check and the start.
+    if let Some(expect) = expect.filter(|e| *e != fingerprint) {
+        return Err(format!(
+            "the settings have the fingerprint {fingerprint}, not {expect}: they are not the ones checked"
+        ));
     }
-    for signal in signals.forever() {
-        if signal != signal_hook::consts::SIGHUP {
-            break;
-        }
-        match load(config).and_then(|new| host.rematch(&new).map_err(|e| e.to_string())) {
-            Ok(()) => println!("matching rules taken anew"),
-            Err(e) => eprintln!("pearfork-gateway: the old matching rules stay\n{e}"),
+    let fleet = embedded(&plan)?;
+    let signals = signals()?;
+    let host = Host::start(plan).map_err(|e| e.to_string())?;
+    announce(&host, fingerprint, output);
+    let why = loop {
+        select! {
+            recv(signals) -> signal => match signal {
+                Ok(SIGHUP) => match load(settings).and_then(|new| host.rematch(&new).map_err(|e| e.to_string())) {
+                    Ok(()) => output.put(&Told::MatchingTakenAnew, "matching rules taken anew\n"),
+                    Err(e) => eprintln!("pearfork-gateway: the old matching rules stay\n{e}"),
+                },
+                Ok(SIGINT) => break "interrupt",
+                _ => break "terminate",
+            },
+            recv(host.drain_asked()) -> _ => break "drain",
         }
-    }
-    println!("stopping: what was taken is answered first");
+    };
+    let words = format!("stopping ({why}): what was taken is answered first\n");
+    output.put(&Told::Stopping { why }, &words);
     let idle = host.stop();
     drop(fleet);
     if !idle {
-        return Err("some commands had no answer when the time to drain was over".to_owned());
+        eprintln!("pearfork-gateway: some commands had no answer when the time to drain was over");
+        return Ok(Exit::No);
     }
-    Ok(ExitCode::SUCCESS)
-}
-
-fn longest_window(plan: &HostPlan) -> Duration {
-    let longest = plan.module.classes.iter().map(|c| c.window_ms).fold(0.0, f64::max);
-    Duration::from_secs_f64(longest / 1_000.0)
+    Ok(Exit::Fine)
 }
 
-fn play(day: &str, plan: &HostPlan) -> Result<ExitCode, String> {
-    let day = Day::from_toml(day).map_err(|e| format!("day: {e}"))?;
-    println!(
-        "{} nodes, {} hosts, {} kinds of clients, {} troubles, {:.0} s",
-        day.nodes.count,
-        day.day.hosts,
-        day.client.len(),
-        day.event.len(),
-        day.day.length.ms() / 1_000.0
-    );
-    let progress = |at: Duration, words: &str| println!("{:6.2} s  {words}", at.as_secs_f64());
-    let result = day::play(&day, plan, progress).map_err(|e| e.to_string())?;
-    print(&result);
-    let right = result.rules.kept() && result.stale().is_empty() && result.fallen.is_empty();
-    Ok(if right { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
-}
-
-fn print(r: &DayResult) {
-    println!("\nanswers of all hosts by class");
-    println!(
-        "  {:<18} {:>8} {:>8} {:>6} {:>8} {:>7} {:>6}",
-        "class", "taken", "served", "late", "refused", "failed", "left"
-    );
-    for (i, name) in r.class_names.iter().enumerate() {
-        let sum = |f: fn(&pearfork_host::dispatcher::ClassCounts) -> u64| -> u64 {
-            r.hosts.iter().map(|h| f(&h[i])).sum()
-        };
-        println!(
-            "  {name:<18} {:>8} {:>8} {:>6} {:>8} {:>7} {:>6}",
-            sum(|c| c.taken),
-            sum(|c| c.served),
-            sum(|c| c.late),
-            sum(|c| c.refused),
-            sum(|c| c.failed),
-            sum(|c| c.abandoned)
-        );
-    }
-    println!("\nclients");
-    for (name, t) in &r.clients {
-        let ms = |q| t.times.value_at_quantile(q) as f64 / 1_000.0;
-        println!(
-            "  {name:<18} sent {:>6} served {:>6} p50 {:>6.1} ms p99 {:>6.1} ms  blocks proved {:>7} stale {}",
-            t.sent,
-            t.served,
-            ms(0.5),
-            ms(0.99),
-            t.proved,
-            t.stale.len()
-        );
-    }
-    for words in r.stale().iter().take(5) {
-        println!("  STALE {words}");
-    }
-    for node in &r.fallen {
-        println!("  node {node} fell over");
+fn announce(host: &Host, fingerprint: String, output: Output) {
+    let mut words = format!("listening on {}, settings {fingerprint}\n", host.address());
+    let line = |v: &pearfork_host::volumes::Volume| {
+        format!(
+            "  volume {}: {} LUN {}, {} blocks of {}\n",
+            v.name, v.target, v.unit_number, v.unit.blocks, v.unit.block_len
+        )
+    };
+    words.extend(host.plan().volumes.iter().map(line));
+    if let Some(http) = host.http_address() {
+        words += &format!("  health, metrics, nodes, volumes: http://{http}/\n");
     }
-    println!("\nthe seven rules, from what passed over the sockets\n{}", r.rules);
+    let volumes = host.plan().volumes.iter().map(|v| VolumeLine {
+        name: &v.name,
+        target: &v.target,
+        lun: v.unit_number,
+        blocks: v.unit.blocks,
+        block: v.unit.block_len,
+    });
+    let told = Told::Listening {
+        address: host.address(),
+        http: host.http_address(),
+        settings: fingerprint,
+        volumes: volumes.collect(),
+    };
+    output.put(&told, &words);
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,21 +1,20 @@
 //! Hosts, nodes and a plain initiator on loopback.
 #![allow(dead_code)]
 
-use pearfork_gateway::figures;
-use pearfork_gateway::fleet::{Fleet, FleetSpec};
+use pearfork_day::figures;
 use pearfork_host::settings::HostPlan;
 use pearfork_host::Host;
 use pearfork_iscsi::{Command, CommandDone, InitiatorConfig, Payload};
 use pearfork_net::{Connection, ConnectionEvent, TapRef, Token};
 use pearfork_rulecheck::{check, Place, Report, What};
 use pearfork_scsi::{lun_field, unit_of, Media, MediaOp};
-use pearfork_stand::Recorder;
+use pearfork_stand::{Fleet, FleetSpec, Recorder};
 use std::net::SocketAddr;
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-pub const HOSTS: &str = include_str!("../../days/bad-day-hosts.toml");
+pub const HOSTS: &str = include_str!("../../../day/days/bad-day-hosts.toml");
 /// Wide enough for a machine that pauses.
 pub const LONG: Duration = Duration::from_secs(10);
 
@@ -44,7 +43,7 @@
         plan.module.hosts = u32::from(hosts);
         plan.volumes.iter_mut().for_each(|v| v.hosts = u32::from(hosts));
         let recorder = Recorder::default();
-        let fleet = Fleet::start(spec, &plan, anywhere(), Duration::ZERO, &recorder).unwrap();
+        let fleet = Fleet::start(spec, &plan.module, anywhere(), Duration::ZERO, &recorder).unwrap();
         let mut world = World { plan, fleet, hosts: Vec::new(), recorder };
         (0..hosts).for_each(|number| world.add_host(number));
         world
@@ -69,7 +68,7 @@
             let unit = unit_of(lun)?;
             self.plan.volumes.iter().find(|v| v.unit_number == unit).map(|v| v.id.0)
         };
-        check(&self.recorder.notes(), &figures::of_plan(&self.plan, 500.0), &volume_of)
+        check(&self.recorder.notes(), &figures::of_plan(&self.plan, 500.0, 0.0), &volume_of)
     }
 
     pub fn assert_rules(&self) {
--- a/crates/gateway/tests/front.rs
+++ b/crates/gateway/tests/front.rs
@@ -2,10 +2,10 @@
 
 mod common;
 use common::*;
-use pearfork_gateway::fleet::FleetSpec;
 use pearfork_iscsi::{InitiatorConfig, InitiatorError, LoginStatus};
 use pearfork_net::{ConnectError, Connection, ConnectionEvent, TapRef};
 use pearfork_scsi::{lun_field, status, Media, MediaOp, SenseKey};
+use pearfork_stand::FleetSpec;
 
 fn keyless() -> String {
     // No class is keyed, and nothing of the extension is offered to nodes.
--- a/crates/gateway/tests/matching.rs
+++ b/crates/gateway/tests/matching.rs
@@ -81,7 +81,7 @@
     std::fs::write(&settings, text).unwrap();
     std::fs::write(&rules, good).unwrap();
     let mut child = Command::new(env!("CARGO_BIN_EXE_pearfork-gateway"))
-        .args(["serve", "--listen", "127.0.0.1:0", "--config"])
+        .args(["serve", "--json=false", "--listen", "127.0.0.1:0", "--config"])
         .arg(&settings)
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/crates/gateway/tests/routes.rs
+++ b/crates/gateway/tests/routes.rs
@@ -3,11 +3,10 @@
 mod common;
 
 use common::{ended, eventually, ms, World, HOSTS};
-use pearfork_gateway::fleet::FleetSpec;
 use pearfork_rulecheck::wire::{touch, NodeTag, Op};
 use pearfork_rulecheck::{Place, Rule, What};
 use pearfork_scsi::{status, MediaOp, SenseKey};
-use pearfork_stand::Fault;
+use pearfork_stand::{Fault, FleetSpec};
 use std::collections::BTreeMap;
 
 /// Two shards, two nodes each: 1 and 3 hold the first, 2 and 4 the second.
--- a/crates/gateway/tests/troubles.rs
+++ b/crates/gateway/tests/troubles.rs
@@ -2,12 +2,11 @@
 
 mod common;
 use common::*;
-use pearfork_gateway::fleet::FleetSpec;
 use pearfork_net::ConnectionEvent;
 use pearfork_rulecheck::wire::NodeTag;
 use pearfork_rulecheck::{Place, Rule, What};
 use pearfork_scsi::{status, MediaOp, SenseKey};
-use pearfork_stand::Fault;
+use pearfork_stand::{Fault, FleetSpec};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::Instant;
--- a/crates/gateway/tests/verdicts.rs
+++ b/crates/gateway/tests/verdicts.rs
@@ -1,8 +1,8 @@
 //! The checker and a starting host say the same of every file: a corpus with at least one file for each rule and each
 //! kind of fault, and a thousand files made from good ones by a seeded hand that breaks things.
 
-use pearfork_check::{file, Kind};
-use pearfork_host::settings::HostPlan;
+use pearfork_check::{file, file_with, Kind, Verdict};
+use pearfork_host::settings::{HostPlan, Overrides};
 use pearfork_host::Host;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -69,7 +69,7 @@
 /// What a gateway says when it is started: whether it listens, and its words on standard error.
 fn started(path: &Path) -> (bool, String) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_pearfork-gateway"))
-        .args(["serve", "--listen", "127.0.0.1:0", "--config"])
+        .args(["serve", "--json=false", "--listen", "127.0.0.1:0", "--config"])
         .arg(path)
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -86,13 +86,18 @@
     (listens, String::from_utf8(out.stderr).unwrap())
 }
 
+/// What the checker says of a file as [`started`] starts it: its flags are layers like any other.
+fn checked(path: &Path) -> Verdict {
+    file_with(path, &Overrides::new(Vec::new(), vec!["host.listen=\"127.0.0.1:0\"".to_owned()]))
+}
+
 #[test]
 fn the_checker_and_a_started_host_agree_on_a_corpus_word_for_word() {
     let corpus: Corpus = toml::from_str(include_str!("corpus.toml")).unwrap();
     let folder = Folder::new("corpus");
     for case in &corpus.good {
         let path = folder.write(&made(case));
-        let checked = file(&path);
+        let checked = self::checked(&path);
         assert!(checked.right && checked.kind == Some(Kind::Settings), "{}: {}", case.name, checked.faults);
         let (listens, told) = started(&path);
         assert!(listens, "{}: {told}", case.name);
@@ -102,7 +107,7 @@
     let mut rules = BTreeSet::new();
     for case in &corpus.broken {
         let path = folder.write(&made(case));
-        let checked = file(&path);
+        let checked = self::checked(&path);
         assert!(!checked.right, "{}", case.name);
         assert!(checked.faults.contains(&case.want), "{}: {}", case.name, checked.faults);
         if case.rule > 0 {
@@ -120,6 +125,46 @@
     assert_eq!(rules.into_iter().collect::<Vec<_>>(), [1, 2, 3, 4, 5, 6, 7], "a broken file for each rule");
 }
 
+#[test]
+fn settings_that_changed_between_the_check_and_the_start_are_not_started_by() {
+    let folder = Folder::new("expect");
+    let text = made(&Case { name: String::new(), replace: Vec::new(), rule: 0, want: String::new() });
+    let (head, rest) = text.split_at(text.find("[rules]").unwrap());
+    std::fs::write(folder.0.join("base.toml"), rest).unwrap();
+    let path = folder.write(&format!("include = [\"base.toml\"]\n{head}"));
+    let fingerprint = checked(&path).fingerprint.unwrap();
+    let start = |expect: &str| {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_pearfork-gateway"))
+            .args(["serve", "--json", "--listen", "127.0.0.1:0", "--expect", expect, "--config"])
+            .arg(&path)
+            .env("PEARFORK__TRANSPORT__DRAIN", "5s")
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut first = String::new();
+        BufReader::new(child.stdout.take().unwrap()).read_line(&mut first).unwrap();
+        child.kill().unwrap();
+        let out = child.wait_with_output().unwrap();
+        (first, String::from_utf8(out.stderr).unwrap())
+    };
+    // A variable counts: this one gives what is the default anyway, and is another text all the same.
+    let (_, why) = start(&fingerprint);
+    assert!(why.contains("they are not the ones checked"), "{why}");
+    let with = Overrides::new(
+        vec![("PEARFORK__TRANSPORT__DRAIN".to_owned(), "5s".to_owned())],
+        vec!["host.listen=\"127.0.0.1:0\"".to_owned()],
+    );
+    let fingerprint = file_with(&path, &with).fingerprint.unwrap();
+    let (first, why) = start(&fingerprint);
+    assert!(first.contains("\"event\":\"listening\"") && first.contains(&fingerprint), "{first}{why}");
+    // The include changes: the file itself does not, and still it is another plan.
+    std::fs::write(folder.0.join("base.toml"), rest.replace("drain_grace = \"2s\"", "drain_grace = \"3s\""))
+        .unwrap();
+    let (first, why) = start(&fingerprint);
+    assert!(first.is_empty() && why.contains("they are not the ones checked"), "{first}{why}");
+}
+
 /// A text with one thing changed, as a tired hand or a bad merge would.
 fn mutant(good: &[String], random: &mut Pcg64Mcg) -> String {
     let mut below = |n: usize| (random.next_u64() % n.max(1) as u64) as usize;
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -7,12 +7,13 @@
 use crate::links::Links;
 use crate::settings::{HostPlan, SettingsFaults};
 use crate::status;
-use crossbeam_channel::{bounded, Sender};
+use crossbeam_channel::{bounded, Receiver, Sender};
 use pearfork_iscsi::Limits;
 use pearfork_net::{http, spawn_small, Portal, PortalConfig};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -48,6 +49,8 @@
     asks: Sender<Ask>,
     links: Arc<Links>,
     http: Option<http::Server>,
+    draining: Arc<AtomicBool>,
+    drains: Receiver<()>,
 }
 
 struct Outward {
@@ -123,17 +126,31 @@
             tap: None,
         };
         let portal = Portal::start(listener, config, front.clone())?;
+        let draining = Arc::new(AtomicBool::new(false));
+        let (drain, drains) = bounded(1);
         let http = match http_listener {
             Some(listener) => {
                 let (plan, engine, front) = (plan.clone(), engine.clone(), front.clone());
-                let answer =
-                    move |path: &str| status::answer(path, &plan, snapshot(&engine), front.sessions());
-                Some(http::Server::start(listener, answer)?)
+                let (draining, asked) = (draining.clone(), drain.clone());
+                let answer = move |call: http::Call<'_>| match status::order(call) {
+                    Some(status::Order::Drain) => {
+                        let again = draining.swap(true, Ordering::SeqCst);
+                        // One word is enough; whoever asks again is told that it is under way.
+                        let _ = asked.try_send(());
+                        let words = if again { "it drains already\n" } else { "it drains\n" };
+                        http::Answer { status: 202, ..http::Answer::ok("text/plain; charset=utf-8", words) }
+                    }
+                    None => {
+                        let draining = draining.load(Ordering::SeqCst);
+                        status::answer(call, &plan, snapshot(&engine), front.sessions(), draining)
+                    }
+                };
+                Some(http::Server::start_with(listener, answer)?)
             }
             None => None,
         };
-        tracing::info!(%address, number = plan.number, volumes = plan.volumes.len(), "host listens");
-        Ok(Host { plan, portal, engine, asks, links, http })
+        tracing::info!(%address, number = plan.number, volumes = plan.volumes.len(), settings = plan.provenance.fingerprint(), "host listens");
+        Ok(Host { plan, portal, engine, asks, links, http, draining, drains })
     }
 
     /// Where iSCSI clients come.
@@ -161,6 +178,11 @@
         Ok(())
     }
 
+    /// Rings once when somebody asks over HTTP that the host drain; its owner then calls [`Host::stop`].
+    pub fn drain_asked(&self) -> &Receiver<()> {
+        &self.drains
+    }
+
     /// Counts by class, in the order of the settings; `None` where the engine does not answer.
     pub fn class_counts(&self) -> Option<Vec<ClassCounts>> {
         snapshot(&self.engine).map(|s| s.classes)
@@ -178,6 +200,7 @@
 
     /// Stops in order: takes nothing new, answers what was taken, closes. False where the time ran out first.
     pub fn stop(&self) -> bool {
+        self.draining.store(true, Ordering::SeqCst);
         self.portal.stop_accepting();
         self.portal.stop_reading();
         self.portal.sessions().iter().for_each(|s| s.request_logout(1));
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -1,15 +1,21 @@
 //! The operator's file: read, checked as a whole, and turned into a plan that is valid for good.
 //!
-//! [`HostPlan::from_toml`] is the only way from text to a plan, for the host and for whatever checks files.
+//! [`HostPlan::load_with`] (and [`HostPlan::load`], [`HostPlan::from_toml`], where less goes over it) is the only way from
+//! text to a plan, for the host and for whatever checks files.
 
 mod matching;
+mod migrate;
+mod provenance;
 mod routes;
 mod tables;
 
 pub use self::matching::Matching;
+pub use self::migrate::{migrate, MigrateError};
+pub use self::provenance::{Explained, Provenance, UnknownKey};
 use self::tables::{ClassTable, EffectWord, File, GroupWord, PlanTable};
 use crate::units::Span;
 use crate::volumes::{Volume, VolumeId};
+use pearfork_layers::{Key, LayerFault, Layers};
 use pearfork_match::Fields;
 use pearfork_scsi::{Media, MediaOp, Unit, MAX_TRANSFER_BLOCKS};
 use std::collections::HashSet;
@@ -18,6 +24,13 @@
 use std::sync::Arc;
 
 pub use self::tables::Embedded;
+pub use pearfork_layers::{Origin, Overrides};
+
+/// The form of settings files that this version reads.
+pub const FORMAT: u32 = 1;
+
+/// Keys of which a later layer's hides the earlier layer's other.
+const EXCLUSIVE: &[[&str; 3]] = &[["match", "rules", "file"]];
 
 /// Faults of a settings file.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -36,13 +49,16 @@
         /// What the machine says.
         why: String,
     },
+    /// Layers that can't be put together.
+    #[error(transparent)]
+    Layer(#[from] LayerFault),
     /// Something that one of the seven rules stands against.
-    #[error("line {line}, {entry}, {}: {refusal}", refusal.key)]
+    #[error("{place}, {entry}, {}: {refusal}", refusal.key)]
     Rule {
         /// Table.
         entry: String,
-        /// Line of the file, from 1.
-        line: usize,
+        /// Where it was given: a line of the file, or which layer.
+        place: String,
         /// What is asked, and what would be accepted.
         refusal: pearfork_terms::Refusal,
     },
@@ -114,6 +130,8 @@
     pub matching: Arc<Matching>,
     /// What the operator is to be told, though the file is taken.
     pub warnings: Vec<String>,
+    /// Where each value came from.
+    pub provenance: Arc<Provenance>,
     unit: u64,
 }
 
@@ -124,7 +142,7 @@
     /// All faults that were found; those of form hide those of meaning.
     pub fn from_toml(text: &str) -> Result<HostPlan, SettingsFaults> {
         let alone = |_: &str| Err("this text refers to a file, and comes without a folder".to_owned());
-        Self::from_source("settings", text, &alone)
+        Self::from_source("settings", text, &alone, &Overrides::default())
     }
 
     /// Reads and checks a file, and what it refers to in its folder.
@@ -132,23 +150,34 @@
     /// # Errors
     /// As [`HostPlan::from_toml`], and files that can't be read.
     pub fn load(path: &Path) -> Result<HostPlan, SettingsFaults> {
+        Self::load_with(path, &Overrides::default())
+    }
+
+    /// The same with variables and flags over it. Each file is read once: what was checked is what is used.
+    ///
+    /// # Errors
+    /// As [`HostPlan::load`], and variables or flags that can't be taken.
+    pub fn load_with(path: &Path, over: &Overrides) -> Result<HostPlan, SettingsFaults> {
         let name = path.display().to_string();
         let read = |p: &Path| std::fs::read_to_string(p).map_err(|e| e.to_string());
         let unreadable = |why| SettingsFaults(vec![SettingsFault::Unreadable { file: name.clone(), why }]);
         let text = read(path).map_err(unreadable)?;
         let beside = |file: &str| read(&path.parent().unwrap_or(Path::new("")).join(file));
-        Self::from_source(&name, &text, &beside)
+        Self::from_source(&name, &text, &beside, over)
     }
 
-    /// The one way from text to a plan. `read` gives the files that the text refers to.
+    /// The one way from text to a plan. `read` gives the files that the text refers to, by their path from its folder.
     fn from_source(
         name: &str,
         text: &str,
         read: &dyn Fn(&str) -> Result<String, String>,
+        over: &Overrides,
     ) -> Result<HostPlan, SettingsFaults> {
-        let file: File = toml::from_str(text)
-            .map_err(|e| SettingsFaults(vec![SettingsFault::Syntax(format!("{name}: {e}"))]))?;
-        Checker { name, text, read, faults: Vec::new(), warnings: Vec::new() }.plan(file)
+        let layers = Layers::gather(name, text, read, over, EXCLUSIVE)
+            .map_err(|faults| SettingsFaults(faults.into_iter().map(SettingsFault::from).collect()))?;
+        let file =
+            shape(name, text, &layers).map_err(|words| SettingsFaults(vec![SettingsFault::Syntax(words)]))?;
+        Checker { layers: &layers, read, faults: Vec::new(), warnings: Vec::new() }.plan(file)
     }
 
     /// What the matching rules see of a request: for a live one, for `explain`, and for the judge of a record alike.
@@ -208,9 +237,59 @@
     }
 }
 
+/// The layers as the tables that they must be; otherwise what is wrong, in words.
+fn shape(name: &str, text: &str, layers: &Layers) -> Result<File, String> {
+    if layers.merged.contains_key("classify") {
+        let place = layers.place(&Key::of(&["classify"])).map_or(name.to_owned(), Origin::to_string);
+        return Err(format!(
+            "{place}: `classify` is of the form before {FORMAT}; `pearfork-check migrate FILE` writes the file anew"
+        ));
+    }
+    if layers.is_plain() {
+        // One file says it all: the words of its parser show the line itself.
+        return toml::from_str(text).map_err(|e| format!("{name}: {e}"));
+    }
+    let merged = toml::Value::Table(layers.merged.clone());
+    serde_path_to_error::deserialize(merged).map_err(|e| {
+        let why = e.inner().message().trim().to_owned();
+        let mut key = key_of(e.path(), &layers.merged);
+        // The unknown field itself is known by its name alone.
+        let field = why.strip_prefix("unknown field `").and_then(|rest| rest.split('`').next());
+        if let Some(field) = field.filter(|f| key.parts().last().is_none_or(|last| last != f)) {
+            key = key.child(field);
+        }
+        let place = layers.place(&key).map_or(name.to_owned(), Origin::to_string);
+        format!("{place}: `{key}`: {why}")
+    })
+}
+
+/// A path into the merged table as a key: entries of arrays go by their names.
+fn key_of(path: &serde_path_to_error::Path, merged: &toml::Table) -> Key {
+    use serde_path_to_error::Segment;
+    let mut key = Key::default();
+    let root = toml::Value::Table(merged.clone());
+    let mut at = Some(&root);
+    for segment in path {
+        let part = match segment {
+            Segment::Map { key } => {
+                at = at.and_then(|v| v.get(key));
+                key.clone()
+            }
+            Segment::Seq { index } => {
+                at = at.and_then(|v| v.get(*index));
+                let name = at.and_then(|v| v.get("name")).and_then(toml::Value::as_str);
+                name.map_or_else(|| index.to_string(), str::to_owned)
+            }
+            Segment::Enum { variant } => variant.clone(),
+            Segment::Unknown => continue,
+        };
+        key = key.child(&part);
+    }
+    key
+}
+
 struct Checker<'a> {
-    name: &'a str,
-    text: &'a str,
+    layers: &'a Layers,
     read: &'a dyn Fn(&str) -> Result<String, String>,
     faults: Vec<SettingsFault>,
     warnings: Vec<String>,
@@ -233,6 +312,12 @@
     }
 
     fn plan(mut self, file: File) -> Result<HostPlan, SettingsFaults> {
+        if file.format.is_some_and(|f| f != FORMAT) {
+            let what = format!(
+                "this version reads format {FORMAT}; `pearfork-check migrate FILE` writes an older file anew"
+            );
+            self.fault("format", what);
+        }
         let routes = file.route.iter().map(|r| r.name.as_str());
         self.names("class or route", file.class.iter().map(|c| c.name.as_str()).chain(routes));
         self.names("plan", file.plan.iter().map(|p| p.name.as_str()));
@@ -313,12 +398,13 @@
                 pearfork_terms::Entry::Plan(i) => format!("plan `{}`", file.plan[i].name),
                 pearfork_terms::Entry::Rules => "rules".to_owned(),
             };
-            let line = self.line_of(refusal.entry, refusal.key);
-            self.faults.push(SettingsFault::Rule { entry, line, refusal });
+            let place = self.place_of(&file, refusal.entry, refusal.key);
+            self.faults.push(SettingsFault::Rule { entry, place, refusal });
         }
         let (Some(matching), true) = (matching, self.faults.is_empty()) else {
             return Err(SettingsFaults(self.faults));
         };
+        let provenance = Provenance::new(self.layers, &file, matching.text());
         Ok(HostPlan {
             number: file.host.number,
             listen: file.host.listen,
@@ -341,6 +427,7 @@
             unit: r.unit.bytes(),
             matching: Arc::new(matching),
             warnings: self.warnings,
+            provenance: Arc::new(provenance),
         })
     }
 
--- a/crates/host/src/settings/matching.rs
+++ b/crates/host/src/settings/matching.rs
@@ -3,14 +3,17 @@
 use super::tables::File;
 use super::{Checker, SettingsFault};
 use crate::volumes::Volume;
+use pearfork_layers::Key;
 use pearfork_match::{nearest, Fault, Faults, Fields, Gravity, Place, Rules};
 use std::collections::{HashMap, HashSet};
+use std::path::Path;
 
 /// The rules that match requests, with the positions of what they name.
 #[derive(Clone, Debug)]
 pub struct Matching {
     rules: Rules,
     source: RulesSource,
+    text: String,
     class_positions: Vec<u16>,
     plan_positions: HashMap<String, u16>,
 }
@@ -52,6 +55,11 @@
         &self.rules
     }
 
+    /// The whole text of the rules.
+    pub(super) fn text(&self) -> &str {
+        &self.text
+    }
+
     /// A piece of the rules as it was written, and the line that it stands on.
     pub fn written(&self, place: Place) -> (usize, &str) {
         let (from, to) = (place.from + self.source.offset, place.to + self.source.offset);
@@ -63,25 +71,27 @@
 impl Checker<'_> {
     fn source(&mut self, file: &File) -> Option<(RulesSource, String)> {
         match (&file.r#match.rules, &file.r#match.file) {
-            (Some(rules), None) => {
-                let written = self.text.get(rules.span()).unwrap_or("");
-                let text = rules.get_ref().clone();
-                // A text with escapes is not in the file as it reads; its lines count from its own start then.
-                let source = match written.find(&text) {
-                    Some(at) => RulesSource {
-                        name: self.name.to_owned(),
-                        text: self.text.to_owned(),
-                        offset: rules.span().start + at,
-                    },
-                    None => RulesSource {
-                        name: format!("{}, match.rules", self.name),
-                        text: text.clone(),
-                        offset: 0,
-                    },
+            (Some(text), None) => {
+                let given = self.layers.given(&Key::of(&["match", "rules"])).last();
+                let alone = |name: String| RulesSource { name, text: text.clone(), offset: 0 };
+                let source = match given.and_then(|g| g.span.clone()) {
+                    Some((at, span)) => {
+                        let file = &self.layers.sources[at];
+                        // A text with escapes is not in the file as it reads; its lines count from its own start then.
+                        match file.text.get(span.clone()).unwrap_or("").find(text.as_str()) {
+                            Some(from) => RulesSource {
+                                name: file.name.clone(),
+                                text: file.text.clone(),
+                                offset: span.start + from,
+                            },
+                            None => alone(format!("{}, match.rules", file.name)),
+                        }
+                    }
+                    None => alone(given.map_or("match.rules".to_owned(), |g| g.origin.to_string())),
                 };
-                Some((source, text))
+                Some((source, text.clone()))
             }
-            (None, Some(name)) => match (self.read)(name) {
+            (None, Some(name)) => match (self.read)(&self.beside(name)) {
                 Ok(text) => Some((RulesSource { name: name.clone(), text: text.clone(), offset: 0 }, text)),
                 Err(why) => {
                     self.faults.push(SettingsFault::Unreadable { file: format!("match.file {name}"), why });
@@ -95,6 +105,18 @@
         }
     }
 
+    /// A file that is named by an included one stands beside that one.
+    fn beside(&self, name: &str) -> String {
+        let given = self.layers.given(&Key::of(&["match", "file"])).last();
+        // The last source is the settings file itself, from whose folder paths are counted; so they are for what goes over it.
+        let included = |at: &usize| at + 1 < self.layers.sources.len();
+        let Some(own) = given.and_then(|g| g.span.as_ref()).map(|(at, _)| *at).filter(included) else {
+            return name.to_owned();
+        };
+        let folder = Path::new(&self.layers.sources[own].name).parent().unwrap_or(Path::new(""));
+        folder.join(name).to_string_lossy().into_owned()
+    }
+
     pub(super) fn matching(
         &mut self,
         file: &File,
@@ -143,7 +165,7 @@
         self.ordered(&rules, names, classes, volumes);
         let class = |n: &&str| names.iter().position(|c| c == n).unwrap_or(0) as u16;
         let class_positions = rules.class_names().iter().map(class).collect();
-        Some(Matching { rules, source, class_positions, plan_positions: plans })
+        Some(Matching { rules, source, text, class_positions, plan_positions: plans })
     }
 
     /// Danger: order holds within a key. Where one block may fall under two, a later write may overtake an earlier one.
--- a/crates/host/src/settings/routes.rs
+++ b/crates/host/src/settings/routes.rs
@@ -1,8 +1,9 @@
-//! Routes, what classes ask for their attempts, and where in the file it stands.
+//! Routes, what classes ask for their attempts, and where it was given.
 
 use super::tables::File;
 use super::Checker;
 use crate::units::Span;
+use pearfork_layers::{Key, Origin};
 use pearfork_terms::Entry;
 
 impl Checker<'_> {
@@ -52,33 +53,24 @@
         attempts.unwrap_or(0)
     }
 
-    /// The line of a key in its table, or of the table where the key is not written: read off the text, for words
-    /// alone.
-    pub(super) fn line_of(&self, entry: Entry, key: &str) -> usize {
-        let (table, nth) = match entry {
-            Entry::Class(i) => {
-                let classes = self.headers("[[class]]").count();
-                if i < classes {
-                    ("[[class]]", i)
-                } else {
-                    ("[[route]]", i - classes)
+    /// Where a key of an entry was given, or the entry itself where the key is not written.
+    pub(super) fn place_of(&self, file: &File, entry: Entry, key: &str) -> String {
+        let at = match entry {
+            Entry::Class(i) => match file.class.get(i) {
+                Some(class) => Key::of(&["class", &class.name]),
+                None => {
+                    let route = file.route.get(i - file.class.len());
+                    Key::of(&["route", route.map_or("", |r| &r.name)])
                 }
-            }
-            Entry::Plan(i) => ("[[plan]]", i),
-            Entry::Rules => ("[rules]", 0),
+            },
+            Entry::Plan(i) => Key::of(&["plan", file.plan.get(i).map_or("", |p| &p.name)]),
+            Entry::Rules => Key::of(&["rules"]),
         };
-        let Some(header) = self.headers(table).nth(nth) else { return 1 };
-        let body = self.text.lines().enumerate().skip(header + 1);
-        let within = body.take_while(|(_, l)| !l.trim_start().starts_with('['));
-        let of_key =
-            |l: &str| l.trim_start().strip_prefix(key).is_some_and(|rest| rest.trim_start().starts_with('='));
-        let mut lines = within.filter(|(_, l)| of_key(l));
-        1 + lines.next().map_or(header, |(n, _)| n)
-    }
-
-    fn headers<'t>(&'t self, table: &'t str) -> impl Iterator<Item = usize> + 't {
-        let is =
-            move |l: &str| l.split('#').next().unwrap_or("").split_whitespace().collect::<String>() == table;
-        self.text.lines().enumerate().filter(move |(_, l)| is(l)).map(|(n, _)| n)
+        match self.layers.place(&at.child(key)) {
+            // With one file there is no need to say which.
+            Some(Origin::File { line, .. }) if self.layers.is_plain() => format!("line {line}"),
+            Some(origin) => origin.to_string(),
+            None => "line 1".to_owned(),
+        }
     }
 }
--- a/crates/host/src/settings/tables.rs
+++ b/crates/host/src/settings/tables.rs
@@ -1,12 +1,14 @@
 //! The file as it is written: tables and keys, before anything is checked against anything else.
 
 use crate::units::{Size, Span};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct File {
+    /// Form of the file; [`super::FORMAT`] where it is not given.
+    pub(super) format: Option<u32>,
     pub(super) host: HostTable,
     pub(super) directory: DirectoryTable,
     #[serde(default)]
@@ -22,7 +24,7 @@
 }
 
 /// Stand-in nodes that a gateway brings along for trying it out; a host knows nothing of them.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Embedded {
     /// How many, each with a shard of its own from 0 on.
@@ -35,7 +37,7 @@
     pub work: Span,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct HostTable {
     pub(super) number: u16,
@@ -46,7 +48,7 @@
     pub(super) seed: Option<u64>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct DirectoryTable {
     pub(super) address: SocketAddr,
@@ -58,7 +60,7 @@
     Span::from_ms(2_000.0)
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub(super) struct TransportTable {
     pub(super) connect_timeout: Span,
@@ -84,7 +86,7 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct RulesTable {
     #[serde(default = "default_round")]
@@ -127,7 +129,7 @@
     1.0
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct BudgetTable {
     pub(super) free: f64,
@@ -135,7 +137,7 @@
     pub(super) span: Span,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(super) enum EffectWord {
     Safe,
@@ -143,7 +145,7 @@
     Unsafe,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(super) enum GroupWord {
     All,
@@ -151,7 +153,7 @@
     Shard,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct ClassTable {
     pub(super) name: String,
@@ -180,7 +182,7 @@
 }
 
 /// A class's figures for some of its requests: what is not given is the class's.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct RouteTable {
     pub(super) name: String,
@@ -194,10 +196,10 @@
     pub(super) second_copy_after: Option<Span>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct MatchTable {
-    pub(super) rules: Option<toml::Spanned<String>>,
+    pub(super) rules: Option<String>,
     /// A file beside this one, in place of `rules`.
     pub(super) file: Option<String>,
     /// Steps that class, plan and key of one request may take.
@@ -210,7 +212,7 @@
     20_000
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct PlanTable {
     pub(super) name: String,
@@ -229,7 +231,7 @@
     pub(super) slack: f64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct VolumeTable {
     pub(super) name: String,
--- a/crates/host/src/settings/tests.rs
+++ b/crates/host/src/settings/tests.rs
@@ -138,15 +138,21 @@
     let (rules, text) =
         (&GOOD[from + 12..to], [&GOOD[..from], "file = \"a.rules\"", &GOOD[to + 3..]].concat());
     let with = |rules: String| {
-        HostPlan::from_source("settings", &text, &|name| {
-            assert_eq!(name, "a.rules");
-            Ok(rules.clone())
-        })
+        HostPlan::from_source(
+            "settings",
+            &text,
+            &|name| {
+                assert_eq!(name, "a.rules");
+                Ok(rules.clone())
+            },
+            &Overrides::default(),
+        )
     };
     assert!(with(rules.to_owned()).is_ok());
     let told = with(rules.replace("otherwise", "if lba")).unwrap_err().to_string();
     assert!(told.contains("a.rules:5:23"), "{told}");
-    let missing = HostPlan::from_source("settings", &text, &|_| Err("no such file".to_owned()));
+    let missing =
+        HostPlan::from_source("settings", &text, &|_| Err("no such file".to_owned()), &Overrides::default());
     assert!(missing.unwrap_err().to_string().contains("match.file a.rules: no such file"));
     let absent = HostPlan::load(std::path::Path::new("/nonexistent/settings.toml")).unwrap_err().to_string();
     assert!(absent.contains("/nonexistent/settings.toml"), "{absent}");
@@ -196,3 +202,90 @@
         assert!(told.contains(want), "{to}: {told}");
     }
 }
+
+/// The quickstart in two files: classes and rules in one that the other includes.
+fn layered(main: &str, over: &Overrides) -> Result<HostPlan, SettingsFaults> {
+    let at = GOOD.find("[rules]").expect("rules");
+    let base = &GOOD[at..];
+    let text = format!("include = [\"site/base.toml\"]\n{main}\n{}", &GOOD[..at]);
+    HostPlan::from_source(
+        "host.toml",
+        &text,
+        &|path| match path {
+            "site/base.toml" => Ok(base.to_owned()),
+            "site/a.rules" => Ok("class \"write\" if op == \"write\";\n".to_owned()),
+            _ => Err(format!("no such file {path}")),
+        },
+        over,
+    )
+}
+
+fn over(flags: &[&str]) -> Overrides {
+    Overrides::new(Vec::new(), flags.iter().map(|f| (*f).to_owned()).collect())
+}
+
+#[test]
+fn layers_make_the_plan_that_one_file_makes_and_each_value_tells_where_it_came_from() {
+    let plan = layered("", &Overrides::default()).unwrap_or_else(|e| panic!("{e}"));
+    let one = HostPlan::from_toml(GOOD).unwrap();
+    assert_eq!((&plan.module, &plan.class_names), (&one.module, &one.class_names));
+    assert_eq!(plan.provenance.fingerprint(), one.provenance.fingerprint());
+    // The resolved text is the same plan again, and refers to nothing.
+    let again = HostPlan::from_toml(plan.provenance.resolved()).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!((&again.module, again.listen), (&plan.module, plan.listen));
+    assert_eq!(again.provenance.fingerprint(), plan.provenance.fingerprint());
+
+    let set = over(&["class.write.deadline=3s", "rules.drain_grace=1500ms"]);
+    let plan = layered("", &set).unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!(plan.module.drain_grace_ms, 1500.0);
+    assert_ne!(plan.provenance.fingerprint(), one.provenance.fingerprint());
+    let told = |key: &str| {
+        let e = plan.provenance.explain(key).unwrap_or_else(|e| panic!("{e}")).remove(0);
+        let hides: Vec<String> = e.hides.iter().map(|(o, v)| format!("{v} of {o}")).collect();
+        format!("{} by {} hides {}", e.value, e.origin, hides.join(", "))
+    };
+    let line = |key: &str| {
+        let base = &GOOD[GOOD.find("[rules]").unwrap()..];
+        1 + base.lines().position(|l| l.starts_with(key)).unwrap()
+    };
+    let want = format!(
+        "\"1500ms\" by --set rules.drain_grace=1500ms hides \"2s\" of site/base.toml line {}",
+        line("drain_grace")
+    );
+    assert_eq!(told("rules.drain_grace"), want);
+    assert_eq!(told("rules.cold_from"), format!("0.2 by site/base.toml line {} hides ", line("cold_from")));
+    assert_eq!(told("transport.drain"), "\"5s\" by default hides ");
+    assert_eq!(plan.provenance.explain("class.write").unwrap().len(), 11);
+    let unknown = plan.provenance.explain("rules.drain_grase").unwrap_err().to_string();
+    assert!(unknown.contains("did you mean `rules.drain_grace`?"), "{unknown}");
+}
+
+#[test]
+fn faults_of_layers_name_the_layer() {
+    let told = |main: &str, flags: &[&str]| layered(main, &over(flags)).expect_err("a fault").to_string();
+    let flag = told("", &["rules.drain_grase=2s"]);
+    assert!(flag.contains("--set rules.drain_grase=2s: `rules.drain_grase`: unknown field"), "{flag}");
+    let unit = told("", &["class.write.aim=1.2"]);
+    assert!(
+        unit.contains("--set class.write.aim=1.2: `class.write.aim`: invalid type: floating point"),
+        "{unit}"
+    );
+    let unit = told("", &["class.write.aim=\"1.2\""]);
+    assert!(unit.contains("`1.2` has no unit"), "{unit}");
+    // A refusal by one of the seven rules says which layer asks for it.
+    let rule = told("", &["class.write.deadline=10ms"]);
+    assert!(rule.contains("rule 1, one final answer in time"), "{rule}");
+    let copy = told("[[class]]\nname = \"compare-and-write\"\nsecond_copy_after = \"50ms\"", &[]);
+    assert!(
+        copy.contains("host.toml line 4, class `compare-and-write`, second_copy_after: rule 2"),
+        "{copy}"
+    );
+    let class = told("[[class]]\nname = \"extra\"\naim = \"1s\"", &[]);
+    assert!(class.contains("host.toml line 2: `class.extra`: missing field `deadline`"), "{class}");
+    // Rules in a file stand beside the file that names them; a fault in them shows in their own name.
+    let rules = told("", &["match.file=site/a.rules"]);
+    assert!(rules.contains("site/a.rules"), "{rules}");
+    let text = told("", &["match.rules=class \"write\" if lba;"]);
+    assert!(text.contains("--set match.rules="), "{text}");
+    assert!(told("", &["format=9"]).contains("reads format 1"));
+}
--- a/crates/host/src/status.rs
+++ b/crates/host/src/status.rs
@@ -3,7 +3,7 @@
 use crate::engine::Snapshot;
 use crate::settings::HostPlan;
 use pearfork::Condition;
-use pearfork_net::http::Answer;
+use pearfork_net::http::{Answer, Call, Method};
 use serde::Serialize;
 use std::fmt::Write;
 
@@ -31,12 +31,34 @@
     plan: u16,
 }
 
-/// Answers a path; `snapshot` is `None` where the engine did not answer in time.
-pub(crate) fn answer(path: &str, plan: &HostPlan, snapshot: Option<Snapshot>, sessions: usize) -> Answer {
-    let path = path.split('?').next().unwrap_or(path);
+/// What a host can be asked to do over HTTP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Order {
+    /// To stop in order.
+    Drain,
+}
+
+/// The order that a call gives, if it gives one.
+pub(crate) fn order(call: Call<'_>) -> Option<Order> {
+    let path = call.path.split('?').next().unwrap_or(call.path);
+    (call.method == Method::Post && path == "/drain").then_some(Order::Drain)
+}
+
+/// Answers a call that gives no order; `snapshot` is `None` where the engine did not answer in time.
+pub(crate) fn answer(
+    call: Call<'_>,
+    plan: &HostPlan,
+    snapshot: Option<Snapshot>,
+    sessions: usize,
+    draining: bool,
+) -> Answer {
+    let path = call.path.split('?').next().unwrap_or(call.path);
+    if call.method == Method::Post {
+        return Answer::error(404, "there is /drain to POST to");
+    }
     let Some(snapshot) = snapshot else { return Answer::error(503, "the engine does not answer") };
     match path {
-        "/health" => health(&snapshot),
+        "/health" => health(&snapshot, sessions, draining),
         "/metrics" => Answer::ok("text/plain; version=0.0.4", metrics(plan, &snapshot, sessions)),
         "/nodes" => json(&nodes(&snapshot)),
         "/volumes" => json(&volumes(plan)),
@@ -48,8 +70,11 @@
     Answer::ok("application/json", serde_json::to_vec_pretty(value).unwrap_or_default())
 }
 
-fn health(snapshot: &Snapshot) -> Answer {
-    if snapshot.listed.values().any(|n| n.condition == Condition::Ready) {
+fn health(snapshot: &Snapshot, sessions: usize, draining: bool) -> Answer {
+    if draining {
+        let open = snapshot.open;
+        Answer::error(503, &format!("draining, {open} commands open, {sessions} sessions"))
+    } else if snapshot.listed.values().any(|n| n.condition == Condition::Ready) {
         Answer::ok("text/plain; charset=utf-8", "ok\n")
     } else {
         Answer::error(503, "no node of the list is ready")
--- a/crates/host/src/units.rs
+++ b/crates/host/src/units.rs
@@ -1,6 +1,6 @@
 //! Times and sizes as the settings write them: a number and its unit, never a bare number.
 
-use serde::{de, Deserialize, Deserializer};
+use serde::{de, Deserialize, Deserializer, Serialize, Serializer};
 
 /// A span of time, read from text such as `250ms`, `1.2s` or `2min`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
@@ -114,6 +114,42 @@
     }
 }
 
+/// The largest unit that leaves a whole number, or thousandths of the smallest.
+impl std::fmt::Display for Span {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let units = [("h", 3_600_000.0), ("min", 60_000.0), ("s", 1_000.0), ("ms", 1.0), ("us", 0.001)];
+        let whole = |(_, ms): &&(&str, f64)| self.0 >= *ms && (self.0 / ms).fract() == 0.0;
+        match units.iter().find(whole) {
+            Some((unit, ms)) => write!(f, "{}{unit}", self.0 / ms),
+            None => write!(f, "{}ms", self.0),
+        }
+    }
+}
+
+/// The largest unit that leaves a whole number.
+impl std::fmt::Display for Size {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let units = [("TiB", 40), ("GiB", 30), ("MiB", 20), ("KiB", 10)];
+        let whole = |(_, shift): &&(&str, u32)| self.0 > 0 && self.0.is_multiple_of(1 << shift);
+        match units.iter().find(whole) {
+            Some((unit, shift)) => write!(f, "{}{unit}", self.0 >> shift),
+            None => write!(f, "{}B", self.0),
+        }
+    }
+}
+
+impl Serialize for Span {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl Serialize for Size {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -122,6 +158,15 @@
     fn figures_need_their_units() {
         assert_eq!("1.2s".parse::<Span>().unwrap().ms(), 1200.0);
         assert_eq!("64 KiB".parse::<Size>().unwrap().bytes(), 65_536);
+        for text in ["0ms", "1200ms", "250ms", "2s", "5min", "3h", "400us", "0.25us"] {
+            let span: Span = text.parse().unwrap();
+            assert_eq!(span.to_string().parse::<Span>().unwrap(), span, "{text}");
+        }
+        assert_eq!(Span::from_ms(1_200.0).to_string(), "1200ms");
+        assert_eq!(
+            (Size(1 << 20).to_string(), Size(1536).to_string()),
+            ("1MiB".to_owned(), "1536B".to_owned())
+        );
         assert!("1.2".parse::<Span>().unwrap_err().to_string().contains("has no unit"));
         for bad in ["", "s", "-1s", "1e400s", "1.2.3s", "5 lightyears", "0.3B", "9999999999TiB"] {
             assert!(bad.parse::<Span>().is_err() || bad.ends_with('B'), "{bad}");
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,7 +1,7 @@
 //! `pearfork-load`: loads iSCSI units at a rate or in a closed loop, and can prove every block that it reads.
 
 use clap::Parser;
-use pearfork_cli::{Exit, Output};
+use pearfork_cli::{Common, Exit};
 use pearfork_host::units::Span;
 use pearfork_load::run::run;
 use pearfork_load::session::{Pace, Plan};
@@ -53,7 +53,13 @@
     #[arg(long, default_value = "iqn.2026-12.org.pearfork:load")]
     initiator: String,
     #[command(flatten)]
-    output: Output,
+    common: Common,
+}
+
+impl AsRef<Common> for Arguments {
+    fn as_ref(&self) -> &Common {
+        &self.common
+    }
 }
 
 fn main() -> ExitCode {
@@ -80,7 +86,7 @@
     match run(&plan) {
         Ok((figures, took)) => {
             let summary = figures.summary(took);
-            a.output.put(&summary, &summary.to_string());
+            a.common.output.put(&summary, &summary.to_string());
             if figures.wrong_count > 0 { Exit::No } else { Exit::Fine }.into()
         }
         Err(e) => {
--- a/crates/load/tests/load.rs
+++ b/crates/load/tests/load.rs
@@ -1,6 +1,5 @@
 //! Loads through a real host before stand-in nodes.
 
-use pearfork_gateway::fleet::{Fleet, FleetSpec};
 use pearfork_host::settings::HostPlan;
 use pearfork_host::Host;
 use pearfork_load::figures::End;
@@ -8,7 +7,7 @@
 use pearfork_load::session::{Pace, Plan};
 use pearfork_load::shape::{Places, Shape};
 use pearfork_load::url::UnitUrl;
-use pearfork_stand::{Fault, Recorder};
+use pearfork_stand::{Fault, Fleet, FleetSpec, Recorder};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -24,10 +23,11 @@
 impl World {
     fn new() -> World {
         let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
-        let text = include_str!("../../gateway/days/bad-day-hosts.toml");
+        let text = include_str!("../../day/days/bad-day-hosts.toml");
         let mut plan = HostPlan::from_toml(text).unwrap_or_else(|e| panic!("{e}"));
         let fleet =
-            Fleet::start(&FleetSpec::default(), &plan, anywhere, Duration::ZERO, &Recorder::off()).unwrap();
+            Fleet::start(&FleetSpec::default(), &plan.module, anywhere, Duration::ZERO, &Recorder::off())
+                .unwrap();
         plan.module.hosts = 1;
         plan.volumes.iter_mut().for_each(|v| v.hosts = 1);
         (plan.listen, plan.http, plan.directory) = (anywhere, Some(anywhere), fleet.directory().address());
@@ -141,7 +141,7 @@
         line["blocks_proved"].as_u64().unwrap() > 0 && line["kinds"].get("read").is_none(),
         "proof is no load: {line}"
     );
-    let table = program(&[&unit, "--length", "200ms", "--json", "false"]);
+    let table = program(&[&unit, "--length", "200ms", "--json=false"]);
     assert!(String::from_utf8_lossy(&table.stdout).contains("p99.9"));
     let nobody = "iscsi://127.0.0.1:9/iqn.2026-12.org.pearfork:demo/0";
     for (arguments, want) in [
--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -1,4 +1,5 @@
-//! As much HTTP/1.1 as health, metrics and the node list need: GET, one request a connection, loopback.
+//! As much HTTP/1.1 as health, metrics, the node list and control need: GET and POST without a body, one request a
+//! connection, loopback.
 
 use crate::stream::spawn_small;
 use std::io::{self, Read, Write};
@@ -14,6 +15,28 @@
 /// Most requests in work at once; long polls of many hosts count.
 const MAX_OPEN: usize = 1024;
 
+/// What a caller wants done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Method {
+    /// Told something.
+    Get,
+    /// Something done. Such a call carries the header `X-Pearfork-Ctl`: a page in a browser can send a plain POST to
+    /// any address of the machine that it is shown on, and can't send that header without asking first.
+    Post,
+}
+
+/// A call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Call<'a> {
+    /// What the caller wants done.
+    pub method: Method,
+    /// To what, with its query.
+    pub path: &'a str,
+}
+
+/// The header of a call that changes something.
+const CTL_HEADER: &str = "X-Pearfork-Ctl";
+
 /// What is answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
@@ -58,20 +81,34 @@
     },
 }
 
-/// A listener that answers GETs until it is dropped.
+/// A listener that answers calls until it is dropped.
 pub struct Server {
     address: SocketAddr,
     stopping: Arc<AtomicBool>,
 }
 
 impl Server {
-    /// Begins to answer; each request has a thread of its own.
+    /// Begins to answer GETs; each request has a thread of its own.
     ///
     /// # Errors
     /// No thread could be had.
     pub fn start(
         listener: TcpListener,
         answer: impl Fn(&str) -> Answer + Send + Sync + 'static,
+    ) -> io::Result<Server> {
+        Server::start_with(listener, move |call| match call.method {
+            Method::Get => answer(call.path),
+            Method::Post => Answer::error(405, "only GET is answered here"),
+        })
+    }
+
+    /// Begins to answer GETs and POSTs.
+    ///
+    /// # Errors
+    /// No thread could be had.
+    pub fn start_with(
+        listener: TcpListener,
+        answer: impl Fn(Call<'_>) -> Answer + Send + Sync + 'static,
     ) -> io::Result<Server> {
         let address = listener.local_addr()?;
         let stopping = Arc::new(AtomicBool::new(false));
@@ -114,7 +151,7 @@
     }
 }
 
-fn serve(mut stream: TcpStream, answer: &dyn Fn(&str) -> Answer) -> io::Result<()> {
+fn serve(mut stream: TcpStream, answer: &dyn Fn(Call<'_>) -> Answer) -> io::Result<()> {
     stream.set_read_timeout(Some(Duration::from_secs(5)))?;
     stream.set_write_timeout(Some(Duration::from_secs(5)))?;
     let mut head = Vec::new();
@@ -129,10 +166,13 @@
         let mut request = httparse::Request::new(&mut headers);
         match request.parse(&head) {
             Ok(httparse::Status::Complete(_)) => {
+                let marked = request.headers.iter().any(|h| h.name.eq_ignore_ascii_case(CTL_HEADER));
                 break match (request.method, request.path) {
-                    (Some("GET"), Some(path)) => answer(path),
-                    _ => Answer::error(405, "only GET is answered here"),
-                }
+                    (Some("GET"), Some(path)) => answer(Call { method: Method::Get, path }),
+                    (Some("POST"), Some(path)) if marked => answer(Call { method: Method::Post, path }),
+                    (Some("POST"), Some(_)) => Answer::error(403, "a POST needs the header X-Pearfork-Ctl"),
+                    _ => Answer::error(405, "only GET and POST are answered here"),
+                };
             }
             Ok(httparse::Status::Partial) if head.len() < MAX_HEAD => {}
             Ok(httparse::Status::Partial) => break Answer::error(431, "head too long"),
@@ -141,7 +181,10 @@
     };
     let words = match answer.status {
         200 => "OK",
+        202 => "Accepted",
+        403 => "Forbidden",
         404 => "Not Found",
+        405 => "Method Not Allowed",
         503 => "Service Unavailable",
         _ => "Error",
     };
@@ -160,12 +203,29 @@
 /// # Errors
 /// No whole answer within `within`.
 pub fn get(address: SocketAddr, path: &str, within: Duration) -> Result<(u16, Vec<u8>), CallError> {
+    call(address, Call { method: Method::Get, path }, within)
+}
+
+/// POSTs to a path, without a body; status and body of the answer.
+///
+/// # Errors
+/// No whole answer within `within`.
+pub fn post(address: SocketAddr, path: &str, within: Duration) -> Result<(u16, Vec<u8>), CallError> {
+    call(address, Call { method: Method::Post, path }, within)
+}
+
+fn call(address: SocketAddr, call: Call<'_>, within: Duration) -> Result<(u16, Vec<u8>), CallError> {
     let socket = |source| CallError::Socket { address, source };
     let nonsense = |what: &str| CallError::Answer { address, what: what.to_owned() };
     let mut stream = TcpStream::connect_timeout(&address, within).map_err(socket)?;
     stream.set_read_timeout(Some(within)).map_err(socket)?;
     stream.set_write_timeout(Some(within)).map_err(socket)?;
-    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    let (verb, more) = match call.method {
+        Method::Get => ("GET", String::new()),
+        Method::Post => ("POST", format!("{CTL_HEADER}: 1\r\nContent-Length: 0\r\n")),
+    };
+    let path = call.path;
+    let request = format!("{verb} {path} HTTP/1.1\r\nHost: {address}\r\n{more}Connection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).map_err(socket)?;
     let mut all = Vec::new();
     stream.take(MAX_BODY as u64).read_to_end(&mut all).map_err(socket)?;
--- /dev/null
+++ b/crates/replay/src/lib.rs
@@ -0,0 +1,52 @@
+//! Judges a recorded day again. The rules are those of `pearfork-rulecheck`, the settings those in the record.
+
+use pearfork_day::judge;
+use pearfork_day::summary::{rules, RuleLine};
+use pearfork_record::{read, Recording};
+use serde::Serialize;
+use std::fs::File;
+use std::io::BufReader;
+use std::path::Path;
+
+/// What a record tells.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Replayed {
+    /// What was played.
+    pub name: String,
+    /// Hosts that took part.
+    pub hosts: u16,
+    /// Notes in the record.
+    pub notes: usize,
+    /// Whether it is whole. One that was cut off may hold commands whose answers it does not hold.
+    pub whole: bool,
+    /// Whether all rules were kept.
+    pub kept: bool,
+    /// The seven rules.
+    pub rules: Vec<RuleLine>,
+}
+
+/// Reads a record file.
+///
+/// # Errors
+/// The file and line, in words.
+pub fn open(path: &Path) -> Result<Recording, String> {
+    let name = path.display();
+    let file = File::open(path).map_err(|e| format!("{name}: {e}"))?;
+    read(BufReader::new(file)).map_err(|e| format!("{name}: {e}"))
+}
+
+/// Judges a record.
+///
+/// # Errors
+/// Its settings make no plan, in words.
+pub fn replay(recording: &Recording) -> Result<Replayed, String> {
+    let (report, ..) = judge(recording).map_err(|e| e.to_string())?;
+    Ok(Replayed {
+        name: recording.head.name.clone(),
+        hosts: recording.head.hosts,
+        notes: recording.notes.len(),
+        whole: recording.whole,
+        kept: report.kept(),
+        rules: rules(&report),
+    })
+}
--- /dev/null
+++ b/crates/replay/src/main.rs
@@ -0,0 +1,60 @@
+//! `pearfork-replay`: proves the seven rules from recorded days.
+
+use clap::Parser;
+use pearfork_cli::{Common, Exit, Mark};
+use pearfork_day::summary::rules_table;
+use pearfork_replay::{open, replay};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Proves the seven rules from records that `pearfork-day --record` wrote. Exit codes: 0 all rules kept, 1 one was broken, 2
+/// a record can't be judged.
+#[derive(Parser)]
+#[command(name = "pearfork-replay", version, about)]
+struct Arguments {
+    #[command(flatten)]
+    common: Common,
+    /// Records.
+    #[arg(required = true)]
+    records: Vec<PathBuf>,
+    /// Judge a record that was cut off as far as it goes. What it does not hold looks like a broken promise.
+    #[arg(long)]
+    cut_off: bool,
+}
+
+impl AsRef<Common> for Arguments {
+    fn as_ref(&self) -> &Common {
+        &self.common
+    }
+}
+
+fn main() -> ExitCode {
+    let a = match pearfork_cli::parse::<Arguments>() {
+        Ok(arguments) => arguments,
+        Err(end) => return end,
+    };
+    pearfork_cli::end("pearfork-replay", run(&a))
+}
+
+fn run(a: &Arguments) -> Result<Exit, String> {
+    let output = a.common.output;
+    let mut end = Exit::Fine;
+    for path in &a.records {
+        let recording = open(path)?;
+        if !recording.whole && !a.cut_off {
+            return Err(format!(
+                "{}: was cut off after {} notes; --cut-off judges it as far as it goes",
+                path.display(),
+                recording.notes.len()
+            ));
+        }
+        let told = replay(&recording).map_err(|e| format!("{}: {e}", path.display()))?;
+        let cut = if told.whole { "" } else { ", cut off" };
+        let head =
+            format!("{}: {}, {} hosts, {} notes{cut}", path.display(), told.name, told.hosts, told.notes);
+        let words = format!("{}\n{}", output.paint(Mark::Head, &head), rules_table(&told.rules, output));
+        output.put(&told, &words);
+        end = end.max(if told.kept { Exit::Fine } else { Exit::No });
+    }
+    Ok(end)
+}
--- a/crates/rulecheck/src/record.rs
+++ b/crates/rulecheck/src/record.rs
@@ -1,10 +1,12 @@
 //! Notes, in the order of their times, and the figures that they are judged by.
 
 use crate::wire::{Header, Touch};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// Whose socket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Place {
     /// A client's, connected to a host.
     Client {
@@ -19,7 +21,8 @@
 }
 
 /// One note.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Note {
     /// Microseconds since the record began.
     pub at_us: u64,
@@ -28,7 +31,8 @@
 }
 
 /// What was noted.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum What {
     /// A PDU passed a socket.
     Pdu {
--- a/crates/rulecheck/src/wire.rs
+++ b/crates/rulecheck/src/wire.rs
@@ -13,8 +13,9 @@
     pub const R2T: u8 = 0x31;
 }
 
-/// A header with its additional segments.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// A header with its additional segments. In text it is one run of hexadecimal digits.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct Header {
     /// The 48 bytes.
     pub bytes: [u8; 48],
@@ -54,6 +55,33 @@
     }
 }
 
+impl From<Header> for String {
+    fn from(h: Header) -> String {
+        use std::fmt::Write;
+        h.bytes.iter().chain(&h.extra).fold(String::with_capacity(96), |mut out, b| {
+            let _ = write!(out, "{b:02x}");
+            out
+        })
+    }
+}
+
+impl TryFrom<String> for Header {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Header, String> {
+        let digits: Option<Vec<u8>> = text.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
+        let digits = digits.ok_or("a header is written in hexadecimal digits")?;
+        // The length of all additional segments is one byte of words (RFC 7143, section 11.2.1.5).
+        if digits.len() % 2 != 0 || !(96..=96 + 2 * 255 * 4).contains(&digits.len()) {
+            return Err(format!("a header has 48 to 1068 bytes, this one {} digits", digits.len()));
+        }
+        let all: Vec<u8> = digits.chunks_exact(2).map(|d| d[0] << 4 | d[1]).collect();
+        let mut header = Header { bytes: [0; 48], extra: all[48..].to_vec() };
+        header.bytes.copy_from_slice(&all[..48]);
+        Ok(header)
+    }
+}
+
 /// Cuts one direction of one stream.
 #[derive(Debug, Default)]
 pub struct Cutter {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/stand/src/fleet.rs
@@ -1,7 +1,6 @@
-//! Stand-in nodes with their racks and directory: what a day or an embedded default needs.
+//! Stand-in nodes with their racks and directory: what a day, a test or an embedded default needs.
 
-use pearfork_host::settings::HostPlan;
-use pearfork_stand::{Directory, Node, NodeSpec, Rack, Recorder, ShardStore};
+use crate::{Directory, Fault, Node, NodeSpec, Rack, Recorder, ShardStore};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -52,13 +51,13 @@
 }
 
 impl Fleet {
-    /// Starts all nodes, warm, and a directory that lists them at once and later changes `late`.
+    /// Starts all nodes, warm, with the cold figures that the hosts are told, and a directory that lists them at once and later changes `late`.
     ///
     /// # Errors
     /// No address or thread could be had.
     pub fn start(
         spec: &FleetSpec,
-        plan: &HostPlan,
+        told: &pearfork::Settings,
         directory: SocketAddr,
         late: Duration,
         recorder: &Recorder,
@@ -66,7 +65,7 @@
         let directory = Directory::start(directory, recorder.clone())?;
         let racks: Vec<Arc<Rack>> =
             (0..spec.racks.max(1)).map(|_| Arc::new(Rack::new(spec.repeats_dropped))).collect();
-        let m = &plan.module;
+        let m = told;
         let mut nodes = Vec::new();
         let shards = (spec.count / spec.replicas.max(1)).max(1);
         let stores: Vec<Arc<ShardStore>> = (0..shards).map(|_| Arc::default()).collect();
@@ -130,7 +129,7 @@
     /// The node begins to drain: it asks its peers to leave, and the directory lists it so.
     pub fn drain(&self, id: u32) {
         let node = self.node(id);
-        node.fault(pearfork_stand::Fault::AskLogout);
+        node.fault(Fault::AskLogout);
         self.list(node, "draining", self.late);
     }
 
--- a/crates/stand/src/lib.rs
+++ b/crates/stand/src/lib.rs
@@ -3,12 +3,14 @@
 
 mod client;
 mod directory;
+mod fleet;
 mod node;
 mod recorder;
 mod store;
 
 pub use client::{Client, ClientSpec, ClientTally};
 pub use directory::Directory;
+pub use fleet::{Fleet, FleetSpec};
 pub use node::{Fault, Node, NodeSpec};
 pub use recorder::Recorder;
 pub use store::{Rack, ShardStore};
--- a/crates/stand/src/recorder.rs
+++ b/crates/stand/src/recorder.rs
@@ -38,6 +38,11 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Microseconds since the record began.
+    pub fn elapsed_us(&self) -> u64 {
+        self.began.elapsed().as_micros() as u64
+    }
+
     /// Notes a thing now.
     pub fn note(&self, what: What) {
         if self.on {
