--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -281,10 +281,10 @@
                 let parts = [&id.to_le_bytes()[..], &node.to_le_bytes(), &within_ms.to_le_bytes()];
                 self.record(1000, who, &parts);
             }
-            Action::Refuse { id, retry_after_ms } => {
+            Action::Refuse { id, retry_after_ms, .. } => {
                 self.record(1010, who, &[&id.to_le_bytes(), &retry_after_ms.to_le_bytes()]);
             }
-            Action::Fail { id } => self.record(1020, who, &[&id.to_le_bytes()]),
+            Action::Fail { id, .. } => self.record(1020, who, &[&id.to_le_bytes()]),
             Action::Cancel { id, attempt } => {
                 self.record(1030, who, &[&id.to_le_bytes(), &attempt.to_le_bytes()]);
             }
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -14,6 +14,8 @@
     let cell = |row: &Map<String, Value>, key: &str| match row.get(key) {
         Some(Value::String(s)) => s.clone(),
         Some(Value::Null) | None => "-".to_owned(),
+        Some(Value::Object(m)) if m.is_empty() => "-".to_owned(),
+        Some(Value::Object(m)) => m.iter().map(|(k, v)| format!("{k} {v}")).collect::<Vec<_>>().join(", "),
         Some(other) => other.to_string(),
     };
     let mut lines: Vec<Vec<String>> = vec![keys.iter().map(|k| k.replace('_', " ")).collect()];
@@ -37,12 +39,12 @@
     fn columns_are_as_wide_as_their_widest_and_odd_rows_do_no_harm() {
         let rows = vec![
             serde_json::json!({"node": 1, "state": "ready"}),
-            serde_json::json!({"node": 12, "state": "draining", "more": true}),
+            serde_json::json!({"node": 12, "state": {"limit": 3, "rest": 1}, "more": true}),
             serde_json::json!({"state": null}),
             serde_json::json!(7),
         ];
         let lines = lay_out(&rows);
-        let want = "node  state\n1     ready\n12    draining\n-     -\n";
+        let want = "node  state\n1     ready\n12    limit 3, rest 1\n-     -\n";
         assert_eq!(lines, want);
         assert_eq!(lay_out(&[]), "none\n");
     }
--- /dev/null
+++ b/crates/day/benches/calm.rs
@@ -0,0 +1,93 @@
+//! Calm days: no trouble, no limit, a stated part of what the nodes can do, through 1, 2, 8 and 40 hosts. Who is refused,
+//! why, and what is late.
+//!
+//! `cargo bench -p pearfork-day --bench calm` prints a table for `docs/results/quiet.md`; `-- 0.7 8` plays one cell, a part of
+//! the power and a number of hosts. No figure here is a test.
+
+use pearfork_day::play;
+use pearfork_day::script::Day;
+use pearfork_host::settings::HostPlan;
+use std::collections::BTreeMap;
+
+const HOSTS: &str = include_str!("../days/bad-day-hosts.toml");
+/// Units a second of four nodes of two cores at 4 ms a unit.
+const POWER: f64 = 2_000.0;
+/// Units of a request of the exports in the mean: 0.6 of one unit, 0.4 of eight.
+const EXPORT_UNITS: f64 = 3.8;
+
+fn day(part: f64, hosts: u16) -> Day {
+    let clients = f64::from(hosts.max(4));
+    let (notes, exports) = (part * POWER * 0.6 / clients, part * POWER * 0.4 / EXPORT_UNITS / clients);
+    let text = format!(
+        r#"
+[day]
+length = "5s"
+seed = 7
+hosts = {hosts}
+margin = "500ms"
+[nodes]
+count = 4
+racks = 2
+cores = 2
+waiting = 24
+work = "4ms"
+deferred = 0.3
+repeats_dropped = "1.2s"
+[[client]]
+name = "notes"
+count = {clients}
+volume = "notes"
+rate = {notes}
+writes = 0.4
+flushes = 0.01
+[[client]]
+name = "exports"
+count = {clients}
+volume = "exports"
+rate = {exports}
+writes = 0.2
+large_part = 0.4
+"#
+    );
+    Day::from_toml(&text).expect("a day")
+}
+
+fn main() {
+    let plan = HostPlan::from_toml(HOSTS).expect("settings");
+    println!(
+        "| part of the nodes' power | hosts | taken | refused % | late % | p99 of notes, ms | by reason |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    let asked: Vec<f64> = std::env::args().filter_map(|a| a.parse().ok()).collect();
+    let wanted = |at: usize, value: f64| asked.get(at).is_none_or(|a| *a == value);
+    for part in [0.1, 0.25, 0.5, 0.7].into_iter().filter(|p| wanted(0, *p)) {
+        for hosts in [1u16, 2, 8, 40].into_iter().filter(|h| wanted(1, f64::from(*h))) {
+            let result = play(&day(part, hosts), &plan, |_, _| {}).expect("a day played");
+            assert!(result.rules.kept(), "\n{}", result.rules);
+            let sum = |f: fn(&pearfork_host::counts::ClassCounts) -> u64| -> u64 {
+                result.hosts.iter().flatten().map(f).sum()
+            };
+            let (taken, served) = (sum(|c| c.taken), sum(|c| c.served));
+            let mut reasons: BTreeMap<&str, u64> = BTreeMap::new();
+            for (reason, n) in result.reasons.iter().flat_map(|r| r.by_reason(|_| true)) {
+                *reasons.entry(reason.word()).or_default() += n;
+            }
+            let mut p99: Vec<f64> = result
+                .clients
+                .iter()
+                .filter(|(n, _)| n == "notes")
+                .map(|(_, t)| t.times.value_at_quantile(0.99) as f64 / 1e3)
+                .collect();
+            p99.sort_by(f64::total_cmp);
+            let words: Vec<String> = reasons.iter().map(|(r, n)| format!("{r} {n}")).collect();
+            println!(
+                "| {:.0} % | {hosts} | {taken} | {:.2} | {:.2} | {:.0} | {} |",
+                part * 100.0,
+                100.0 * sum(|c| c.refused + c.failed) as f64 / taken as f64,
+                100.0 * sum(|c| c.late) as f64 / served.max(1) as f64,
+                p99[p99.len() / 2],
+                words.join(", ")
+            );
+        }
+    }
+}
--- a/crates/day/benches/retries.rs
+++ b/crates/day/benches/retries.rs
@@ -70,7 +70,7 @@
 }
 
 fn row(r: &DayResult) -> Row {
-    let sum = |f: fn(&pearfork_host::dispatcher::ClassCounts) -> u64| r.hosts.iter().flatten().map(f).sum();
+    let sum = |f: fn(&pearfork_host::counts::ClassCounts) -> u64| r.hosts.iter().flatten().map(f).sum();
     let further = r.notes.iter().filter(|n| match &n.what {
         What::Pdu { place: Place::Node { .. }, sent: false, header, .. } => {
             NodeTag::find(&header.extra).is_some_and(|t| t.attempt > 0)
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod summary;
 
 pub use judge::{judge, judge_notes, JudgeError};
-pub use play::{play, DayError, DayResult};
+pub use play::{play, DayError, DayResult, During};
 
 /// A short bad day, and the settings of its hosts: what the demo plays.
 pub const DEMO: (&str, &str) =
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::script::{Day, EventKind, EventTable};
 use crate::{figures, judge_notes};
-use pearfork_host::dispatcher::ClassCounts;
+use pearfork_host::counts::{ClassCounts, ReasonCounts};
 use pearfork_host::settings::HostPlan;
 use pearfork_host::{Host, HostError};
 use pearfork_record::{Counted, Head, Recording, Said};
@@ -26,6 +26,56 @@
     Unfit(String),
 }
 
+/// Refusals and failures while the same troubles went on.
+#[derive(Clone, Debug)]
+pub struct During {
+    /// The troubles; none on a calm stretch.
+    pub troubles: Vec<String>,
+    /// For how long in all.
+    pub lasted: Duration,
+    /// What was refused and failed.
+    pub reasons: ReasonCounts,
+}
+
+/// Keeps refusals apart by what goes on.
+#[derive(Default)]
+struct Ledger {
+    during: Vec<During>,
+    /// What is under way, by its words.
+    under_way: Vec<String>,
+    since: Duration,
+    seen: ReasonCounts,
+    /// Counts of hosts that were killed since, by host.
+    lost: Vec<ReasonCounts>,
+}
+
+impl Ledger {
+    /// All that the hosts counted up to now, those that were killed included.
+    fn counts(&self, hosts: &[Option<Host>]) -> Vec<ReasonCounts> {
+        let one = |(i, host): (usize, &Option<Host>)| {
+            let mut all = self.lost.get(i).cloned().unwrap_or_default();
+            host.as_ref().and_then(Host::reason_counts).iter().for_each(|c| all.merge(c));
+            all
+        };
+        hosts.iter().enumerate().map(one).collect()
+    }
+
+    /// Closes the stretch that ends now.
+    fn close(&mut self, at: Duration, hosts: &[Option<Host>]) {
+        let mut all = ReasonCounts::default();
+        self.counts(hosts).iter().for_each(|c| all.merge(c));
+        let (reasons, lasted) = (all.since(&self.seen), at.saturating_sub(self.since));
+        match self.during.iter_mut().find(|d| d.troubles == self.under_way) {
+            Some(d) => {
+                d.reasons.merge(&reasons);
+                d.lasted += lasted;
+            }
+            None => self.during.push(During { troubles: self.under_way.clone(), lasted, reasons }),
+        }
+        (self.seen, self.since) = (all, at);
+    }
+}
+
 /// What came of a day.
 #[derive(Debug)]
 pub struct DayResult {
@@ -33,6 +83,10 @@
     pub clients: Vec<(String, ClientTally)>,
     /// Counts of each host by class.
     pub hosts: Vec<Vec<ClassCounts>>,
+    /// Refusals and failures of all hosts, by what went on at the time.
+    pub during: Vec<During>,
+    /// Those of each host.
+    pub reasons: Vec<ReasonCounts>,
     /// Names of the classes.
     pub class_names: Vec<String>,
     /// The seven rules.
@@ -67,7 +121,11 @@
             ..Head::default()
         };
         let counted = |(host, classes): (usize, &Vec<ClassCounts>)| {
-            let of_class = |(class, c): (&String, &ClassCounts)| Counted {
+            let reasons = |class: usize| {
+                let counts = self.reasons[host].by_reason(|k| usize::from(k.class) == class);
+                counts.into_iter().map(|(reason, n)| (reason.to_string(), n)).collect()
+            };
+            let of_class = |(i, (class, c)): (usize, (&String, &ClassCounts))| Counted {
                 host: host as u16,
                 class: class.clone(),
                 taken: c.taken,
@@ -76,9 +134,9 @@
                 refused: c.refused,
                 failed: c.failed,
                 abandoned: c.abandoned,
-                ..Counted::default()
+                reasons: reasons(i),
             };
-            self.class_names.iter().zip(classes).map(of_class).collect::<Vec<_>>()
+            self.class_names.iter().zip(classes).enumerate().map(of_class).collect::<Vec<_>>()
         };
         Recording {
             head,
@@ -148,12 +206,30 @@
     let steps = timeline(day);
     let began = Instant::now();
     let length = day.day.length.duration();
+    let mut ledger = Ledger { lost: vec![ReasonCounts::default(); hosts.len()], ..Ledger::default() };
     let (mut next_step, mut next_line) = (0, Duration::from_secs(1));
     while began.elapsed() < length {
         while steps.get(next_step).is_some_and(|(at, _)| began.elapsed() >= *at) {
+            ledger.close(began.elapsed(), &hosts);
             let words = match &steps[next_step].1 {
-                Step::Begin(e) => begin(e, &fleet, &mut hosts, &mut earlier, &clients, &recorder),
-                Step::End(e) => end(e, &fleet, &mut hosts, &plans, &clients)?,
+                Step::Begin(e) => {
+                    if let (EventKind::HostKill, Some(host)) = (e.what, e.host) {
+                        ledger.lost = ledger
+                            .counts(&hosts)
+                            .into_iter()
+                            .enumerate()
+                            .map(|(i, now)| if i == usize::from(host) { now } else { ledger.lost[i].clone() })
+                            .collect();
+                    }
+                    if e.lasts.is_some() {
+                        ledger.under_way.push(name(e));
+                    }
+                    begin(e, &fleet, &mut hosts, &mut earlier, &clients, &recorder)
+                }
+                Step::End(e) => {
+                    ledger.under_way.retain(|u| *u != name(e));
+                    end(e, &fleet, &mut hosts, &plans, &clients)?
+                }
             };
             said.push(Said { at_us: recorder.elapsed_us(), words: words.clone() });
             progress(began.elapsed(), &words);
@@ -169,6 +245,8 @@
     let longest = plan.module.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let within = Duration::from_secs_f64(longest / 1_000.0) + Duration::from_secs(1);
     let done: Vec<(String, ClientTally)> = clients.into_iter().map(|(n, c)| (n, c.finish(within))).collect();
+    ledger.close(began.elapsed(), &hosts);
+    let reasons = ledger.counts(&hosts);
     for (i, host) in hosts.iter().enumerate() {
         let counts = host.as_ref().and_then(Host::class_counts).unwrap_or_default();
         add(&mut earlier[i], &counts);
@@ -184,6 +262,8 @@
     Ok(DayResult {
         clients: done,
         hosts: earlier,
+        during: ledger.during,
+        reasons,
         class_names: plan.class_names.clone(),
         rules,
         notes,
@@ -342,13 +422,18 @@
 }
 
 fn words(e: &EventTable, verb: &str) -> String {
+    format!("{} {verb}", name(e))
+}
+
+/// A trouble and whom it strikes.
+fn name(e: &EventTable) -> String {
     let whom = match (e.node, e.host, &e.client) {
         (Some(n), ..) => format!(" node {n}"),
         (_, Some(h), _) => format!(" host {h}"),
         (.., Some(c)) => format!(" clients {c}"),
         _ => String::new(),
     };
-    format!("{:?}{whom} {verb}", e.what)
+    format!("{:?}{whom}", e.what)
 }
 
 fn line(clients: &[(String, Client)]) -> String {
--- a/crates/day/src/summary.rs
+++ b/crates/day/src/summary.rs
@@ -4,6 +4,7 @@
 use pearfork_cli::{Mark, Output};
 use pearfork_rulecheck::Report;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 /// One rule.
@@ -93,6 +94,17 @@
     pub stale: usize,
 }
 
+/// Why commands were refused or failed while the same troubles went on.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct DuringLine {
+    /// The troubles; none on a calm stretch.
+    pub troubles: Vec<String>,
+    /// For how long in all, seconds.
+    pub lasted_s: f64,
+    /// Commands by the module's reason.
+    pub reasons: BTreeMap<&'static str, u64>,
+}
+
 /// What came of a day.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Summary {
@@ -100,6 +112,8 @@
     pub right: bool,
     /// Answers by class.
     pub classes: Vec<ClassLine>,
+    /// Refusals and failures by what went on, and why.
+    pub during: Vec<DuringLine>,
     /// What clients saw.
     pub clients: Vec<ClientLine>,
     /// The first stale blocks, in words.
@@ -114,7 +128,7 @@
     /// Sums a day up.
     pub fn of(r: &DayResult) -> Summary {
         let class = |(i, name): (usize, &String)| {
-            let sum = |f: fn(&pearfork_host::dispatcher::ClassCounts) -> u64| -> u64 {
+            let sum = |f: fn(&pearfork_host::counts::ClassCounts) -> u64| -> u64 {
                 r.hosts.iter().map(|h| f(&h[i])).sum()
             };
             ClassLine {
@@ -139,9 +153,15 @@
                 stale: t.stale.len(),
             }
         };
+        let during = |d: &crate::During| DuringLine {
+            troubles: d.troubles.clone(),
+            lasted_s: d.lasted.as_secs_f64(),
+            reasons: d.reasons.by_reason(|_| true).into_iter().map(|(r, n)| (r.word(), n)).collect(),
+        };
         Summary {
             right: r.rules.kept() && r.stale().is_empty() && r.fallen.is_empty(),
             classes: r.class_names.iter().enumerate().map(class).collect(),
+            during: r.during.iter().map(during).collect(),
             clients: r.clients.iter().map(client).collect(),
             stale: r.stale().iter().take(5).map(|s| (*s).to_owned()).collect(),
             fallen: r.fallen.clone(),
@@ -169,6 +189,18 @@
                 c.class, c.taken, c.served, c.late, c.refused, c.failed, c.left
             );
         }
+        let _ = writeln!(
+            out,
+            "\n{}",
+            output.paint(Mark::Head, "refused or failed, by what went on and by reason")
+        );
+        for d in self.during.iter().filter(|d| !d.reasons.is_empty()) {
+            let troubles = if d.troubles.is_empty() { "calm".to_owned() } else { d.troubles.join(", ") };
+            let mut reasons: Vec<(&&str, &u64)> = d.reasons.iter().collect();
+            reasons.sort_by_key(|(_, n)| std::cmp::Reverse(**n));
+            let words: Vec<String> = reasons.iter().map(|(reason, n)| format!("{reason} {n}")).collect();
+            let _ = writeln!(out, "  {troubles} ({:.1} s): {}", d.lasted_s, words.join(", "));
+        }
         let _ = writeln!(out, "\n{}", output.paint(Mark::Head, "clients"));
         for c in &self.clients {
             let _ = writeln!(
--- a/crates/day/tests/day.rs
+++ b/crates/day/tests/day.rs
@@ -39,7 +39,7 @@
     assert_eq!(result.stale(), Vec::<&str>::new());
     assert!(result.fallen.is_empty(), "{:?}", result.fallen);
     // The day was bad, and it was a day: all kinds of answers were given, in numbers.
-    let sum = |f: fn(&pearfork_host::dispatcher::ClassCounts) -> u64| -> u64 {
+    let sum = |f: fn(&pearfork_host::counts::ClassCounts) -> u64| -> u64 {
         result.hosts.iter().flatten().map(f).sum()
     };
     let (taken, served, refused) = (sum(|c| c.taken), sum(|c| c.served), sum(|c| c.refused));
--- a/crates/host/src/dispatcher.rs
+++ b/crates/host/src/dispatcher.rs
@@ -4,12 +4,13 @@
 //! attempts, timers, the time-out of an attempt at the moment the module named, and one answer for a command
 //! whose parts have one each ([`crate::join`]).
 
+use crate::counts::{ClassCounts, NodeCounts, ReasonCounts};
 use crate::ids::RequestIds;
 use crate::join::{Join, PartEnd};
 use crate::settings::{HostPlan, Matching};
 use crate::volumes::{Part, VolumeId};
 use hdrhistogram::Histogram;
-use pearfork::{Action, Event, ListKind, NodeEntry, Outcome, Request, Scheduler, Verdict};
+use pearfork::{Action, Event, ListKind, NodeEntry, Outcome, Reason, Request, Scheduler, Verdict};
 use pearfork_iscsi::ext::{RepeatKey, Report, Tag};
 use pearfork_iscsi::Payload;
 use pearfork_scsi::Media;
@@ -154,7 +155,10 @@
     join: Join<Served>,
     requests: Vec<u32>,
     class: u16,
+    volume: VolumeId,
     arrived: f64,
+    /// Why the module refused or failed a part of it, the first time that it did.
+    reason: Option<Reason>,
 }
 
 struct Live {
@@ -199,46 +203,6 @@
     }
 }
 
-/// Counts of a class since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ClassCounts {
-    /// Commands taken.
-    pub taken: u64,
-    /// Commands served.
-    pub served: u64,
-    /// Of those, past the class's aim.
-    pub late: u64,
-    /// Commands refused.
-    pub refused: u64,
-    /// Commands failed.
-    pub failed: u64,
-    /// Commands whose client left first.
-    pub abandoned: u64,
-}
-
-/// Counts of a node since the host first sent to it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct NodeCounts {
-    /// Attempts sent.
-    pub sent: u64,
-    /// Of those, beyond a request's first.
-    pub further: u64,
-    /// By how they ended.
-    pub served: u64,
-    /// Errors.
-    pub errors: u64,
-    /// Turned away unseen.
-    pub full: u64,
-    /// Without an answer in time.
-    pub timed_out: u64,
-    /// Never sent for want of a connection.
-    pub connect_failed: u64,
-    /// Lost with the connection.
-    pub reset: u64,
-    /// Withdrawn.
-    pub cancelled: u64,
-}
-
 /// Drives one [`Scheduler`].
 pub struct Dispatcher {
     plan: Arc<HostPlan>,
@@ -257,6 +221,7 @@
     /// Answer times of served commands, microseconds.
     times: Vec<Histogram<u32>>,
     nodes: BTreeMap<u32, NodeCounts>,
+    reasons: ReasonCounts,
     listed: BTreeMap<u32, NodeEntry>,
 }
 
@@ -284,6 +249,7 @@
             classes: vec![ClassCounts::default(); plan.class_names.len()],
             times: vec![times; plan.class_names.len()],
             nodes: BTreeMap::new(),
+            reasons: ReasonCounts::default(),
             listed: BTreeMap::new(),
             matching: plan.matching.clone(),
             plan,
@@ -358,6 +324,20 @@
         &self.nodes
     }
 
+    /// Refusals and failures by class, volume and the module's reason.
+    pub fn reason_counts(&self) -> &ReasonCounts {
+        &self.reasons
+    }
+
+    /// What the requests without an answer wait for now, by the module's word.
+    pub fn waiting(&self, now: f64) -> BTreeMap<Reason, u64> {
+        let mut waiting = BTreeMap::new();
+        for (_, reason) in self.scheduler.waiting(now) {
+            *waiting.entry(reason).or_insert(0) += 1;
+        }
+        waiting
+    }
+
     /// The node list as last heard.
     pub fn listed(&self) -> &BTreeMap<u32, NodeEntry> {
         &self.listed
@@ -433,7 +413,8 @@
             requests.push(id);
         }
         let join = Join::new(parts.len(), rule.effect);
-        self.commands.insert(s.origin, Command { join, requests, class, arrived });
+        let (volume, reason) = (s.volume, None);
+        self.commands.insert(s.origin, Command { join, requests, class, volume, arrived, reason });
     }
 
     fn abandon(&mut self, origin: Origin) {
@@ -461,10 +442,10 @@
     fn carry_out(&mut self, now: f64, action: Action, out: &mut Vec<Effect>) {
         match action {
             Action::Send { id, node, within_ms } => self.send(now, id, node, within_ms, out),
-            Action::Refuse { id, retry_after_ms } => {
-                self.part_ends(now, id, PartEnd::Refused(retry_after_ms), out)
+            Action::Refuse { id, retry_after_ms, reason } => {
+                self.part_ends(now, id, PartEnd::Refused(retry_after_ms), Some(reason), out)
             }
-            Action::Fail { id } => self.part_ends(now, id, PartEnd::Failed, out),
+            Action::Fail { id, reason } => self.part_ends(now, id, PartEnd::Failed, Some(reason), out),
             Action::Cancel { id, attempt } => {
                 self.withdraw(now, AttemptId { request: id, number: attempt }, Verdict::Cancelled, out);
             }
@@ -543,7 +524,7 @@
         let verdict = match ended {
             Ended::Served(served) => {
                 counts.served += 1;
-                self.part_ends(now, id.request, PartEnd::Served(served), out);
+                self.part_ends(now, id.request, PartEnd::Served(served), None, out);
                 Verdict::Served
             }
             Ended::Error => {
@@ -584,9 +565,17 @@
         }));
     }
 
-    fn part_ends(&mut self, now: f64, id: u32, end: PartEnd<Served>, out: &mut Vec<Effect>) {
+    fn part_ends(
+        &mut self,
+        now: f64,
+        id: u32,
+        end: PartEnd<Served>,
+        reason: Option<Reason>,
+        out: &mut Vec<Effect>,
+    ) {
         let Some(live) = self.requests.remove(&id) else { return };
         let Some(command) = self.commands.get_mut(&live.origin) else { return };
+        command.reason = command.reason.or(reason);
         let Some(end) = command.join.end(live.part, end) else { return };
         let counts = &mut self.classes[usize::from(command.class)];
         let answer = match end {
@@ -607,6 +596,16 @@
                 Final::Failed
             }
         };
+        if let (Some(reason), Final::Refused { .. } | Final::Failed) = (command.reason, &answer) {
+            let failed = answer == Final::Failed;
+            let (class, volume) = (command.class, command.volume);
+            if self.reasons.add(now, class, volume, reason, failed) {
+                let verb = if failed { "failed" } else { "refused" };
+                let class = &self.plan.class_names[usize::from(class)];
+                let volume = &self.plan.volumes[volume.0 as usize].name;
+                out.push(Effect::Log(format!("{verb}, {reason}: {class} on volume {volume}")));
+            }
+        }
         self.commands.remove(&live.origin);
         out.push(Effect::Answer(live.origin, answer));
     }
--- a/crates/host/src/engine.rs
+++ b/crates/host/src/engine.rs
@@ -1,11 +1,10 @@
 //! The one thread that owns a host's dispatcher, and the clock that it lives by.
 
-use crate::dispatcher::{
-    AttemptId, ClassCounts, Dispatcher, Effect, Ended, Final, Input, NodeCounts, Origin,
-};
+use crate::counts::{ClassCounts, NodeCounts, ReasonCounts};
+use crate::dispatcher::{AttemptId, Dispatcher, Effect, Ended, Final, Input, Origin};
 use crate::links::Links;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
-use pearfork::NodeEntry;
+use pearfork::{NodeEntry, Reason};
 use pearfork_iscsi::ext::Report;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -63,6 +62,8 @@
     pub(crate) nodes: BTreeMap<u32, NodeCounts>,
     pub(crate) listed: BTreeMap<u32, NodeEntry>,
     pub(crate) open: usize,
+    pub(crate) reasons: ReasonCounts,
+    pub(crate) waiting: BTreeMap<Reason, u64>,
 }
 
 /// Whom effects go to. Neither call may block.
@@ -110,6 +111,8 @@
                         nodes: dispatcher.node_counts().clone(),
                         listed: dispatcher.listed().clone(),
                         open: dispatcher.open_commands(),
+                        reasons: dispatcher.reason_counts().clone(),
+                        waiting: dispatcher.waiting(clock.now_ms()),
                     });
                 }
                 Message::StandStill(span) => std::thread::sleep(span),
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -1,7 +1,8 @@
 //! A host put together: engine, front, links, directory and status.
 
+use crate::counts::{ClassCounts, NodeCounts, ReasonCounts};
 use crate::directory::{Ask, Watcher};
-use crate::dispatcher::{ClassCounts, Dispatcher, Final, Input, NodeCounts, Origin};
+use crate::dispatcher::{Dispatcher, Final, Input, Origin};
 use crate::engine::{self, Clock, Message, Outside, Snapshot};
 use crate::front::{Door, Front};
 use crate::links::Links;
@@ -188,6 +189,11 @@
         snapshot(&self.engine).map(|s| s.classes)
     }
 
+    /// Refusals and failures by class, volume and the module's reason.
+    pub fn reason_counts(&self) -> Option<ReasonCounts> {
+        snapshot(&self.engine).map(|s| s.reasons)
+    }
+
     /// Counts by node.
     pub fn node_counts(&self) -> Option<BTreeMap<u32, NodeCounts>> {
         snapshot(&self.engine).map(|s| s.nodes)
--- a/crates/host/src/status.rs
+++ b/crates/host/src/status.rs
@@ -2,9 +2,10 @@
 
 use crate::engine::Snapshot;
 use crate::settings::HostPlan;
-use pearfork::Condition;
+use pearfork::{Condition, Reason};
 use pearfork_net::http::{Answer, Call, Method};
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 #[derive(Serialize)]
@@ -28,7 +29,9 @@
     target: &'a str,
     lun: u16,
     bytes: u64,
-    plan: u16,
+    plan: &'a str,
+    refused: BTreeMap<&'static str, u64>,
+    failed: BTreeMap<&'static str, u64>,
 }
 
 /// What a host can be asked to do over HTTP.
@@ -61,7 +64,7 @@
         "/health" => health(&snapshot, sessions, draining),
         "/metrics" => Answer::ok("text/plain; version=0.0.4", metrics(plan, &snapshot, sessions)),
         "/nodes" => json(&nodes(&snapshot)),
-        "/volumes" => json(&volumes(plan)),
+        "/volumes" => json(&volumes(plan, &snapshot)),
         _ => Answer::error(404, "there are /health, /metrics, /nodes and /volumes"),
     }
 }
@@ -105,11 +108,24 @@
     snapshot.listed.values().map(status).collect()
 }
 
-fn volumes(plan: &HostPlan) -> Vec<VolumeStatus<'_>> {
+fn words(counts: BTreeMap<Reason, u64>) -> BTreeMap<&'static str, u64> {
+    counts.into_iter().map(|(reason, n)| (reason.word(), n)).collect()
+}
+
+fn volumes<'a>(plan: &'a HostPlan, s: &Snapshot) -> Vec<VolumeStatus<'a>> {
     let status = |v| {
-        let v: &crate::volumes::Volume = v;
+        let v: &'a crate::volumes::Volume = v;
+        let of = |failed| words(s.reasons.by_reason(|k| k.volume == v.id && k.failed == failed));
         let bytes = v.unit.blocks * u64::from(v.unit.block_len);
-        VolumeStatus { name: &v.name, target: &v.target, lun: v.unit_number, bytes, plan: v.plan }
+        VolumeStatus {
+            name: &v.name,
+            target: &v.target,
+            lun: v.unit_number,
+            bytes,
+            plan: &plan.plan_names[usize::from(v.plan)],
+            refused: of(false),
+            failed: of(true),
+        }
     };
     plan.volumes.iter().map(status).collect()
 }
@@ -132,7 +148,7 @@
             answers.push((format!("{{class=\"{name}\",answer=\"{answer}\"}}"), n as f64));
         }
     }
-    let by_class = |f: fn(&crate::dispatcher::ClassCounts) -> u64| {
+    let by_class = |f: fn(&crate::counts::ClassCounts) -> u64| {
         classes().map(|(name, c)| (format!("{{class=\"{name}\"}}"), f(c) as f64)).collect()
     };
     family("commands_taken_total", "counter", "Commands taken.", by_class(|c| c.taken));
@@ -143,6 +159,21 @@
         "Commands served past the aim of their class.",
         by_class(|c| c.late),
     );
+    let mut reasons = Vec::new();
+    for (i, name) in plan.class_names.iter().enumerate() {
+        for (answer, failed) in [("refused", false), ("failed", true)] {
+            let counts = s.reasons.by_reason(|k| usize::from(k.class) == i && k.failed == failed);
+            for (reason, n) in counts {
+                reasons.push((
+                    format!("{{class=\"{name}\",answer=\"{answer}\",reason=\"{reason}\"}}"),
+                    n as f64,
+                ));
+            }
+        }
+    }
+    family("not_served_total", "counter", "Commands refused or failed, by what decided it.", reasons);
+    let waiting = s.waiting.iter().map(|(r, n)| (format!("{{reason=\"{r}\"}}"), *n as f64)).collect();
+    family("waiting", "gauge", "Requests without an answer, by what they wait for.", waiting);
     let mut times = Vec::new();
     for (name, t) in plan.class_names.iter().zip(&s.times_us) {
         for (q, us) in ["0.5", "0.9", "0.99", "0.999"].iter().zip(t) {
--- a/crates/report/tests/report.rs
+++ b/crates/report/tests/report.rs
@@ -15,6 +15,11 @@
     let (day, plan) = (Day::from_toml(DAY).unwrap(), HostPlan::from_toml(DEMO.1).unwrap());
     let result = play(&day, &plan, |_, _| {}).unwrap();
     let mut recording = result.recording("a <script>alert(1)</script> day", &day, &plan);
+    // Each refusal and failure has its reason, and one only.
+    for c in &mut recording.counted {
+        assert_eq!(c.reasons.values().sum::<u64>(), c.refused + c.failed, "{c:?}");
+        c.reasons.clear();
+    }
     recording.counted[0].reasons.insert("prediction".to_owned(), 4);
     recording.counted[1].reasons.insert("prediction".to_owned(), 3);
     recording.counted[1].reasons.insert("limit".to_owned(), 9);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -380,6 +380,101 @@
     },
 }
 
+/// What decided that a request was refused, failed, or waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// It makes no sense: an unknown class or plan, a size or time that is no number.
+    Unfit,
+    /// The envelope test: with it, a class at its node would miss its aim.
+    Envelope,
+    /// The wait predicted from what the node reported leaves too little of an aim.
+    Prediction,
+    /// It gave way to a request that is worth more for its work.
+    Standing,
+    /// As many are out at its node as the in-flight limit allows.
+    InFlight,
+    /// Its node, or every node it may go to, turned it away unseen.
+    NodeFull,
+    /// Its node rests: it turned others away or could not be reached.
+    Rest,
+    /// No node that may take it is ready: drained, gone, or not in the list.
+    NoNode,
+    /// Its node started a while ago and bears no more yet.
+    Cold,
+    /// Its volume is at its limit.
+    Limit,
+    /// The retry budget is used up.
+    Budget,
+    /// An earlier request on its data item is not over, or its rest is not.
+    Order,
+    /// A pause before a further attempt.
+    Pause,
+    /// Past its aim already, it waits until nothing else is out at its node.
+    Late,
+    /// A further attempt could do harm, or would be one too many.
+    Repeat,
+    /// Its node answered with an error.
+    NodeError,
+    /// Its node could not be reached, or the connection was lost.
+    Unreached,
+    /// Its node has not answered.
+    Silent,
+}
+
+impl Reason {
+    /// All of them.
+    pub const ALL: [Reason; 18] = [
+        Reason::Unfit,
+        Reason::Envelope,
+        Reason::Prediction,
+        Reason::Standing,
+        Reason::InFlight,
+        Reason::NodeFull,
+        Reason::Rest,
+        Reason::NoNode,
+        Reason::Cold,
+        Reason::Limit,
+        Reason::Budget,
+        Reason::Order,
+        Reason::Pause,
+        Reason::Late,
+        Reason::Repeat,
+        Reason::NodeError,
+        Reason::Unreached,
+        Reason::Silent,
+    ];
+
+    /// A word for it, the same in metrics, logs, reports and the operators' page of reasons.
+    pub fn word(self) -> &'static str {
+        match self {
+            Reason::Unfit => "unfit",
+            Reason::Envelope => "envelope",
+            Reason::Prediction => "prediction",
+            Reason::Standing => "standing",
+            Reason::InFlight => "in-flight",
+            Reason::NodeFull => "node-full",
+            Reason::Rest => "rest",
+            Reason::NoNode => "no-node",
+            Reason::Cold => "cold",
+            Reason::Limit => "limit",
+            Reason::Budget => "budget",
+            Reason::Order => "order",
+            Reason::Pause => "pause",
+            Reason::Late => "late",
+            Reason::Repeat => "repeat",
+            Reason::NodeError => "node-error",
+            Reason::Unreached => "unreached",
+            Reason::Silent => "silent",
+        }
+    }
+}
+
+impl std::fmt::Display for Reason {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.word())
+    }
+}
+
 /// What the host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -398,11 +493,15 @@
         id: u32,
         /// When the client may come again.
         retry_after_ms: f64,
+        /// What decided it.
+        reason: Reason,
     },
     /// Final answer: failed, nothing is promised.
     Fail {
         /// The request.
         id: u32,
+        /// What decided it.
+        reason: Reason,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -235,8 +235,8 @@
             }
             Event::Timer { label: TIMER_WATCH } => actions.push(Action::Watch(true)),
             Event::Timer { label } => {
-                if let Ok(id) = u32::try_from(label) {
-                    self.answer(now, id, 0.0, actions);
+                if let Some(r) = u32::try_from(label).ok().and_then(|id| self.books.requests.get(&id)) {
+                    self.answer(now, r.q.id, 0.0, self.held_by(now, r), actions);
                 }
             }
             Event::Message { .. } | Event::Probed { .. } => {}
@@ -253,7 +253,7 @@
         let known = usize::from(q.class) < self.settings.classes.len()
             && usize::from(q.plan) < self.settings.plans.len();
         if !known || !q.units.is_finite() || q.units < 0.0 || !q.valid_until_ms.is_finite() {
-            actions.push(Action::Refuse { id: q.id, retry_after_ms: 0.0 });
+            actions.push(Action::Refuse { id: q.id, retry_after_ms: 0.0, reason: Reason::Unfit });
             return;
         }
         let all = f64::from(self.settings.hosts);
@@ -280,7 +280,9 @@
         let fits = predicted >= 0.0;
         let room = self.room(node, usize::from(q.class), now);
         if (room < 0.0 || !fits) && !self.make_way(now, q.id, node, fits, actions) {
-            self.answer(now, q.id, if fits { -room } else { -predicted / DRAIN }, actions);
+            let (wait, reason) =
+                if fits { (-room, Reason::Envelope) } else { (-predicted / DRAIN, Reason::Prediction) };
+            self.answer(now, q.id, wait, reason, actions);
             return;
         }
         self.hold(now, q.id, node);
@@ -453,7 +455,7 @@
             never_sent.map(|r| (self.worth(r, n.sojourn, now).0, r.q.id)).min_by(|a, b| a.0.total_cmp(&b.0));
         match least {
             Some((worth, victim)) if worth * GIVE_WAY < own => {
-                self.answer(now, victim, n.sojourn, actions);
+                self.answer(now, victim, n.sojourn, Reason::Standing, actions);
                 true
             }
             _ => false,
@@ -491,7 +493,7 @@
             for id in &n.held {
                 let Some(r) = self.books.requests.get(id) else { continue };
                 let same = run_on && r.q.key == n.last_key;
-                if (full && !same) || r.q.units > cold || !self.may_send(now, r) {
+                if (full && !same) || r.q.units > cold || self.barred(now, r).is_some() {
                     continue;
                 }
                 let (worth, slack) = self.worth(r, n.sojourn, now);
@@ -579,7 +581,15 @@
                 None if again => self.books.unplaced.push(o.id),
                 // The attempt beside it may still be served.
                 None if other => {}
-                None => self.answer(now, o.id, 0.0, actions),
+                None => {
+                    let reason = match o.verdict {
+                        Verdict::Full => Reason::NodeFull,
+                        Verdict::ConnectFailed | Verdict::Reset => Reason::Unreached,
+                        Verdict::TimedOut | Verdict::Cancelled => Reason::Silent,
+                        Verdict::Served | Verdict::Error | Verdict::Moot => Reason::NodeError,
+                    };
+                    self.answer(now, o.id, 0.0, reason, actions);
+                }
             }
         }
         self.pump(now, f.node, actions);
@@ -695,7 +705,7 @@
     }
 
     /// The final answer where it was not served: refused if that does no harm, failed otherwise.
-    fn answer(&mut self, now: f64, id: u32, wait: f64, actions: &mut Vec<Action>) {
+    fn answer(&mut self, now: f64, id: u32, wait: f64, reason: Reason, actions: &mut Vec<Action>) {
         let Some(r) = self.books.requests.get(&id) else { return };
         let class = &self.settings.classes[usize::from(r.q.class)];
         let harmless = match class.effect {
@@ -707,9 +717,9 @@
             // The client comes again when the excess should be gone, and with time left for its try.
             let left = (r.q.valid_until_ms - now).max(0.0) / 2.0;
             let retry_after_ms = wait.clamp(0.0, left.min(self.settings.max_retry_after_ms));
-            actions.push(Action::Refuse { id, retry_after_ms });
+            actions.push(Action::Refuse { id, retry_after_ms, reason });
         } else {
-            actions.push(Action::Fail { id });
+            actions.push(Action::Fail { id, reason });
         }
         if self.settings.cancel && r.outstanding > 0 {
             let out = self.books.flights.range((id, 0)..=(id, u16::MAX)).map(|((_, attempt), _)| *attempt);
@@ -720,24 +730,56 @@
 
     // ---- Guards ----------------------------------------------------------------------------------------
 
-    /// Guard, limits, retry budget and order: whether this request may be sent at all now.
-    fn may_send(&self, now: f64, r: &Held) -> bool {
+    /// Guard, limits, retry budget and order: what stands against sending this request at all now.
+    fn barred(&self, now: f64, r: &Held) -> Option<Reason> {
         let plan = &self.settings.plans[usize::from(r.q.plan)];
         if plan.limit > 0.0 && !r.charged {
-            let Some(v) = self.books.volumes.get(&r.q.volume) else { return false };
-            if v.filled(now, plan, r.q.volume_hosts) < r.q.units {
-                return false;
+            let filled = |v: &Volume| v.filled(now, plan, r.q.volume_hosts);
+            if self.books.volumes.get(&r.q.volume).map_or(true, |v| filled(v) < r.q.units) {
+                return Some(Reason::Limit);
             }
         }
         if self.settings.classes[usize::from(r.q.class)].ordered && r.q.key != 0 {
             if let Some(lane) = self.books.lanes.get(&r.q.key) {
                 let turn = lane.queue.front() == Some(&r.q.id);
                 if !turn || (r.tries == 0 && (lane.outstanding > 0 || now < lane.rest_until)) {
-                    return false;
+                    return Some(Reason::Order);
                 }
             }
         }
-        r.tries == 0 || (now >= r.not_before && self.may_resend(now, r) && self.extra_left(now))
+        match r.tries {
+            0 => None,
+            _ if now < r.not_before => Some(Reason::Pause),
+            _ if !self.may_resend(now, r) => Some(Reason::Repeat),
+            _ => (!self.extra_left(now)).then_some(Reason::Budget),
+        }
+    }
+
+    /// What a request waits for that has no answer yet.
+    fn held_by(&self, now: f64, r: &Held) -> Reason {
+        let node = r.node.and_then(|n| self.books.nodes.get(&n));
+        let Some(n) = node.filter(|n| n.e.condition == Condition::Ready) else {
+            return if r.outstanding > 0 { Reason::Silent } else { Reason::NoNode };
+        };
+        let late = n.out > 0 && self.worth(r, n.sojourn, now).1 < 0.0;
+        match self.barred(now, r) {
+            _ if r.outstanding > 0 => Reason::Silent,
+            Some(reason) => reason,
+            None if r.q.units > self.cold_room(n, now) => Reason::Cold,
+            None if now < n.rest_until => Reason::Rest,
+            None => {
+                if late {
+                    Reason::Late
+                } else {
+                    Reason::InFlight
+                }
+            }
+        }
+    }
+
+    /// What each request that has no answer waits for now: for people, and of no effect.
+    pub fn waiting(&self, now: f64) -> impl Iterator<Item = (u32, Reason)> + '_ {
+        self.books.requests.values().map(move |r| (r.q.id, self.held_by(now, r)))
     }
 
     /// Guard, no effect twice: whether another attempt can do no harm.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -9,7 +9,7 @@
 }
 
 fn failed(actions: &[Action], id: u32) -> bool {
-    actions.contains(&Action::Fail { id })
+    actions.iter().any(|a| matches!(a, Action::Fail { id: i, .. } if *i == id))
 }
 
 fn answered(actions: &[(f64, Action)], id: u32) -> Option<f64> {
--- a/tests/storm.rs
+++ b/tests/storm.rs
@@ -58,7 +58,7 @@
                     self.send(now, *id, *node);
                 }
                 Action::Refuse { id, .. } => self.answer(now, *id, true),
-                Action::Fail { id } => self.answer(now, *id, false),
+                Action::Fail { id, .. } => self.answer(now, *id, false),
                 _ => {}
             }
         }
