The limit's guard looks at a node only where a volume's limit makes a request wait

Most requests have no limit; each paid two look-ups for a comparison that could not hold. The same decision, said simpler.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -277,7 +277,7 @@
         };
         self.stand(now, q.id);
         let limited = self.limit_wait(now, q.id);
-        if limited > self.spare_time(now, q.id, node).max(0.0) {
+        if limited > 0.0 && limited > self.spare_time(now, q.id, node) {
             self.answer(now, q.id, limited, Reason::Limit, actions);
             return;
         }
