One look at the engine, one judged record, one way to run a program

A look now takes what it wants. Class counts and reasons of a killed host are of one moment, and kept in one place instead of two. - A record was put together twice for a report, and its volumes were looked up by three copies of one closure: `judge` gives the trace along. Nodes of a report are counted in one pass, not one for each node; reasons on /volumes and /metrics likewise, not one for each volume. - Parsing, log, errors and exit of the seven programs are `pearfork_cli::run`; variables and flags over settings are `over`. All tests as they were, and green.

--- a/crates/check/src/main.rs
+++ b/crates/check/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use pearfork_check::{file_with, request};
 use pearfork_cli::{Common, Exit, Mark, Output, SettingsArguments};
-use pearfork_host::settings::{HostPlan, Overrides};
+use pearfork_host::settings::HostPlan;
 use pearfork_match::Gravity;
 use serde::Serialize;
 use std::path::{Path, PathBuf};
@@ -77,29 +77,28 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = match pearfork_cli::parse::<Arguments>() {
-        Ok(arguments) => arguments,
-        Err(end) => return end,
-    };
+    pearfork_cli::run(work)
+}
+
+fn work(arguments: Arguments) -> Result<Exit, String> {
     let output = arguments.common.output;
-    let done = match arguments.command {
+    match arguments.command {
         Command::Files { files, set } => Ok(check(&files, set, output)),
         Command::Explain { key, settings } => value(&key, &settings, output),
         Command::Resolve { settings } => resolve(&settings, output),
         Command::Migrate { files, check } => migrate(&files, check, output),
         Command::Request { settings, asked } => request(&settings, &asked, output),
         Command::Format { files, check } => format(&files, check, output),
-    };
-    pearfork_cli::end("pearfork-check", done)
+    }
 }
 
 fn load(settings: &SettingsArguments) -> Result<HostPlan, String> {
-    let over = Overrides::new(pearfork_cli::environment(), settings.set.clone());
-    HostPlan::load_with(&settings.config, &over).map_err(|e| format!("the settings are refused\n{e}"))
+    HostPlan::load_with(&settings.config, &settings.over())
+        .map_err(|e| format!("the settings are refused\n{e}"))
 }
 
 fn check(files: &[PathBuf], set: Vec<String>, output: Output) -> Exit {
-    let over = Overrides::new(pearfork_cli::environment(), set);
+    let over = pearfork_cli::over(set);
     let mut end = Exit::Fine;
     for path in files {
         let v = file_with(path, &over);
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -7,6 +7,7 @@
 pub use output::{Color, Mark, Output};
 
 use clap::{CommandFactory, Parser, ValueEnum};
+use pearfork_layers::Overrides;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -85,44 +86,43 @@
 /// Variables of the environment that settings are taken from begin so.
 pub const VARIABLES: &str = "PEARFORK__";
 
-/// Those variables of this process, by name.
-pub fn environment() -> Vec<(String, String)> {
-    let mut all: Vec<(String, String)> = std::env::vars_os()
-        .filter_map(|(name, value)| Some((name.into_string().ok()?, value)))
-        .filter(|(name, _)| name.starts_with(VARIABLES))
-        .map(|(name, value)| (name, value.to_string_lossy().into_owned()))
-        .collect();
-    all.sort();
-    all
+impl SettingsArguments {
+    /// What goes over the file.
+    pub fn over(&self) -> Overrides {
+        over(self.set.clone())
+    }
+}
+
+/// The variables of this process, and flags over them.
+pub fn over(set: Vec<String>) -> Overrides {
+    let variables = std::env::vars_os()
+        .filter_map(|(name, value)| Some((name.into_string().ok()?, value.to_string_lossy().into_owned())))
+        .filter(|(name, _)| name.starts_with(VARIABLES));
+    Overrides::new(variables.collect(), set)
 }
 
-/// Parses the arguments and begins to log. `--generate man` prints the program's man page, `--generate
+/// Runs a program: parses its arguments, begins to log, does the work, and ends as that did; what went wrong goes to
+/// standard error under the program's name. `--generate man` prints its man page instead, `--generate
 /// bash|zsh|fish|elvish|powershell` its completions.
-///
-/// # Errors
-/// How to end where that was all that was wanted.
-pub fn parse<P: Parser + CommandFactory + AsRef<Common>>() -> Result<P, ExitCode> {
+pub fn run<P: Parser + CommandFactory + AsRef<Common>>(
+    work: impl FnOnce(P) -> Result<Exit, String>,
+) -> ExitCode {
     let arguments: Vec<String> = std::env::args_os().map(|a| a.to_string_lossy().into_owned()).collect();
     if let [_, flag, what] = &arguments[..] {
         if flag == "--generate" {
-            return Err(generate::print(&mut P::command(), what).into());
+            return generate::print(&mut P::command(), what).into();
         }
     }
     let parsed = P::parse();
-    match parsed.as_ref().start_log() {
-        Ok(()) => Ok(parsed),
+    let end = match parsed.as_ref().start_log() {
+        Ok(()) => work(parsed).unwrap_or_else(|e| {
+            eprintln!("{}: {e}", P::command().get_name());
+            Exit::Unusable
+        }),
         Err(e) => {
             eprintln!("{e}");
-            Err(Exit::Unusable.into())
+            Exit::Unusable
         }
-    }
-}
-
-/// Ends as the work did; what went wrong goes to standard error under the program's name.
-pub fn end(program: &str, done: Result<Exit, String>) -> ExitCode {
-    done.unwrap_or_else(|e| {
-        eprintln!("{program}: {e}");
-        Exit::Unusable
-    })
-    .into()
+    };
+    end.into()
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -35,11 +35,7 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 
 fn main() -> ExitCode {
-    let a = match pearfork_cli::parse::<Arguments>() {
-        Ok(arguments) => arguments,
-        Err(end) => return end,
-    };
-    pearfork_cli::end("pearfork-ctl", run(&a))
+    pearfork_cli::run(|a: Arguments| run(&a))
 }
 
 fn run(a: &Arguments) -> Result<Exit, String> {
--- a/crates/day/src/judge.rs
+++ b/crates/day/src/judge.rs
@@ -3,7 +3,8 @@
 use crate::figures;
 use pearfork_host::settings::{HostPlan, SettingsFaults};
 use pearfork_record::Recording;
-use pearfork_rulecheck::{check, Figures, Note, Report};
+use pearfork_rulecheck::trace::Trace;
+use pearfork_rulecheck::{check_trace, Figures, Note, Report};
 use pearfork_scsi::unit_of;
 
 /// A record that can't be judged.
@@ -14,21 +15,33 @@
     Settings(#[from] SettingsFaults),
 }
 
+/// A record, put together and judged.
+#[derive(Debug)]
+pub struct Judged {
+    /// The seven rules.
+    pub report: Report,
+    /// Commands and attempts.
+    pub trace: Trace,
+    /// What they were judged by.
+    pub figures: Figures,
+}
+
 /// The seven rules over notes of hosts with a plan. In a day each volume has a unit number of its own.
-pub fn judge_notes(notes: &[Note], plan: &HostPlan, figures: &Figures) -> Report {
+pub fn judge_notes(notes: &[Note], plan: &HostPlan, figures: Figures) -> Judged {
     let volume_of = |_: u16, lun: u64| {
         let unit = unit_of(lun)?;
         plan.volumes.iter().find(|v| v.unit_number == unit).map(|v| v.id.0)
     };
-    check(notes, figures, &volume_of)
+    let trace = Trace::read(notes, &figures, &volume_of);
+    Judged { report: check_trace(notes, &trace, &figures), trace, figures }
 }
 
-/// The seven rules over a record, with the plan and the figures that they were judged by.
+/// The seven rules over a record, by the settings in it.
 ///
 /// # Errors
-/// Its settings make no plan.
-pub fn judge(recording: &Recording) -> Result<(Report, HostPlan, Figures), JudgeError> {
+/// They make no plan.
+pub fn judge(recording: &Recording) -> Result<Judged, JudgeError> {
     let plan = HostPlan::from_toml(&recording.head.settings)?;
     let figures = figures::of_plan(&plan, recording.head.margin_ms, recording.head.began_ms);
-    Ok((judge_notes(&recording.notes, &plan, &figures), plan, figures))
+    Ok(judge_notes(&recording.notes, &plan, figures))
 }
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod script;
 pub mod summary;
 
-pub use judge::{judge, judge_notes, JudgeError};
+pub use judge::{judge, judge_notes, JudgeError, Judged};
 pub use play::{play, DayError, DayResult, During};
 
 /// A short bad day, and the settings of its hosts: what the demo plays.
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -45,25 +45,38 @@
     under_way: Vec<String>,
     since: Duration,
     seen: ReasonCounts,
-    /// Counts of hosts that were killed since, by host.
-    lost: Vec<ReasonCounts>,
+    /// What each host counted up to the last time that it was killed.
+    lost: Vec<Counts>,
 }
 
+/// By class, and refusals and failures by reason.
+type Counts = (Vec<ClassCounts>, ReasonCounts);
+
 impl Ledger {
-    /// All that the hosts counted up to now, those that were killed included.
-    fn counts(&self, hosts: &[Option<Host>]) -> Vec<ReasonCounts> {
-        let one = |(i, host): (usize, &Option<Host>)| {
-            let mut all = self.lost.get(i).cloned().unwrap_or_default();
-            host.as_ref().and_then(Host::reason_counts).iter().for_each(|c| all.merge(c));
-            all
-        };
-        hosts.iter().enumerate().map(one).collect()
+    fn new(hosts: usize, classes: usize) -> Ledger {
+        let none = (vec![ClassCounts::default(); classes], ReasonCounts::default());
+        Ledger { lost: vec![none; hosts], ..Ledger::default() }
+    }
+
+    /// All that a host counted up to now, before it was killed included.
+    fn counts(&self, number: usize, host: Option<&Host>) -> Counts {
+        let (mut classes, mut reasons) = self.lost[number].clone();
+        if let Some((own, why)) = host.and_then(Host::counts) {
+            classes.iter_mut().zip(&own).for_each(|(sum, c)| sum.merge(c));
+            reasons.merge(&why);
+        }
+        (classes, reasons)
+    }
+
+    /// A host is about to be killed.
+    fn lose(&mut self, number: usize, host: &Host) {
+        self.lost[number] = self.counts(number, Some(host));
     }
 
     /// Closes the stretch that ends now.
     fn close(&mut self, at: Duration, hosts: &[Option<Host>]) {
         let mut all = ReasonCounts::default();
-        self.counts(hosts).iter().for_each(|c| all.merge(c));
+        hosts.iter().enumerate().for_each(|(i, h)| all.merge(&self.counts(i, h.as_ref()).1));
         let (reasons, lasted) = (all.since(&self.seen), at.saturating_sub(self.since));
         match self.during.iter_mut().find(|d| d.troubles == self.under_way) {
             Some(d) => {
@@ -200,31 +213,21 @@
         hosts.push(Some(host));
         plans.push(own);
     }
-    let mut earlier: Vec<Vec<ClassCounts>> =
-        vec![vec![ClassCounts::default(); plan.class_names.len()]; hosts.len()];
     let clients = start_clients(day, plan, &plans, &recorder)?;
     let steps = timeline(day);
     let began = Instant::now();
     let length = day.day.length.duration();
-    let mut ledger = Ledger { lost: vec![ReasonCounts::default(); hosts.len()], ..Ledger::default() };
+    let mut ledger = Ledger::new(hosts.len(), plan.class_names.len());
     let (mut next_step, mut next_line) = (0, Duration::from_secs(1));
     while began.elapsed() < length {
         while steps.get(next_step).is_some_and(|(at, _)| began.elapsed() >= *at) {
             ledger.close(began.elapsed(), &hosts);
             let words = match &steps[next_step].1 {
                 Step::Begin(e) => {
-                    if let (EventKind::HostKill, Some(host)) = (e.what, e.host) {
-                        ledger.lost = ledger
-                            .counts(&hosts)
-                            .into_iter()
-                            .enumerate()
-                            .map(|(i, now)| if i == usize::from(host) { now } else { ledger.lost[i].clone() })
-                            .collect();
-                    }
                     if e.lasts.is_some() {
                         ledger.under_way.push(name(e));
                     }
-                    begin(e, &fleet, &mut hosts, &mut earlier, &clients, &recorder)
+                    begin(e, &fleet, &mut hosts, &mut ledger, &clients, &recorder)
                 }
                 Step::End(e) => {
                     ledger.under_way.retain(|u| *u != name(e));
@@ -246,45 +249,31 @@
     let within = Duration::from_secs_f64(longest / 1_000.0) + Duration::from_secs(1);
     let done: Vec<(String, ClientTally)> = clients.into_iter().map(|(n, c)| (n, c.finish(within))).collect();
     ledger.close(began.elapsed(), &hosts);
-    let reasons = ledger.counts(&hosts);
-    for (i, host) in hosts.iter().enumerate() {
-        let counts = host.as_ref().and_then(Host::class_counts).unwrap_or_default();
-        add(&mut earlier[i], &counts);
-        if let Some(host) = host {
-            host.stop();
-        }
+    let counts: Vec<Counts> = hosts.iter().enumerate().map(|(i, h)| ledger.counts(i, h.as_ref())).collect();
+    for host in hosts.iter().flatten() {
+        host.stop();
     }
+    let (by_class, reasons) = counts.into_iter().unzip();
     std::thread::sleep(Duration::from_millis(50));
     let notes = recorder.notes();
     let figures = figures::of_plan(plan, day.day.margin.ms(), began_ms);
-    let rules = judge_notes(&notes, plan, &figures);
+    let judged = judge_notes(&notes, plan, figures);
     let fallen = fleet.nodes().iter().filter(|n| n.has_fallen()).map(|n| n.spec().id).collect();
     Ok(DayResult {
         clients: done,
-        hosts: earlier,
+        hosts: by_class,
         during: ledger.during,
         reasons,
         class_names: plan.class_names.clone(),
-        rules,
+        rules: judged.report,
         notes,
-        figures,
+        figures: judged.figures,
         fallen,
         said,
         began_ms,
     })
 }
 
-fn add(sum: &mut [ClassCounts], more: &[ClassCounts]) {
-    for (s, m) in sum.iter_mut().zip(more) {
-        s.taken += m.taken;
-        s.served += m.served;
-        s.late += m.late;
-        s.refused += m.refused;
-        s.failed += m.failed;
-        s.abandoned += m.abandoned;
-    }
-}
-
 fn start_clients(
     day: &Day,
     plan: &HostPlan,
@@ -352,7 +341,7 @@
     e: &EventTable,
     fleet: &Fleet,
     hosts: &mut [Option<Host>],
-    earlier: &mut [Vec<ClassCounts>],
+    ledger: &mut Ledger,
     clients: &[(String, Client)],
     recorder: &Recorder,
 ) -> String {
@@ -380,7 +369,7 @@
         EventKind::HostKill => {
             let i = usize::from(e.host.unwrap_or(0));
             if let Some(host) = hosts.get_mut(i).and_then(Option::take) {
-                add(&mut earlier[i], &host.class_counts().unwrap_or_default());
+                ledger.lose(i, &host);
                 recorder.note(What::HostKilled { host: i as u16 });
                 host.kill();
             }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use crossbeam_channel::{bounded, select, Receiver};
 use pearfork_cli::{Common, Exit, Output, SettingsArguments};
-use pearfork_host::settings::{HostPlan, Overrides};
+use pearfork_host::settings::HostPlan;
 use pearfork_host::Host;
 use pearfork_stand::{Fleet, FleetSpec, Recorder};
 use serde::Serialize;
@@ -70,25 +70,23 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = match pearfork_cli::parse::<Arguments>() {
-        Ok(arguments) => arguments,
-        Err(end) => return end,
-    };
+    pearfork_cli::run(work)
+}
+
+fn work(arguments: Arguments) -> Result<Exit, String> {
     let output = arguments.common.output;
-    let done = match arguments.command {
+    match arguments.command {
         Command::Serve { mut settings, listen, expect } => {
             settings.set.extend(listen.map(|at| format!("host.listen=\"{at}\"")));
             serve(&settings, expect.as_deref(), output)
         }
-    };
-    pearfork_cli::end("pearfork-gateway", done)
+    }
 }
 
 /// A plan from the settings; what the operator is to be told goes to standard error.
 fn load(settings: &SettingsArguments) -> Result<HostPlan, String> {
-    let over = Overrides::new(pearfork_cli::environment(), settings.set.clone());
-    let plan =
-        HostPlan::load_with(&settings.config, &over).map_err(|e| format!("the settings are refused\n{e}"))?;
+    let plan = HostPlan::load_with(&settings.config, &settings.over())
+        .map_err(|e| format!("the settings are refused\n{e}"))?;
     plan.warnings.iter().for_each(|w| eprintln!("{w}"));
     Ok(plan)
 }
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,13 +1,13 @@
 //! Hosts, nodes and a plain initiator on loopback.
 #![allow(dead_code)]
 
-use pearfork_day::figures;
+use pearfork_day::{figures, judge_notes};
 use pearfork_host::settings::HostPlan;
 use pearfork_host::Host;
 use pearfork_iscsi::{Command, CommandDone, InitiatorConfig, Payload};
 use pearfork_net::{Connection, ConnectionEvent, TapRef, Token};
-use pearfork_rulecheck::{check, Place, Report, What};
-use pearfork_scsi::{lun_field, unit_of, Media, MediaOp};
+use pearfork_rulecheck::{Place, Report, What};
+use pearfork_scsi::{lun_field, Media, MediaOp};
 use pearfork_stand::{Fleet, FleetSpec, Recorder};
 use std::net::SocketAddr;
 use std::sync::mpsc::{channel, Receiver};
@@ -64,11 +64,7 @@
     }
 
     pub fn rules(&self) -> Report {
-        let volume_of = |_: u16, lun: u64| {
-            let unit = unit_of(lun)?;
-            self.plan.volumes.iter().find(|v| v.unit_number == unit).map(|v| v.id.0)
-        };
-        check(&self.recorder.notes(), &figures::of_plan(&self.plan, 500.0, 0.0), &volume_of)
+        judge_notes(&self.recorder.notes(), &self.plan, figures::of_plan(&self.plan, 500.0, 0.0)).report
     }
 
     pub fn assert_rules(&self) {
--- a/crates/host/src/counts.rs
+++ b/crates/host/src/counts.rs
@@ -21,6 +21,18 @@
     pub abandoned: u64,
 }
 
+impl ClassCounts {
+    /// Adds another host's.
+    pub fn merge(&mut self, other: &ClassCounts) {
+        self.taken += other.taken;
+        self.served += other.served;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.abandoned += other.abandoned;
+    }
+}
+
 /// Counts of a node since the host first sent to it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NodeCounts {
--- a/crates/host/src/engine.rs
+++ b/crates/host/src/engine.rs
@@ -1,12 +1,9 @@
 //! The one thread that owns a host's dispatcher, and the clock that it lives by.
 
-use crate::counts::{ClassCounts, NodeCounts, ReasonCounts};
 use crate::dispatcher::{AttemptId, Dispatcher, Effect, Ended, Final, Input, Origin};
 use crate::links::Links;
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
-use pearfork::{NodeEntry, Reason};
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use pearfork_iscsi::ext::Report;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -39,8 +36,8 @@
 /// What the engine is told.
 pub(crate) enum Message {
     Input(Input),
-    /// Answers with the state of things; dropped where nobody waits any more.
-    Snapshot(Sender<Snapshot>),
+    /// A look at the state of things, at a time of the engine's clock.
+    Look(Box<Look>),
     /// Stand still for so long, as a suspended process does: for tests of that trouble.
     StandStill(Duration),
     /// Leave at once.
@@ -53,17 +50,19 @@
     }
 }
 
-/// Counts at one moment.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Snapshot {
-    pub(crate) classes: Vec<ClassCounts>,
-    /// For each class, answer times at 50, 90, 99 and 99.9 percent, microseconds.
-    pub(crate) times_us: Vec<[u64; 4]>,
-    pub(crate) nodes: BTreeMap<u32, NodeCounts>,
-    pub(crate) listed: BTreeMap<u32, NodeEntry>,
-    pub(crate) open: usize,
-    pub(crate) reasons: ReasonCounts,
-    pub(crate) waiting: BTreeMap<Reason, u64>,
+/// What a look does; it takes what it wants with it, and must not take long.
+pub(crate) type Look = dyn FnOnce(&Dispatcher, f64) + Send;
+
+/// Looks at the state of things; `None` where the engine does not answer in time. Each caller asks for what it wants alone: the
+/// engine copies nothing for those who look at something else.
+pub(crate) fn look<T: Send + 'static>(
+    engine: &Sender<Message>,
+    at: impl FnOnce(&Dispatcher, f64) -> T + Send + 'static,
+) -> Option<T> {
+    let (to, from) = bounded(1);
+    let look = move |d: &Dispatcher, now| drop(to.try_send(at(d, now)));
+    engine.try_send(Message::Look(Box::new(look))).ok()?;
+    from.recv_timeout(Duration::from_secs(2)).ok()
 }
 
 /// Whom effects go to. Neither call may block.
@@ -100,21 +99,7 @@
         for message in first.into_iter().chain(messages.try_iter().take(BATCH)) {
             match message {
                 Message::Input(input) => dispatcher.handle(clock.now_ms(), input, &mut effects),
-                Message::Snapshot(to) => {
-                    let _ = to.try_send(Snapshot {
-                        classes: dispatcher.class_counts().to_vec(),
-                        times_us: dispatcher
-                            .times()
-                            .iter()
-                            .map(|t| [0.5, 0.9, 0.99, 0.999].map(|q| t.value_at_quantile(q)))
-                            .collect(),
-                        nodes: dispatcher.node_counts().clone(),
-                        listed: dispatcher.listed().clone(),
-                        open: dispatcher.open_commands(),
-                        reasons: dispatcher.reason_counts().clone(),
-                        waiting: dispatcher.waiting(clock.now_ms()),
-                    });
-                }
+                Message::Look(look) => look(&dispatcher, clock.now_ms()),
                 Message::StandStill(span) => std::thread::sleep(span),
                 Message::Stop => return,
             }
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -3,11 +3,11 @@
 use crate::counts::{ClassCounts, NodeCounts, ReasonCounts};
 use crate::directory::{Ask, Watcher};
 use crate::dispatcher::{Dispatcher, Final, Input, Origin};
-use crate::engine::{self, Clock, Message, Outside, Snapshot};
+use crate::engine::{self, Clock, Message, Outside};
 use crate::front::{Door, Front};
 use crate::links::Links;
 use crate::settings::{HostPlan, SettingsFaults};
-use crate::status;
+use crate::status::{self, Snapshot};
 use crossbeam_channel::{bounded, Receiver, Sender};
 use pearfork_iscsi::Limits;
 use pearfork_net::{http, spawn_small, Portal, PortalConfig};
@@ -77,12 +77,6 @@
     TcpListener::bind(address).map_err(|source| HostError::Listen { address, source })
 }
 
-fn snapshot(engine: &Sender<Message>) -> Option<Snapshot> {
-    let (to, from) = bounded(1);
-    engine.try_send(Message::Snapshot(to)).ok()?;
-    from.recv_timeout(Duration::from_secs(2)).ok()
-}
-
 impl Host {
     /// Starts a host by a plan.
     ///
@@ -143,7 +137,8 @@
                     }
                     None => {
                         let draining = draining.load(Ordering::SeqCst);
-                        status::answer(call, &plan, snapshot(&engine), front.sessions(), draining)
+                        let snapshot = engine::look(&engine, Snapshot::of);
+                        status::answer(call, &plan, snapshot, front.sessions(), draining)
                     }
                 };
                 Some(http::Server::start_with(listener, answer)?)
@@ -186,17 +181,17 @@
 
     /// Counts by class, in the order of the settings; `None` where the engine does not answer.
     pub fn class_counts(&self) -> Option<Vec<ClassCounts>> {
-        snapshot(&self.engine).map(|s| s.classes)
+        engine::look(&self.engine, |d, _| d.class_counts().to_vec())
     }
 
-    /// Refusals and failures by class, volume and the module's reason.
-    pub fn reason_counts(&self) -> Option<ReasonCounts> {
-        snapshot(&self.engine).map(|s| s.reasons)
+    /// The same, with refusals and failures by class, volume and the module's reason, of one moment.
+    pub fn counts(&self) -> Option<(Vec<ClassCounts>, ReasonCounts)> {
+        engine::look(&self.engine, |d, _| (d.class_counts().to_vec(), d.reason_counts().clone()))
     }
 
     /// Counts by node.
     pub fn node_counts(&self) -> Option<BTreeMap<u32, NodeCounts>> {
-        snapshot(&self.engine).map(|s| s.nodes)
+        engine::look(&self.engine, |d, _| d.node_counts().clone())
     }
 
     /// Lets the engine stand still, as a suspended machine does: a trouble for tests and scripted days.
@@ -212,7 +207,7 @@
         self.portal.sessions().iter().for_each(|s| s.request_logout(1));
         let until = Instant::now() + self.plan.drain.duration();
         let idle = loop {
-            if snapshot(&self.engine).is_some_and(|s| s.open == 0) {
+            if engine::look(&self.engine, |d, _| d.open_commands()) == Some(0) {
                 break true;
             }
             if Instant::now() >= until {
--- a/crates/host/src/status.rs
+++ b/crates/host/src/status.rs
@@ -1,13 +1,54 @@
 //! Health, metrics and the state of nodes and volumes, for people and collectors, over HTTP.
 
-use crate::engine::Snapshot;
+use crate::counts::{ClassCounts, NodeCounts, ReasonCounts, ReasonKey};
+use crate::dispatcher::Dispatcher;
 use crate::settings::HostPlan;
-use pearfork::{Condition, Reason};
+use pearfork::{Condition, NodeEntry, Reason};
 use pearfork_net::http::{Answer, Call, Method};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
+/// Counts at one moment.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Snapshot {
+    classes: Vec<ClassCounts>,
+    /// For each class, answer times at 50, 90, 99 and 99.9 percent, microseconds.
+    times_us: Vec<[u64; 4]>,
+    nodes: BTreeMap<u32, NodeCounts>,
+    listed: BTreeMap<u32, NodeEntry>,
+    open: usize,
+    reasons: ReasonCounts,
+    waiting: BTreeMap<Reason, u64>,
+}
+
+impl Snapshot {
+    pub(crate) fn of(d: &Dispatcher, now: f64) -> Snapshot {
+        Snapshot {
+            classes: d.class_counts().to_vec(),
+            times_us: d
+                .times()
+                .iter()
+                .map(|t| [0.5, 0.9, 0.99, 0.999].map(|q| t.value_at_quantile(q)))
+                .collect(),
+            nodes: d.node_counts().clone(),
+            listed: d.listed().clone(),
+            open: d.open_commands(),
+            reasons: d.reason_counts().clone(),
+            waiting: d.waiting(now),
+        }
+    }
+
+    /// Refusals and failures by reason, apart by what `of` tells of them: one pass, however many volumes there are.
+    fn reasons_by<K: Ord>(&self, of: impl Fn(&ReasonKey) -> K) -> BTreeMap<K, BTreeMap<&'static str, u64>> {
+        let mut out: BTreeMap<K, BTreeMap<&'static str, u64>> = BTreeMap::new();
+        for (key, n) in self.reasons.iter() {
+            *out.entry(of(&key)).or_default().entry(key.reason.word()).or_insert(0) += n;
+        }
+        out
+    }
+}
+
 #[derive(Serialize)]
 struct NodeStatus {
     node: u32,
@@ -108,14 +149,11 @@
     snapshot.listed.values().map(status).collect()
 }
 
-fn words(counts: BTreeMap<Reason, u64>) -> BTreeMap<&'static str, u64> {
-    counts.into_iter().map(|(reason, n)| (reason.word(), n)).collect()
-}
-
 fn volumes<'a>(plan: &'a HostPlan, s: &Snapshot) -> Vec<VolumeStatus<'a>> {
+    let mut reasons = s.reasons_by(|k| (k.volume, k.failed));
     let status = |v| {
         let v: &'a crate::volumes::Volume = v;
-        let of = |failed| words(s.reasons.by_reason(|k| k.volume == v.id && k.failed == failed));
+        let mut of = |failed| reasons.remove(&(v.id, failed)).unwrap_or_default();
         let bytes = v.unit.blocks * u64::from(v.unit.block_len);
         VolumeStatus {
             name: &v.name,
@@ -148,7 +186,7 @@
             answers.push((format!("{{class=\"{name}\",answer=\"{answer}\"}}"), n as f64));
         }
     }
-    let by_class = |f: fn(&crate::counts::ClassCounts) -> u64| {
+    let by_class = |f: fn(&ClassCounts) -> u64| {
         classes().map(|(name, c)| (format!("{{class=\"{name}\"}}"), f(c) as f64)).collect()
     };
     family("commands_taken_total", "counter", "Commands taken.", by_class(|c| c.taken));
@@ -160,15 +198,11 @@
         by_class(|c| c.late),
     );
     let mut reasons = Vec::new();
-    for (i, name) in plan.class_names.iter().enumerate() {
-        for (answer, failed) in [("refused", false), ("failed", true)] {
-            let counts = s.reasons.by_reason(|k| usize::from(k.class) == i && k.failed == failed);
-            for (reason, n) in counts {
-                reasons.push((
-                    format!("{{class=\"{name}\",answer=\"{answer}\",reason=\"{reason}\"}}"),
-                    n as f64,
-                ));
-            }
+    for ((class, failed), counts) in s.reasons_by(|k| (k.class, k.failed)) {
+        let (name, answer) =
+            (&plan.class_names[usize::from(class)], if failed { "failed" } else { "refused" });
+        for (reason, n) in counts {
+            reasons.push((format!("{{class=\"{name}\",answer=\"{answer}\",reason=\"{reason}\"}}"), n as f64));
         }
     }
     family("not_served_total", "counter", "Commands refused or failed, by what decided it.", reasons);
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -63,14 +63,13 @@
 }
 
 fn main() -> ExitCode {
-    let a = match pearfork_cli::parse::<Arguments>() {
-        Ok(arguments) => arguments,
-        Err(end) => return end,
-    };
+    pearfork_cli::run(work)
+}
+
+fn work(a: Arguments) -> Result<Exit, String> {
     let rate_is_sane = a.rate.is_none_or(|r| r.is_finite() && r > 0.0);
     if !rate_is_sane || a.depth == 0 || a.sessions == 0 || a.length.ms() <= 0.0 {
-        eprintln!("pearfork-load: rate, depth, sessions and length must be above 0");
-        return Exit::Unusable.into();
+        return Err("rate, depth, sessions and length must be above 0".to_owned());
     }
     let plan = Plan {
         units: a.units,
@@ -83,15 +82,8 @@
         length: a.length.duration(),
         initiator: a.initiator,
     };
-    match run(&plan) {
-        Ok((figures, took)) => {
-            let summary = figures.summary(took);
-            a.common.output.put(&summary, &summary.to_string());
-            if figures.wrong_count > 0 { Exit::No } else { Exit::Fine }.into()
-        }
-        Err(e) => {
-            eprintln!("pearfork-load: {e}");
-            Exit::Unusable.into()
-        }
-    }
+    let (figures, took) = run(&plan).map_err(|e| e.to_string())?;
+    let summary = figures.summary(took);
+    a.common.output.put(&summary, &summary.to_string());
+    Ok(if figures.wrong_count > 0 { Exit::No } else { Exit::Fine })
 }
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -40,7 +40,7 @@
 /// # Errors
 /// Its settings make no plan, in words.
 pub fn replay(recording: &Recording) -> Result<Replayed, String> {
-    let (report, ..) = judge(recording).map_err(|e| e.to_string())?;
+    let report = judge(recording).map_err(|e| e.to_string())?.report;
     Ok(Replayed {
         name: recording.head.name.clone(),
         hosts: recording.head.hosts,
--- a/crates/report/src/account.rs
+++ b/crates/report/src/account.rs
@@ -1,13 +1,12 @@
 //! What a record tells, counted: by second, class and node, the slowest commands, the seven rules.
 
 use hdrhistogram::Histogram;
-use pearfork_day::judge;
 use pearfork_day::summary::{rules, RuleLine};
+use pearfork_day::{judge, Judged};
 use pearfork_record::{Counted, Recording, Said};
 use pearfork_rulecheck::trace::{Command, Trace};
-use pearfork_scsi::unit_of;
 use serde::Serialize;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// SCSI status: GOOD; BUSY and TASK SET FULL, which refuse (SAM-5, section 5.3.1).
 const GOOD: u8 = 0x00;
@@ -163,12 +162,7 @@
 /// # Errors
 /// Its settings make no plan, in words.
 pub fn account(recording: &Recording) -> Result<Account, String> {
-    let (report, plan, figures) = judge(recording).map_err(|e| e.to_string())?;
-    let volume_of = |_: u16, lun: u64| {
-        let unit = unit_of(lun)?;
-        plan.volumes.iter().find(|v| v.unit_number == unit).map(|v| v.id.0)
-    };
-    let trace = Trace::read(&recording.notes, &figures, &volume_of);
+    let Judged { report, trace, figures } = judge(recording).map_err(|e| e.to_string())?;
     let name_of = |class: usize| figures.classes.get(class).map_or("?", |c| c.name.as_str()).to_owned();
     let mut seconds: BTreeMap<usize, (Ends, Histogram<u64>)> = BTreeMap::new();
     let mut classes: BTreeMap<usize, (Ends, Histogram<u64>)> = BTreeMap::new();
@@ -249,28 +243,25 @@
 }
 
 fn nodes(trace: &Trace, seconds: usize) -> Vec<NodeAccount> {
-    let numbers: BTreeSet<u32> = trace.attempts.iter().map(|a| a.node).collect();
-    let of_node = |node: u32| {
-        let mut n = NodeAccount { node, by_second: vec![0; seconds], ..Default::default() };
-        let mut h = histogram();
-        for a in trace.attempts.iter().filter(|a| a.node == node) {
-            n.attempts += 1;
-            n.further += u64::from(a.tag.attempt > 0);
-            match a.answered {
-                Some((at, GOOD)) => {
-                    n.served += 1;
-                    h.saturating_record(at.saturating_sub(a.came_us).max(1));
-                }
-                Some(_) if a.never_ran() => n.turned_away += 1,
-                Some(_) => n.checked += 1,
-                None => n.unanswered += 1,
-            }
-            if let Some(second) = n.by_second.get_mut((a.came_us / 1_000_000) as usize) {
-                *second += 1;
+    let mut nodes: BTreeMap<u32, (NodeAccount, Histogram<u64>)> = BTreeMap::new();
+    for a in &trace.attempts {
+        let new =
+            || (NodeAccount { node: a.node, by_second: vec![0; seconds], ..Default::default() }, histogram());
+        let (n, h) = nodes.entry(a.node).or_insert_with(new);
+        n.attempts += 1;
+        n.further += u64::from(a.tag.attempt > 0);
+        match a.answered {
+            Some((at, GOOD)) => {
+                n.served += 1;
+                h.saturating_record(at.saturating_sub(a.came_us).max(1));
             }
+            Some(_) if a.never_ran() => n.turned_away += 1,
+            Some(_) => n.checked += 1,
+            None => n.unanswered += 1,
         }
-        n.times = times(&h);
-        n
-    };
-    numbers.into_iter().map(of_node).collect()
+        if let Some(second) = n.by_second.get_mut((a.came_us / 1_000_000) as usize) {
+            *second += 1;
+        }
+    }
+    nodes.into_values().map(|(n, h)| NodeAccount { times: times(&h), ..n }).collect()
 }
--- a/crates/report/src/main.rs
+++ b/crates/report/src/main.rs
@@ -29,11 +29,7 @@
 }
 
 fn main() -> ExitCode {
-    let a = match pearfork_cli::parse::<Arguments>() {
-        Ok(arguments) => arguments,
-        Err(end) => return end,
-    };
-    pearfork_cli::end("pearfork-report", run(&a))
+    pearfork_cli::run(|a: Arguments| run(&a))
 }
 
 fn run(a: &Arguments) -> Result<Exit, String> {
--- a/crates/rulecheck/src/lib.rs
+++ b/crates/rulecheck/src/lib.rs
@@ -10,4 +10,4 @@
 pub mod wire;
 
 pub use record::{Figures, Note, Place, What};
-pub use rules::{check, Finding, Report, Rule};
+pub use rules::{check, check_trace, Finding, Report, Rule};
--- a/crates/rulecheck/src/rules.rs
+++ b/crates/rulecheck/src/rules.rs
@@ -112,15 +112,19 @@
 
 /// Judges a record. `volume_of` tells the volume that a host's clients reach under a LUN field.
 pub fn check(notes: &[Note], figures: &Figures, volume_of: &dyn Fn(u16, u64) -> Option<u32>) -> Report {
-    let trace = Trace::read(notes, figures, volume_of);
+    check_trace(notes, &Trace::read(notes, figures, volume_of), figures)
+}
+
+/// The same where the notes were put together before.
+pub fn check_trace(notes: &[Note], trace: &Trace, figures: &Figures) -> Report {
     Report(vec![
-        one_answer(&trace, figures),
-        no_effect_twice(notes, &trace, figures),
-        drains(notes, &trace, figures),
-        cold_nodes(notes, &trace, figures),
-        order(&trace, figures),
-        retry_budget(&trace, figures),
-        limits(&trace, figures),
+        one_answer(trace, figures),
+        no_effect_twice(notes, trace, figures),
+        drains(notes, trace, figures),
+        cold_nodes(notes, trace, figures),
+        order(trace, figures),
+        retry_budget(trace, figures),
+        limits(trace, figures),
     ])
 }
 
