--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,6 +1,5 @@
 //! Carries batches between standard input, one [`pearfork::Scheduler`] an instance, and standard output.
 
-mod settings;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -34,7 +33,7 @@
 }
 
 fn run(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
-    let mut hosts: BTreeMap<u16, (Scheduler, settings::Fields)> = BTreeMap::new();
+    let mut hosts: BTreeMap<u16, (Scheduler, pearfork_site::Fields)> = BTreeMap::new();
     let (mut body, mut actions) = (Vec::new(), Vec::<Action>::new());
     while let Some(count) = read_frame(input, &mut body)? {
         let mut batch = wire::Batch::open(&body, count)?;
@@ -42,7 +41,7 @@
         while let Some(record) = batch.next_record()? {
             let who = record.who;
             match record.decode(hosts.get(&who).map(|h| &h.1))? {
-                Incoming::Boot { seed, params } => match settings::read(&params) {
+                Incoming::Boot { seed, params } => match pearfork_site::read(&params) {
                     Ok((s, fields)) => match Scheduler::new(s, seed) {
                         Ok(host) => {
                             hosts.insert(who, (host, fields));
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -2,7 +2,7 @@
 
 use pearfork::{Action, Condition, Event, ListKind, NodeEntry, Outcome, Request, Verdict};
 
-use crate::settings::Fields;
+use pearfork_site::Fields;
 
 /// Reads fields off a record or frame.
 struct Cursor<'a> {
--- /dev/null
+++ b/crates/drive/src/lib.rs
@@ -0,0 +1,330 @@
+//! Drives a [`pearfork::Scheduler`] for a host, whatever its fronts speak. No I/O, no clock.
+//!
+//! It decides nothing. What it adds is the bookkeeping that the module's interface asks of a host: ids, numbers of
+//! attempts, timers, the time-out of an attempt at the moment the module named, and that a request which has had
+//! its answer gets no other.
+
+mod ids;
+
+pub use ids::RequestIds;
+
+use pearfork::{
+    Action, Event, ListKind, NodeEntry, Outcome, Reason, Request, Scheduler, Settings, SettingsError, Verdict,
+};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+
+/// Names an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// The request.
+    pub request: u32,
+    /// From 0, in order of issue.
+    pub number: u16,
+}
+
+/// What a node's answer told besides.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Told {
+    /// Units served for the volume everywhere in a past period, in percent of its nominal rate.
+    pub used_percent: Option<f64>,
+    /// Units this shard served for the volume through other hosts since its last answer here.
+    pub foreign_units: f64,
+    /// Requests waiting at the node.
+    pub queue: Option<f64>,
+    /// Requests in work or waiting at the node.
+    pub in_flight: Option<f64>,
+    /// The node's recent service time, milliseconds.
+    pub latency_ms: Option<f64>,
+    /// How busy its cores are.
+    pub util: Option<f64>,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Send an attempt to a node; it is over for the host at `until_ms`, which a [`Step::Withdrawn`] tells.
+    Send {
+        /// Which.
+        attempt: AttemptId,
+        /// Where to.
+        node: u32,
+        /// On the caller's clock.
+        until_ms: f64,
+    },
+    /// An attempt is no longer waited for: cancelled, or its time is up.
+    Withdrawn {
+        /// Which.
+        attempt: AttemptId,
+        /// Where it was sent.
+        node: u32,
+        /// [`Verdict::Cancelled`] or [`Verdict::TimedOut`].
+        verdict: Verdict,
+    },
+    /// The final answer: refused.
+    Refused {
+        /// The request.
+        id: u32,
+        /// When the client may come again; 0: no advice.
+        retry_after_ms: f64,
+        /// What decided it.
+        reason: Reason,
+    },
+    /// The final answer: failed.
+    Failed {
+        /// The request.
+        id: u32,
+        /// What decided it.
+        reason: Reason,
+    },
+    /// Go on asking for changes of the node list, or stop.
+    Watch(bool),
+    /// Ask for the whole list once.
+    ReadList,
+    /// Close idle connections to a node.
+    CloseIdle(u32),
+    /// A line for the staff.
+    Log(String),
+}
+
+struct Live {
+    valid_until: f64,
+    attempts: u16,
+}
+
+struct Flight {
+    node: u32,
+    sent: f64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    TimeOut(AttemptId),
+}
+
+/// A time that orders; all are finite.
+#[derive(Clone, Copy, PartialEq)]
+struct At(f64);
+
+impl Eq for At {}
+
+impl PartialOrd for At {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for At {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+/// Drives one [`Scheduler`].
+pub struct Driver {
+    scheduler: Scheduler,
+    most_attempts: u16,
+    ids: RequestIds,
+    requests: HashMap<u32, Live>,
+    flights: HashMap<AttemptId, Flight>,
+    timers: BinaryHeap<Reverse<(At, u64, Due)>>,
+    timer_number: u64,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+impl Driver {
+    /// A host from nothing.
+    ///
+    /// # Errors
+    /// The module refuses a setting.
+    pub fn new(settings: Settings, seed: u64) -> Result<Driver, SettingsError> {
+        let most_attempts = settings.max_attempts.min(u32::from(u16::MAX)) as u16;
+        Ok(Driver {
+            scheduler: Scheduler::new(settings, seed)?,
+            most_attempts,
+            ids: RequestIds::default(),
+            requests: HashMap::new(),
+            flights: HashMap::new(),
+            timers: BinaryHeap::new(),
+            timer_number: 0,
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        })
+    }
+
+    /// An id that no live request or attempt has.
+    pub fn allot(&mut self) -> u32 {
+        let (requests, flights, most) = (&self.requests, &self.flights, self.most_attempts);
+        self.ids.allot(|request| {
+            let out = |number| flights.contains_key(&AttemptId { request, number });
+            requests.contains_key(&request) || (0..most).any(out)
+        })
+    }
+
+    /// A request came, under an id that was allotted for it. The module is told at the next [`Driver::drive`].
+    pub fn request(&mut self, request: Request) {
+        self.requests.insert(request.id, Live { valid_until: request.valid_until_ms, attempts: 0 });
+        self.events.push_back(Event::Request(request));
+    }
+
+    /// Its client no longer wants the answer. What is out for it is still waited for: a node may be heard.
+    pub fn abandon(&mut self, id: u32) {
+        if self.requests.remove(&id).is_some() {
+            self.events.push_back(Event::Abandoned { id });
+        }
+    }
+
+    /// The node list, or a change of it.
+    pub fn list(&mut self, kind: ListKind, entries: Vec<NodeEntry>) {
+        self.events.push_back(Event::List(kind, entries));
+    }
+
+    /// An attempt ended at `at` on the caller's clock. True: the request was open and this served it; the client is
+    /// to be given what the node gave.
+    ///
+    /// Danger: an answer after its time-out. The attempt is over for the module; a late success must not answer a
+    /// request that was refused meanwhile, nor one that took its id.
+    pub fn ended(&mut self, at: f64, id: AttemptId, verdict: Verdict, told: Told) -> bool {
+        let Some(flight) = self.flights.remove(&id) else { return false };
+        let served = verdict == Verdict::Served && self.requests.remove(&id.request).is_some();
+        self.outcome(at, id, &flight, verdict, told);
+        served
+    }
+
+    /// Whether an attempt is still waited for.
+    pub fn is_out(&self, id: AttemptId) -> bool {
+        self.flights.contains_key(&id)
+    }
+
+    /// Where an attempt went that is still waited for.
+    pub fn node_of(&self, id: AttemptId) -> Option<u32> {
+        self.flights.get(&id).map(|f| f.node)
+    }
+
+    /// Requests without an answer.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Attempts that are waited for.
+    pub fn out(&self) -> usize {
+        self.flights.len()
+    }
+
+    /// What the requests without an answer wait for now, by the module's word.
+    pub fn waiting(&self, now: f64) -> BTreeMap<Reason, u64> {
+        let mut waiting = BTreeMap::new();
+        for (_, reason) in self.scheduler.waiting(now) {
+            *waiting.entry(reason).or_insert(0) += 1;
+        }
+        waiting
+    }
+
+    /// When something is due next.
+    pub fn next_due(&self) -> Option<f64> {
+        self.timers.peek().map(|Reverse((at, ..))| at.0)
+    }
+
+    /// Rings what is due.
+    pub fn ring(&mut self, now: f64, out: &mut Vec<Step>) {
+        // Bounded by what was due at the call: a timer set for now by one that rings waits for the next call.
+        let before = self.timer_number;
+        let mut later = Vec::new();
+        while let Some(Reverse((at, number, due))) = self.timers.peek().copied() {
+            if at.0 > now {
+                break;
+            }
+            self.timers.pop();
+            if number > before {
+                later.push(Reverse((at, number, due)));
+                continue;
+            }
+            match due {
+                Due::Module(label) => self.events.push_back(Event::Timer { label }),
+                Due::TimeOut(id) => self.withdraw(now, id, Verdict::TimedOut, out),
+            }
+            self.drive(now, out);
+        }
+        self.timers.extend(later);
+    }
+
+    /// Gives the module what waits for it and notes what it says, until both are quiet.
+    pub fn drive(&mut self, now: f64, out: &mut Vec<Step>) {
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.scheduler.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now, action, out);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, action: Action, out: &mut Vec<Step>) {
+        match action {
+            Action::Send { id, node, within_ms } => {
+                let Some(live) = self.requests.get_mut(&id) else { return };
+                let attempt = AttemptId { request: id, number: live.attempts };
+                live.attempts = live.attempts.saturating_add(1);
+                let until_ms =
+                    if within_ms > 0.0 { live.valid_until.min(now + within_ms) } else { live.valid_until };
+                self.flights.insert(attempt, Flight { node, sent: now });
+                self.set_timer(until_ms, Due::TimeOut(attempt));
+                out.push(Step::Send { attempt, node, until_ms });
+            }
+            Action::Refuse { id, retry_after_ms, reason } => {
+                if self.requests.remove(&id).is_some() {
+                    out.push(Step::Refused { id, retry_after_ms, reason });
+                }
+            }
+            Action::Fail { id, reason } => {
+                if self.requests.remove(&id).is_some() {
+                    out.push(Step::Failed { id, reason });
+                }
+            }
+            Action::Cancel { id, attempt } => {
+                self.withdraw(now, AttemptId { request: id, number: attempt }, Verdict::Cancelled, out);
+            }
+            Action::SetTimer { at_ms, label } => self.set_timer(at_ms, Due::Module(label)),
+            Action::Watch(on) => out.push(Step::Watch(on)),
+            Action::ReadList => out.push(Step::ReadList),
+            Action::CloseIdle { node } => out.push(Step::CloseIdle(node)),
+            Action::Log(text) => out.push(Step::Log(text)),
+            // Not offered to the module by these hosts: nodes can't be probed, hosts don't talk.
+            Action::Probe { .. } | Action::Tell { .. } => {}
+        }
+    }
+
+    fn set_timer(&mut self, at_ms: f64, due: Due) {
+        if at_ms.is_finite() {
+            self.timer_number += 1;
+            self.timers.push(Reverse((At(at_ms), self.timer_number, due)));
+        }
+    }
+
+    /// The host stops waiting for an attempt, by the module's word or at the time that it named.
+    fn withdraw(&mut self, now: f64, id: AttemptId, verdict: Verdict, out: &mut Vec<Step>) {
+        let Some(flight) = self.flights.remove(&id) else { return };
+        out.push(Step::Withdrawn { attempt: id, node: flight.node, verdict });
+        self.outcome(now, id, &flight, verdict, Told::default());
+    }
+
+    fn outcome(&mut self, at: f64, id: AttemptId, flight: &Flight, verdict: Verdict, told: Told) {
+        self.events.push_back(Event::Outcome(Outcome {
+            id: id.request,
+            attempt: id.number,
+            node: flight.node,
+            verdict,
+            elapsed_ms: (at - flight.sent).max(0.0),
+            complete: !self.requests.contains_key(&id.request),
+            used_percent: told.used_percent,
+            foreign_units: told.foreign_units,
+            queue: told.queue,
+            in_flight: told.in_flight,
+            latency_ms: told.latency_ms,
+            util: told.util,
+        }));
+    }
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,5 +1,7 @@
 //! `pearfork-gateway`: serves volumes to iSCSI initiators.
 
+mod service;
+
 use clap::{Parser, Subcommand};
 use crossbeam_channel::{bounded, select, Receiver};
 use pearfork_cli::{Common, Exit, Output, SettingsArguments};
@@ -42,6 +44,13 @@
         #[arg(long)]
         expect: Option<String>,
     },
+    /// Serve on the platform's protocol, by the JSON configuration that the platform names in ROUTER_CONFIG, until SIGTERM
+    /// or SIGINT; SIGHUP reads it anew.
+    Service {
+        /// Configuration file; what ROUTER_CONFIG names, if not given.
+        #[arg(long)]
+        config: Option<std::path::PathBuf>,
+    },
 }
 
 /// What is told when something happens.
@@ -80,6 +89,7 @@
             settings.set.extend(listen.map(|at| format!("host.listen=\"{at}\"")));
             serve(&settings, expect.as_deref(), output)
         }
+        Command::Service { config } => service::serve(config, &signals()?),
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,9 +6,11 @@
 
 mod connection;
 pub mod http;
+mod outbox;
 mod portal;
 mod stream;
 
 pub use connection::{ConnectError, Connection, ConnectionEvent, Token};
+pub use outbox::{long_queue, shut_listener, Flusher, Outbox, Waiting};
 pub use portal::{Portal, PortalConfig, Service, Session, SessionId};
-pub use stream::{lock, spawn_small, Direction, Tap, TapRef};
+pub use stream::{lock, read_once, spawn_small, Direction, Tap, TapRef};
--- /dev/null
+++ b/crates/net/src/outbox.rs
@@ -0,0 +1,185 @@
+//! Writing to a socket without ever waiting for it.
+//!
+//! One thread answers all clients and sends to all nodes: none of them may hold it up. What the system does not take at
+//! once is kept, within a bound, and put on by one thread for all.
+
+use crate::stream::{lock, spawn_small};
+use bytes::{Buf, Bytes};
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use rustix::net::{RecvFlags, SendFlags};
+use std::collections::VecDeque;
+use std::io;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+/// Bytes kept for one socket; one that takes nothing for so long is given up.
+const MOST_KEPT: usize = 1 << 20;
+/// How often what is kept is offered again.
+const AGAIN: Duration = Duration::from_millis(2);
+
+/// What waits at a socket to be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiting {
+    /// Nothing.
+    Nothing,
+    /// Bytes.
+    Bytes,
+    /// Its end: closed or lost.
+    End,
+}
+
+/// The writing side of a socket.
+pub struct Outbox {
+    stream: TcpStream,
+    kept: Mutex<VecDeque<Bytes>>,
+    flusher: Flusher,
+}
+
+impl Outbox {
+    /// Over a connected stream.
+    pub fn new(stream: TcpStream, flusher: &Flusher) -> Arc<Outbox> {
+        Arc::new(Outbox { stream, kept: Mutex::default(), flusher: flusher.clone() })
+    }
+
+    /// The stream, to be read by one thread.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Sends bytes in their turn, now or when the socket takes them.
+    ///
+    /// # Errors
+    /// The socket is lost, or too much waits for it; it is shut.
+    pub fn put(self: &Arc<Self>, bytes: Bytes) -> io::Result<()> {
+        let mut kept = lock(&self.kept);
+        let late = !kept.is_empty();
+        kept.push_back(bytes);
+        let sent = if late { Ok(()) } else { self.offer(&mut kept) };
+        let waits = !kept.is_empty();
+        let most = kept.iter().map(Bytes::len).sum::<usize>() > MOST_KEPT;
+        drop(kept);
+        if most || sent.is_err() {
+            self.shut();
+            return sent.and(Err(io::ErrorKind::WriteZero.into()));
+        }
+        if waits && !late {
+            self.flusher.watch(self);
+        }
+        Ok(())
+    }
+
+    /// Bytes that the system has not taken yet.
+    pub fn kept(&self) -> usize {
+        lock(&self.kept).iter().map(Bytes::len).sum()
+    }
+
+    fn offer(&self, kept: &mut VecDeque<Bytes>) -> io::Result<()> {
+        while let Some(first) = kept.front_mut() {
+            match rustix::net::send(&self.stream, first, SendFlags::DONTWAIT | SendFlags::NOSIGNAL) {
+                Ok(n) => first.advance(n),
+                Err(rustix::io::Errno::AGAIN) => return Ok(()),
+                Err(rustix::io::Errno::INTR) => {}
+                Err(e) => return Err(e.into()),
+            }
+            if first.is_empty() {
+                kept.pop_front();
+            }
+        }
+        Ok(())
+    }
+
+    /// What waits to be read, without reading it.
+    pub fn waiting(&self) -> Waiting {
+        let mut byte = [0u8; 1];
+        match rustix::net::recv(&self.stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+            Ok((_, 0)) => Waiting::End,
+            Ok(_) => Waiting::Bytes,
+            Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => Waiting::Nothing,
+            Err(_) => Waiting::End,
+        }
+    }
+
+    /// Reads what is there into a buffer, without waiting: the number of bytes, or `None` where there are none yet.
+    ///
+    /// # Errors
+    /// The socket is lost. 0 bytes: its end.
+    pub fn read_now(&self, buffer: &mut [u8]) -> io::Result<Option<usize>> {
+        match rustix::net::recv(&self.stream, buffer, RecvFlags::DONTWAIT) {
+            Ok((_, n)) => Ok(Some(n)),
+            Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => Ok(None),
+            Err(e) => Err(e.into()),
+        }
+    }
+
+    /// Ends both directions; whoever reads is woken.
+    pub fn shut(&self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+/// The thread that puts on what sockets did not take at once.
+#[derive(Clone)]
+pub struct Flusher {
+    late: Sender<Weak<Outbox>>,
+}
+
+impl Flusher {
+    /// Starts it; it ends when nobody holds it any more.
+    ///
+    /// # Errors
+    /// No thread could be had.
+    pub fn start() -> io::Result<Flusher> {
+        let (late, came) = bounded(4096);
+        spawn_small("flusher", move || flush(&came))?;
+        Ok(Flusher { late })
+    }
+
+    fn watch(&self, outbox: &Arc<Outbox>) {
+        if self.late.try_send(Arc::downgrade(outbox)).is_err() {
+            outbox.shut();
+        }
+    }
+}
+
+fn flush(came: &Receiver<Weak<Outbox>>) {
+    let mut late: Vec<Weak<Outbox>> = Vec::new();
+    loop {
+        if late.is_empty() {
+            match came.recv() {
+                Ok(one) => late.push(one),
+                Err(_) => return,
+            }
+        }
+        match came.recv_timeout(AGAIN) {
+            Ok(one) => late.push(one),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        late.retain(|weak| {
+            let Some(outbox) = weak.upgrade() else { return false };
+            let mut kept = lock(&outbox.kept);
+            if outbox.offer(&mut kept).is_err() {
+                kept.clear();
+                outbox.shut();
+            }
+            !kept.is_empty()
+        });
+    }
+}
+
+/// Lets a listener hold more connections that nobody has accepted yet.
+///
+/// Danger: with the usual queue a crowd that connects at once has the system drop others' connections, whose clients
+/// come again after a second only.
+///
+/// # Errors
+/// What the system says.
+pub fn long_queue(listener: &TcpListener, connections: i32) -> io::Result<()> {
+    Ok(rustix::net::listen(listener, connections)?)
+}
+
+/// Takes no more connections; whoever waits to accept one is woken.
+pub fn shut_listener(listener: &TcpListener) {
+    let _ = rustix::net::shutdown(listener, rustix::net::Shutdown::Both);
+}
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -62,7 +62,10 @@
 const READ_MOST: usize = 256 * 1024;
 
 /// Reads once, `wanted` bytes or a little more, to the end of a buffer; the number of bytes read.
-pub(crate) fn read_once(stream: &mut impl Read, buffer: &mut BytesMut, wanted: usize) -> io::Result<usize> {
+///
+/// # Errors
+/// What the socket says.
+pub fn read_once(stream: &mut impl Read, buffer: &mut BytesMut, wanted: usize) -> io::Result<usize> {
     let had = buffer.len();
     buffer.resize(had + wanted.clamp(READ_LEAST, READ_MOST), 0);
     let got = loop {
--- /dev/null
+++ b/crates/platform/src/pool.rs
@@ -0,0 +1,273 @@
+//! Which connection to a node carries an attempt. No I/O, no clock: times are the caller's, milliseconds.
+//!
+//! Answers on a connection come in the order of its commands: what stands behind a slow request waits for it, and an attempt is
+//! given up by closing its connection. So each attempt has a connection of its own while descriptors last;
+//! beyond that it goes behind the fewest others.
+
+use crate::config::Links;
+use pearfork_drive::AttemptId;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// A connection that has rested so long since its answer is taken before one that has not.
+///
+/// Danger: a node that sends more than its answer does so just behind it; what comes after the next command was
+/// written would be taken for that command's answer.
+const REST_MS: f64 = 3.0;
+/// An idle connection is closed at this part of the time after which its node would.
+const IDLE_PART: f64 = 0.7;
+
+/// Names a connection.
+pub type LinkId = u64;
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Do {
+    /// Connect to a node.
+    Open(LinkId, u32),
+    /// Write an attempt on an open connection; [`Pool::unfit`] where it turns out to be of no use.
+    Write(LinkId, AttemptId),
+    /// Drop a connection.
+    Close(LinkId),
+    /// An attempt was never sent, and ends so.
+    NeverSent(AttemptId),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Coming,
+    Open,
+    /// What is out on it may still be answered; it takes no more.
+    Spent,
+}
+
+#[derive(Debug)]
+struct Link {
+    node: u32,
+    state: State,
+    /// What was written and has no answer, in order; `None` where nobody waits for it any more.
+    out: VecDeque<Option<AttemptId>>,
+    idle_since: f64,
+}
+
+/// The connections of a host to its nodes.
+#[derive(Debug)]
+pub struct Pool {
+    links_of: Links,
+    room: usize,
+    next: LinkId,
+    links: BTreeMap<LinkId, Link>,
+    /// Attempts that wait for a connection that is coming up, or for room.
+    waiting: BTreeMap<u32, VecDeque<AttemptId>>,
+    /// Where an attempt was written.
+    at: HashMap<AttemptId, LinkId>,
+}
+
+impl Pool {
+    /// Room for so many connections.
+    pub fn new(links_of: Links, room: usize) -> Pool {
+        Pool {
+            links_of,
+            room: room.max(1),
+            next: 0,
+            links: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            at: HashMap::new(),
+        }
+    }
+
+    /// Connections, those coming up included.
+    pub fn held(&self) -> usize {
+        self.links.len()
+    }
+
+    /// An attempt is to go to a node.
+    pub fn send(&mut self, now: f64, node: u32, attempt: AttemptId, out: &mut Vec<Do>) {
+        if let Some(link) = self.free(now, node) {
+            return self.write(link, attempt, out);
+        }
+        if self.links.len() < self.room || self.make_room(out) {
+            self.waiting.entry(node).or_default().push_back(attempt);
+            return self.open(node, out);
+        }
+        // No descriptor is left: behind the fewest others, where the node takes more on a connection.
+        let streams = self.links_of.streams;
+        let shared = self
+            .links
+            .iter()
+            .filter(|(_, l)| l.node == node && l.state == State::Open && l.out.len() < streams);
+        match shared.min_by_key(|(_, l)| l.out.len()).map(|(id, _)| *id) {
+            Some(link) => self.write(link, attempt, out),
+            None if self.links.values().any(|l| l.node == node) => {
+                self.waiting.entry(node).or_default().push_back(attempt);
+            }
+            None => out.push(Do::NeverSent(attempt)),
+        }
+    }
+
+    /// An idle connection of the node: of those rested the last used, so that the others age; otherwise the one that rests longest.
+    fn free(&self, now: f64, node: u32) -> Option<LinkId> {
+        let free =
+            self.links.iter().filter(|(_, l)| l.node == node && l.state == State::Open && l.out.is_empty());
+        let free: Vec<(f64, LinkId)> = free.map(|(id, l)| (l.idle_since, *id)).collect();
+        let rested = free.iter().filter(|(since, _)| now - since >= REST_MS);
+        let rested = rested.max_by(|a, b| a.0.total_cmp(&b.0));
+        rested.or_else(|| free.iter().min_by(|a, b| a.0.total_cmp(&b.0))).map(|(_, id)| *id)
+    }
+
+    /// The longest idle connection, of whatever node, goes.
+    fn make_room(&mut self, out: &mut Vec<Do>) -> bool {
+        let idle = self.links.iter().filter(|(_, l)| l.state == State::Open && l.out.is_empty());
+        let oldest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(id, _)| *id);
+        let Some(link) = oldest else { return false };
+        self.links.remove(&link);
+        out.push(Do::Close(link));
+        true
+    }
+
+    fn open(&mut self, node: u32, out: &mut Vec<Do>) {
+        let id = self.next;
+        self.next += 1;
+        self.links.insert(id, Link { node, state: State::Coming, out: VecDeque::new(), idle_since: 0.0 });
+        out.push(Do::Open(id, node));
+    }
+
+    fn write(&mut self, link: LinkId, attempt: AttemptId, out: &mut Vec<Do>) {
+        if let Some(l) = self.links.get_mut(&link) {
+            l.out.push_back(Some(attempt));
+            self.at.insert(attempt, link);
+            out.push(Do::Write(link, attempt));
+        }
+    }
+
+    /// A connection came up.
+    pub fn opened(&mut self, now: f64, link: LinkId, out: &mut Vec<Do>) {
+        let Some(l) = self.links.get_mut(&link) else { return out.push(Do::Close(link)) };
+        (l.state, l.idle_since) = (State::Open, now);
+        self.next_waiting(link, out);
+    }
+
+    /// A connection did not come up: one attempt that waited for it was never sent, unless another connection will carry it.
+    pub fn not_opened(&mut self, link: LinkId, out: &mut Vec<Do>) {
+        let Some(l) = self.links.remove(&link) else { return };
+        self.short_of(l.node, out);
+    }
+
+    /// No more attempts wait for a node's connections than are coming up.
+    fn short_of(&mut self, node: u32, out: &mut Vec<Do>) {
+        let coming = self.links.values().filter(|l| l.node == node && l.state == State::Coming).count();
+        let busy = self.links.values().any(|l| l.node == node && l.state == State::Open);
+        let Some(waiting) = self.waiting.get_mut(&node) else { return };
+        while waiting.len() > coming && !busy {
+            out.extend(waiting.pop_front().map(Do::NeverSent));
+        }
+        if waiting.is_empty() {
+            self.waiting.remove(&node);
+        }
+    }
+
+    fn next_waiting(&mut self, link: LinkId, out: &mut Vec<Do>) {
+        let Some(node) = self.links.get(&link).map(|l| l.node) else { return };
+        let Some(waiting) = self.waiting.get_mut(&node) else { return };
+        let first = waiting.pop_front();
+        if waiting.is_empty() {
+            self.waiting.remove(&node);
+        }
+        if let Some(attempt) = first {
+            self.write(link, attempt, out);
+        }
+    }
+
+    /// An answer came on a connection: whose it is, if anybody waits for it.
+    pub fn answered(&mut self, now: f64, link: LinkId, out: &mut Vec<Do>) -> Option<AttemptId> {
+        let l = self.links.get_mut(&link)?;
+        let whose = l.out.pop_front().flatten();
+        l.idle_since = now;
+        let idle = l.out.is_empty();
+        if let Some(attempt) = whose {
+            self.at.remove(&attempt);
+        }
+        if idle {
+            self.next_waiting(link, out);
+        }
+        whose
+    }
+
+    /// A connection that was to be written on is of no use, and nothing of the attempt went out: it goes elsewhere.
+    pub fn unfit(&mut self, now: f64, link: LinkId, attempt: AttemptId, out: &mut Vec<Do>) {
+        let Some(l) = self.links.get_mut(&link) else { return };
+        let node = l.node;
+        l.out.retain(|a| *a != Some(attempt));
+        self.at.remove(&attempt);
+        if l.out.is_empty() {
+            self.links.remove(&link);
+            out.push(Do::Close(link));
+        } else {
+            l.state = State::Spent;
+        }
+        self.send(now, node, attempt, out);
+    }
+
+    /// An attempt that was to be written is not to be written at all.
+    pub fn unsend(&mut self, now: f64, link: LinkId, attempt: AttemptId, out: &mut Vec<Do>) {
+        self.at.remove(&attempt);
+        let Some(l) = self.links.get_mut(&link) else { return };
+        l.out.retain(|a| *a != Some(attempt));
+        if l.out.is_empty() {
+            l.idle_since = now;
+            self.next_waiting(link, out);
+        }
+    }
+
+    /// A connection is over: what was out on it, in order.
+    pub fn closed(&mut self, link: LinkId, out: &mut Vec<Do>) -> Vec<AttemptId> {
+        let Some(l) = self.links.remove(&link) else { return Vec::new() };
+        let lost: Vec<AttemptId> = l.out.into_iter().flatten().collect();
+        self.at.retain(|attempt, _| !lost.contains(attempt));
+        if self.waiting.contains_key(&l.node) && self.links.len() < self.room {
+            // What waited for it to be free gets another.
+            let coming = self.links.values().filter(|o| o.node == l.node && o.state == State::Coming).count();
+            if self.waiting.get(&l.node).map_or(0, VecDeque::len) > coming {
+                self.open(l.node, out);
+            }
+        }
+        self.short_of(l.node, out);
+        lost
+    }
+
+    /// Nobody waits for an attempt any more. Where its connection carries nothing else it is closed, which tells the node.
+    pub fn withdrawn(&mut self, node: u32, attempt: AttemptId, out: &mut Vec<Do>) {
+        if let Some(link) = self.at.remove(&attempt) {
+            let Some(l) = self.links.get_mut(&link) else { return };
+            if l.out.iter().filter(|a| a.is_some()).count() <= 1 {
+                self.links.remove(&link);
+                out.push(Do::Close(link));
+                return self.short_of(node, out);
+            }
+            l.out.iter_mut().filter(|a| **a == Some(attempt)).for_each(|a| *a = None);
+        } else if let Some(waiting) = self.waiting.get_mut(&node) {
+            waiting.retain(|a| *a != attempt);
+            if waiting.is_empty() {
+                self.waiting.remove(&node);
+            }
+        }
+    }
+
+    /// Connections of a node on which nothing is out are closed.
+    pub fn close_idle(&mut self, node: u32, out: &mut Vec<Do>) {
+        self.close_where(out, |l| l.node == node);
+    }
+
+    /// Connections that stood idle almost as long as their nodes allow are closed.
+    pub fn sweep(&mut self, now: f64, out: &mut Vec<Do>) {
+        let after = self.links_of.idle_ms * IDLE_PART;
+        self.close_where(out, |l| now - l.idle_since >= after);
+    }
+
+    fn close_where(&mut self, out: &mut Vec<Do>, pick: impl Fn(&Link) -> bool) {
+        let idle = self.links.iter().filter(|(_, l)| l.state == State::Open && l.out.is_empty() && pick(l));
+        for link in idle.map(|(id, _)| *id).collect::<Vec<LinkId>>() {
+            self.links.remove(&link);
+            out.push(Do::Close(link));
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/roster.rs
@@ -0,0 +1,217 @@
+//! Discovery's list, and the numbers under which the module knows its nodes.
+
+use pearfork::{Condition, ListKind, NodeEntry};
+use serde_json::Value;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// Name of the node, equal at every host.
+    pub name: String,
+    /// Where this host reaches it; `None` where the line says that it is gone.
+    pub dial: Option<SocketAddr>,
+    /// Its site.
+    pub site: String,
+    /// The shard that it holds.
+    pub block: u16,
+    /// Its state.
+    pub condition: Condition,
+    /// Its last start, milliseconds of the Unix epoch; 0: long ago.
+    pub born_ms: f64,
+}
+
+/// An answer of discovery.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// Version that this brings a host to.
+    pub seq: u64,
+    /// The whole list; otherwise the changed lines alone.
+    pub whole: bool,
+    /// The lines.
+    pub lines: Vec<Line>,
+}
+
+/// What is wrong with a list.
+#[derive(Debug, thiserror::Error)]
+pub enum ListFault {
+    /// It is no JSON.
+    #[error("not JSON: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A field is missing or makes no sense.
+    #[error("hosts[{line}].{field} makes no sense: {found}")]
+    Line {
+        /// Which line, from 0.
+        line: usize,
+        /// Which field.
+        field: &'static str,
+        /// What stands there.
+        found: String,
+    },
+    /// A field of the whole is missing or makes no sense.
+    #[error("{0} is missing or makes no sense")]
+    Field(&'static str),
+}
+
+/// Reads an answer of discovery.
+///
+/// # Errors
+/// The line and field at fault; nothing of the list is used then.
+pub fn parse(body: &[u8]) -> Result<Listing, ListFault> {
+    parse_value(&serde_json::from_slice(body)?)
+}
+
+/// The same of what was parsed already.
+///
+/// # Errors
+/// As [`parse`].
+pub fn parse_value(v: &Value) -> Result<Listing, ListFault> {
+    let seq = v.get("seq").and_then(Value::as_u64).ok_or(ListFault::Field("seq"))?;
+    let whole = v.get("whole").and_then(Value::as_bool).ok_or(ListFault::Field("whole"))?;
+    let hosts = v.get("hosts").and_then(Value::as_array).ok_or(ListFault::Field("hosts"))?;
+    let lines = hosts.iter().enumerate().map(|(i, h)| line(i, h)).collect::<Result<Vec<_>, _>>()?;
+    Ok(Listing { seq, whole, lines })
+}
+
+fn line(number: usize, v: &Value) -> Result<Line, ListFault> {
+    let get = |field: &'static str| v.get(field).unwrap_or(&Value::Null);
+    let bad = |field: &'static str| ListFault::Line { line: number, field, found: get(field).to_string() };
+    let condition = match get("health").as_str() {
+        Some("SERVING") => Condition::Ready,
+        Some("DRAINING") => Condition::Draining,
+        Some("DELETED") => Condition::Gone,
+        _ => return Err(bad("health")),
+    };
+    let gone = condition == Condition::Gone;
+    let dial = get("dial").as_str().and_then(|s| s.parse().ok());
+    if dial.is_none() && !gone {
+        return Err(bad("dial"));
+    }
+    let block = get("block").as_u64().and_then(|b| u16::try_from(b).ok());
+    let born_ms = get("born_ms").as_f64().filter(|b| b.is_finite() && *b >= 0.0);
+    Ok(Line {
+        name: get("host").as_str().filter(|n| !n.is_empty()).ok_or_else(|| bad("host"))?.to_owned(),
+        dial,
+        site: get("site").as_str().unwrap_or("").to_owned(),
+        block: block.or(gone.then_some(0)).ok_or_else(|| bad("block"))?,
+        condition,
+        born_ms: born_ms.or(gone.then_some(0.0)).ok_or_else(|| bad("born_ms"))?,
+    })
+}
+
+/// Names of nodes that are gone and whose numbers are kept for their return.
+const GONE_KEPT: usize = 256;
+
+/// What a list means for connections.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Changed {
+    /// Where nodes are reached.
+    pub dials: Vec<(u32, SocketAddr)>,
+    /// Nodes that are gone, or started anew: connections to what they were lead nowhere.
+    pub left: Vec<u32>,
+}
+
+/// The numbers of nodes and sites.
+#[derive(Debug, Default)]
+pub struct Roster {
+    numbers: HashMap<String, Known>,
+    next: u32,
+    sites: HashMap<String, u16>,
+    gone: VecDeque<String>,
+}
+
+#[derive(Debug)]
+struct Known {
+    number: u32,
+    born_ms: f64,
+    dial: Option<SocketAddr>,
+    listed: bool,
+}
+
+impl Roster {
+    /// Takes a list; what the module is told of it, and what it means for connections.
+    ///
+    /// Danger: nodes come under new names for ever. Names that are gone are forgotten beyond a bound, oldest first; a
+    /// number is never given twice.
+    pub fn take(&mut self, list: &Listing) -> (Vec<NodeEntry>, Changed) {
+        let (mut entries, mut changed) = (Vec::new(), Changed::default());
+        if list.whole {
+            let listed: std::collections::HashSet<&str> =
+                list.lines.iter().map(|l| l.name.as_str()).collect();
+            let mut missing: Vec<String> = self
+                .numbers
+                .iter()
+                .filter(|(n, k)| k.listed && !listed.contains(n.as_str()))
+                .map(|(n, _)| n.clone())
+                .collect();
+            missing.sort_unstable();
+            for name in missing {
+                self.retire(&name, &mut changed);
+            }
+        }
+        for line in &list.lines {
+            let sites = self.sites.len();
+            let zone = match self.sites.get(&line.site) {
+                Some(zone) => *zone,
+                None => {
+                    *self.sites.entry(line.site.clone()).or_insert(u16::try_from(sites).unwrap_or(u16::MAX))
+                }
+            };
+            let known = self.numbers.entry(line.name.clone()).or_insert_with(|| {
+                self.next = self.next.wrapping_add(1);
+                Known { number: self.next, born_ms: line.born_ms, dial: line.dial, listed: false }
+            });
+            let number = known.number;
+            if let Some(dial) = line.dial {
+                changed.dials.push((number, dial));
+                let moved = known.dial.is_some_and(|d| d != dial) || line.born_ms > known.born_ms;
+                if moved {
+                    changed.left.push(number);
+                }
+                (known.dial, known.born_ms) = (Some(dial), line.born_ms);
+            }
+            if line.condition == Condition::Gone {
+                self.retire(&line.name, &mut changed);
+            } else if !known.listed {
+                known.listed = true;
+                self.gone.retain(|n| *n != line.name);
+            }
+            entries.push(NodeEntry {
+                node: number,
+                shard: line.block,
+                zone,
+                condition: line.condition,
+                started_ms: line.born_ms,
+            });
+        }
+        (entries, changed)
+    }
+
+    /// Kind of event that a list makes.
+    pub fn kind(list: &Listing) -> ListKind {
+        if list.whole {
+            ListKind::Full
+        } else {
+            ListKind::Changes
+        }
+    }
+
+    /// Names that it holds.
+    pub fn held(&self) -> usize {
+        self.numbers.len()
+    }
+
+    fn retire(&mut self, name: &str, changed: &mut Changed) {
+        let Some(known) = self.numbers.get_mut(name) else { return };
+        changed.left.push(known.number);
+        if std::mem::take(&mut known.listed) || !self.gone.iter().any(|n| n == name) {
+            self.gone.push_back(name.to_owned());
+        }
+        while self.gone.len() > GONE_KEPT {
+            if let Some(oldest) = self.gone.pop_front() {
+                self.numbers.remove(&oldest);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/resp/src/command.rs
@@ -0,0 +1,143 @@
+//! Commands as a server reads them: arrays of bulk strings.
+
+use crate::line::{number, take_line, Line, NUMBER_LINE};
+use bytes::{Buf, Bytes, BytesMut};
+
+/// Words of a command, the name first; at least one.
+pub type Command = Vec<Bytes>;
+
+/// How much a command may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CommandLimits {
+    /// Most words.
+    pub words: usize,
+    /// Most bytes of a word.
+    pub word: usize,
+    /// Most bytes of all words of a command.
+    pub whole: usize,
+}
+
+/// Why a stream of commands can't be read any further.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CommandFault {
+    /// It does not begin with `*`.
+    #[error("expected '*', an array of bulk strings")]
+    NotAnArray,
+    /// A word does not begin with `$`.
+    #[error("expected '$', a bulk string")]
+    NotABulk,
+    /// A line is too long, or holds no number.
+    #[error("invalid length line")]
+    Line,
+    /// A number of words or bytes below the least that makes sense.
+    #[error("invalid length")]
+    Length,
+    /// More words than allowed.
+    #[error("too many words")]
+    Words,
+    /// More bytes than allowed.
+    #[error("too big")]
+    TooBig,
+    /// A word does not end with a line end where its length says.
+    #[error("length does not match")]
+    Mismatch,
+}
+
+/// Takes bytes, gives commands.
+#[derive(Debug)]
+pub struct Commands {
+    limits: CommandLimits,
+    buffer: BytesMut,
+    /// Words still to come of the command that is being read, and those that came.
+    left: usize,
+    words: Vec<Bytes>,
+    held: usize,
+    /// Length of the word whose line was read.
+    word: Option<usize>,
+    fault: Option<CommandFault>,
+}
+
+impl Commands {
+    /// Nothing read yet.
+    pub fn new(limits: CommandLimits) -> Commands {
+        let buffer = BytesMut::new();
+        Commands { limits, buffer, left: 0, words: Vec::new(), held: 0, word: None, fault: None }
+    }
+
+    /// Where bytes that came are appended.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.buffer
+    }
+
+    /// Whether a command has begun and not ended.
+    pub fn is_within(&self) -> bool {
+        self.left > 0 || !self.buffer.is_empty()
+    }
+
+    /// The next whole command; `None` where more bytes are needed.
+    ///
+    /// # Errors
+    /// The stream is of no further use; the same is told again.
+    pub fn next_command(&mut self) -> Result<Option<Command>, CommandFault> {
+        match self.fault {
+            Some(fault) => Err(fault),
+            None => self.read().inspect_err(|fault| {
+                self.fault = Some(*fault);
+                self.buffer = BytesMut::new();
+                self.words = Vec::new();
+            }),
+        }
+    }
+
+    fn read(&mut self) -> Result<Option<Command>, CommandFault> {
+        if self.left == 0 {
+            let Some(words) = self.length(b'*', CommandFault::NotAnArray)? else { return Ok(None) };
+            if words < 1 {
+                return Err(CommandFault::Length);
+            }
+            if words > self.limits.words as i64 {
+                return Err(CommandFault::Words);
+            }
+            (self.left, self.held) = (words as usize, 0);
+        }
+        while self.left > 0 {
+            let len = match self.word {
+                Some(len) => len,
+                None => {
+                    let Some(len) = self.length(b'$', CommandFault::NotABulk)? else { return Ok(None) };
+                    if len < 0 {
+                        return Err(CommandFault::Length);
+                    }
+                    // Danger: a stated length is believed only within the limit, before a byte of it is kept.
+                    if len > self.limits.word as i64 || self.held + len as usize > self.limits.whole {
+                        return Err(CommandFault::TooBig);
+                    }
+                    *self.word.insert(len as usize)
+                }
+            };
+            if self.buffer.len() < len + 2 {
+                return Ok(None);
+            }
+            if &self.buffer[len..len + 2] != b"\r\n" {
+                return Err(CommandFault::Mismatch);
+            }
+            self.words.push(self.buffer.split_to(len).freeze());
+            self.buffer.advance(2);
+            (self.word, self.held, self.left) = (None, self.held + len, self.left - 1);
+        }
+        Ok(Some(std::mem::take(&mut self.words)))
+    }
+
+    fn length(&mut self, marker: u8, otherwise: CommandFault) -> Result<Option<i64>, CommandFault> {
+        match self.buffer.first() {
+            None => return Ok(None),
+            Some(first) if *first != marker => return Err(otherwise),
+            Some(_) => {}
+        }
+        match take_line(&mut self.buffer, NUMBER_LINE) {
+            Line::Partial => Ok(None),
+            Line::Bad => Err(CommandFault::Line),
+            Line::Whole(line) => number(&line[1..]).map(Some).ok_or(CommandFault::Line),
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/engine.rs
@@ -0,0 +1,334 @@
+//! The one thread that owns the driver, and carries out what the module says.
+
+use crate::client::{Client, Hall};
+use crate::clock::Clock;
+use crate::links::{Link, Nodes};
+use crate::tally::Tally;
+use bytes::Bytes;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use pearfork::{ListKind, Verdict};
+use pearfork_drive::{AttemptId, Driver, Step, Told};
+use pearfork_net::lock;
+use pearfork_platform::answer::Answer;
+use pearfork_platform::door::GuestId;
+use pearfork_platform::pool::{Do, LinkId, Pool};
+use pearfork_platform::request::Asked;
+use pearfork_platform::roster::{Listing, Roster};
+use pearfork_resp::write;
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+/// What the engine is told.
+pub(crate) enum Message {
+    /// A request was read.
+    Asked { client: Arc<Client>, slot: u64, asked: Box<Asked>, at: f64 },
+    /// A client connection is over.
+    ClientGone(GuestId),
+    /// Something that made no sense was answered with an error.
+    Fault,
+    /// A connection to a node came up.
+    Up(LinkId, Arc<Link>),
+    /// It did not.
+    NotUp(LinkId),
+    /// An answer came on one.
+    Answered { link: LinkId, answer: Answer, at: f64 },
+    /// One is over; `unsent`: bytes of its last command never went out.
+    Over { link: LinkId, unsent: bool },
+    /// The node list, or a change of it.
+    List(Listing),
+    /// How many requests are open, for a host that leaves.
+    Open(Sender<usize>),
+    /// Leave.
+    Stop,
+}
+
+/// A request without an answer.
+struct Open {
+    client: Arc<Client>,
+    slot: u64,
+    asked: Box<Asked>,
+}
+
+/// Most messages taken before timers are looked at again.
+const BATCH: usize = 64;
+/// How often idle and silent connections are looked at.
+const SWEEP_MS: f64 = 200.0;
+/// How often the counts are told.
+const TELL_MS: f64 = 5_000.0;
+
+pub(crate) struct Engine {
+    pub(crate) driver: Driver,
+    pub(crate) pool: Pool,
+    pub(crate) roster: Roster,
+    pub(crate) clock: Clock,
+    pub(crate) hall: Arc<Mutex<Hall>>,
+    pub(crate) nodes: Nodes,
+    books: Books,
+}
+
+#[derive(Default)]
+struct Books {
+    open: HashMap<u32, Open>,
+    by_client: BTreeSet<(GuestId, u32)>,
+    /// Clients' ids of open requests.
+    ids: HashSet<Bytes>,
+    /// Until when attempts that are out are waited for.
+    until: HashMap<AttemptId, f64>,
+    links: HashMap<LinkId, Arc<Link>>,
+    dials: HashMap<u32, SocketAddr>,
+    tally: Tally,
+    steps: Vec<Step>,
+    todo: Vec<Do>,
+}
+
+impl Engine {
+    pub(crate) fn new(
+        driver: Driver,
+        pool: Pool,
+        clock: Clock,
+        hall: Arc<Mutex<Hall>>,
+        nodes: Nodes,
+    ) -> Engine {
+        Engine { driver, pool, roster: Roster::default(), clock, hall, nodes, books: Books::default() }
+    }
+
+    /// The list as the host last had it.
+    pub(crate) fn known(&mut self, list: &Listing) {
+        self.list(list, ListKind::Cached);
+        self.settle();
+    }
+
+    /// Runs until told to stop.
+    pub(crate) fn run(mut self, messages: &Receiver<Message>) {
+        let (mut sweep, mut tell) = (self.clock.now_ms() + SWEEP_MS, self.clock.now_ms() + TELL_MS);
+        loop {
+            let due = self.driver.next_due().map_or(sweep, |at| at.min(sweep));
+            let first = match messages.recv_deadline(self.clock.instant(due)) {
+                Ok(m) => Some(m),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            for message in first.into_iter().chain(messages.try_iter().take(BATCH)) {
+                if matches!(message, Message::Stop) {
+                    return;
+                }
+                self.take(message);
+                self.settle();
+            }
+            let now = self.clock.now_ms();
+            let mut steps = std::mem::take(&mut self.books.steps);
+            self.driver.ring(now, &mut steps);
+            self.books.steps = steps;
+            if now >= sweep {
+                sweep = now + SWEEP_MS;
+                let mut hall = lock(&self.hall);
+                let overdue = hall.door.overdue(now);
+                hall.close(overdue);
+                drop(hall);
+                self.pool.sweep(now, &mut self.books.todo);
+            }
+            self.settle();
+            if now >= tell {
+                tell = now + TELL_MS;
+                let (guests, links) = (lock(&self.hall).door.held(), self.pool.held());
+                let line = self.books.tally.line();
+                tracing::info!(guests, links, open = self.driver.open(), out = self.driver.out(), "{line}");
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        let now = self.clock.now_ms();
+        match message {
+            Message::Asked { client, slot, asked, at } => self.asked(now, client, slot, asked, at),
+            Message::ClientGone(guest) => self.gone(guest),
+            Message::Fault => self.books.tally.faults += 1,
+            Message::Up(id, link) => {
+                self.books.links.insert(id, link);
+                self.pool.opened(now, id, &mut self.books.todo);
+            }
+            Message::NotUp(id) => self.pool.not_opened(id, &mut self.books.todo),
+            Message::Answered { link, answer, at } => {
+                if let Some(attempt) = self.pool.answered(now, link, &mut self.books.todo) {
+                    self.ended(at, attempt, answer);
+                }
+            }
+            Message::Over { link, unsent } => {
+                self.books.links.remove(&link);
+                let lost = self.pool.closed(link, &mut self.books.todo);
+                let last = lost.len().saturating_sub(1);
+                for (i, attempt) in lost.into_iter().enumerate() {
+                    let never = unsent && i == last;
+                    let verdict = if never { Verdict::ConnectFailed } else { Verdict::Reset };
+                    self.ended(now, attempt, Answer { verdict, value: None, told: Told::default() });
+                }
+            }
+            Message::List(list) => self.list(&list, Roster::kind(&list)),
+            Message::Open(to) => drop(to.try_send(self.driver.open())),
+            Message::Stop => {}
+        }
+    }
+
+    fn asked(&mut self, now: f64, client: Arc<Client>, slot: u64, asked: Box<Asked>, at: f64) {
+        self.books.tally.asked += 1;
+        self.books.tally.slowest_turn = self.books.tally.slowest_turn.max(now - at);
+        // Danger: two requests under one id are one to a node that drops repeats, and the answer of one would be
+        // the other's.
+        if !self.books.ids.insert(asked.id.clone()) {
+            self.books.tally.faults += 1;
+            self.reply(&client, slot, write::bytes(|out| write::error(out, "ERR id is in use")));
+            return;
+        }
+        let id = self.driver.allot();
+        self.driver.request(asked.request(id, at + asked.wait_ms));
+        self.books.by_client.insert((client.id, id));
+        self.books.open.insert(id, Open { client, slot, asked });
+    }
+
+    fn gone(&mut self, guest: GuestId) {
+        let of_it = (guest, 0)..=(guest, u32::MAX);
+        let ids: Vec<u32> = self.books.by_client.range(of_it).map(|(_, id)| *id).collect();
+        for id in ids {
+            self.driver.abandon(id);
+            self.books.forget(id);
+            self.books.tally.gone += 1;
+        }
+    }
+
+    /// An attempt ended by a node's word, or with its connection.
+    fn ended(&mut self, at: f64, attempt: AttemptId, answer: Answer) {
+        self.books.until.remove(&attempt);
+        if !self.driver.is_out(attempt) {
+            return;
+        }
+        self.books.tally.ended(answer.verdict);
+        let value = answer.value.unwrap_or_default();
+        if self.driver.ended(at, attempt, answer.verdict, answer.told) {
+            self.books.tally.served += 1;
+            self.finish(attempt.request, write::bytes(|out| write::bulk(out, &value)));
+        }
+    }
+
+    /// The one final answer to a request.
+    fn finish(&mut self, id: u32, bytes: Bytes) {
+        if let Some(open) = self.books.forget(id) {
+            self.reply(&open.client, open.slot, bytes);
+        }
+    }
+
+    fn reply(&mut self, client: &Client, slot: u64, bytes: Bytes) {
+        client.answer(slot, bytes);
+        lock(&self.hall).door.answered(self.clock.now_ms(), client.id);
+    }
+
+    fn list(&mut self, list: &Listing, kind: ListKind) {
+        let (entries, changed) = self.roster.take(list);
+        for node in changed.left {
+            self.pool.close_idle(node, &mut self.books.todo);
+        }
+        self.books.dials.extend(changed.dials);
+        if self.books.dials.len() > 4 * self.roster.held() + 64 {
+            let listed: HashSet<u32> = entries.iter().map(|e| e.node).collect();
+            self.books.dials.retain(|node, _| listed.contains(node));
+        }
+        self.driver.list(kind, entries);
+    }
+
+    /// Carries out all that is to be done, until nothing is.
+    fn settle(&mut self) {
+        loop {
+            let mut steps = std::mem::take(&mut self.books.steps);
+            self.driver.drive(self.clock.now_ms(), &mut steps);
+            let mut todo: VecDeque<Do> = std::mem::take(&mut self.books.todo).into();
+            if steps.is_empty() && todo.is_empty() {
+                self.books.steps = steps;
+                return;
+            }
+            steps.drain(..).for_each(|step| self.step(step));
+            self.books.steps = steps;
+            while let Some(one) = todo.pop_front() {
+                self.carry_out(one);
+            }
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        let now = self.clock.now_ms();
+        match step {
+            Step::Send { attempt, node, until_ms } => {
+                self.books.tally.sent += 1;
+                self.books.until.insert(attempt, until_ms);
+                self.pool.send(now, node, attempt, &mut self.books.todo);
+            }
+            Step::Withdrawn { attempt, node, verdict } => {
+                self.books.tally.ended(verdict);
+                self.books.until.remove(&attempt);
+                self.pool.withdrawn(node, attempt, &mut self.books.todo);
+            }
+            Step::Refused { id, retry_after_ms, reason } => {
+                *self.books.tally.refused.entry(reason).or_insert(0) += 1;
+                let wait = retry_after_ms.ceil() as u64;
+                let words = if wait > 0 { format!("BUSY {wait}") } else { "BUSY".to_owned() };
+                self.finish(id, write::bytes(|out| write::error(out, &words)));
+            }
+            Step::Failed { id, reason } => {
+                *self.books.tally.failed.entry(reason).or_insert(0) += 1;
+                self.finish(id, write::bytes(|out| write::error(out, &format!("ERR failed {reason}"))));
+            }
+            Step::CloseIdle(node) => self.pool.close_idle(node, &mut self.books.todo),
+            // The list is followed without being asked.
+            Step::Watch(_) | Step::ReadList => {}
+            Step::Log(text) => tracing::info!(target: "pearfork::module", "{text}"),
+        }
+    }
+
+    fn carry_out(&mut self, one: Do) {
+        let now = self.clock.now_ms();
+        match one {
+            Do::Open(link, node) => {
+                self.books.tally.opened += 1;
+                let dial = self.books.dials.get(&node).copied();
+                if !dial.is_some_and(|dial| self.nodes.open(link, dial)) {
+                    self.pool.not_opened(link, &mut self.books.todo);
+                }
+            }
+            Do::Write(link, attempt) => {
+                let until = self.books.until.get(&attempt).copied().unwrap_or(now);
+                let command = self.books.open.get(&attempt.request).map(|o| o.asked.command(until - now));
+                let wrote = match (self.books.links.get(&link), command) {
+                    (Some(link), Some(command)) => link.send(command).is_ok(),
+                    // Its client has left before anything went out for it.
+                    (_, None) => {
+                        self.pool.unsend(now, link, attempt, &mut self.books.todo);
+                        return self.never_sent(now, attempt);
+                    }
+                    (None, _) => false,
+                };
+                if !wrote {
+                    self.pool.unfit(now, link, attempt, &mut self.books.todo);
+                }
+            }
+            Do::Close(link) => self.books.links.remove(&link).iter().for_each(|l| l.shut()),
+            Do::NeverSent(attempt) => self.never_sent(now, attempt),
+        }
+    }
+
+    fn never_sent(&mut self, now: f64, attempt: AttemptId) {
+        self.ended(
+            now,
+            attempt,
+            Answer { verdict: Verdict::ConnectFailed, value: None, told: Told::default() },
+        );
+    }
+}
+
+impl Books {
+    /// Takes a request off the books.
+    fn forget(&mut self, id: u32) -> Option<Open> {
+        let open = self.open.remove(&id)?;
+        self.by_client.remove(&(open.client.id, id));
+        self.ids.remove(&open.asked.id);
+        Some(open)
+    }
+}
--- /dev/null
+++ b/crates/serving/src/serving.rs
@@ -0,0 +1,142 @@
+//! A host put together.
+
+use crate::client::{Front, Hall};
+use crate::clock::Clock;
+use crate::engine::{Engine, Message};
+use crate::links::Nodes;
+use crate::watch::Watcher;
+use crossbeam_channel::{bounded, Sender};
+use pearfork_drive::Driver;
+use pearfork_net::{lock, shut_listener, spawn_small, Flusher};
+use pearfork_platform::config::Config;
+use pearfork_platform::door::{client_room, node_room};
+use pearfork_platform::pool::Pool;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// A host that could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum ServingError {
+    /// The address could not be listened at.
+    #[error("cannot listen at {address}: {source}")]
+    Listen {
+        /// Which.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// No thread could be had.
+    #[error("cannot start a thread: {0}")]
+    Thread(#[from] io::Error),
+    /// The module refuses a setting.
+    #[error(transparent)]
+    Module(#[from] pearfork::SettingsError),
+}
+
+/// Messages that wait for the engine at the most.
+const ENGINE_QUEUE: usize = 4096;
+/// How long a host that leaves goes on taking connections: the platform sends new ones for 0.4 s.
+const STILL_OPEN: Duration = Duration::from_millis(500);
+/// What an answer may take beyond its deadline before a host that leaves no longer waits for it.
+const ANSWERED: Duration = Duration::from_millis(200);
+
+/// A running host.
+pub struct Serving {
+    listener: Arc<TcpListener>,
+    engine: Sender<Message>,
+    hall: Arc<Mutex<Hall>>,
+    discovery: Arc<Mutex<SocketAddr>>,
+    stopping: Arc<AtomicBool>,
+    longest: Duration,
+}
+
+impl Serving {
+    /// Starts a host.
+    ///
+    /// # Errors
+    /// What the machine refuses: the address, threads. What the module refuses.
+    pub fn start(config: Config) -> Result<Serving, ServingError> {
+        let address = config.listen;
+        let longest = config.module.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+        let driver = Driver::new(config.module, config.seed)?;
+        let clock = Clock::start();
+        let flusher = Flusher::start()?;
+        let (engine, messages) = bounded(ENGINE_QUEUE);
+        let hall = Arc::new(Mutex::new(Hall::new(client_room(config.limits.sockets))));
+        let pool = Pool::new(config.links, node_room(config.limits.sockets));
+        let within = Duration::from_secs_f64(config.links.connect_ms / 1_000.0);
+        let nodes = Nodes { engine: engine.clone(), clock, flusher: flusher.clone(), within };
+        let mut running = Engine::new(driver, pool, clock, hall.clone(), nodes);
+        running.known(&config.known);
+        spawn_small("engine", move || running.run(&messages))?;
+        let discovery = Arc::new(Mutex::new(config.discovery));
+        let watcher = Watcher { address: discovery.clone(), engine: engine.clone() };
+        spawn_small("discovery", move || watcher.run())?;
+        let listener =
+            TcpListener::bind(address).map_err(|source| ServingError::Listen { address, source })?;
+        let listener = Arc::new(listener);
+        let stopping = Arc::new(AtomicBool::new(false));
+        let front = Front {
+            hall: hall.clone(),
+            vocabulary: Arc::new(config.words),
+            engine: engine.clone(),
+            clock,
+            flusher,
+            stopping: stopping.clone(),
+            reading: Arc::new(AtomicUsize::new(0)),
+        };
+        let accepting = listener.clone();
+        spawn_small("accept", move || front.accept(&accepting))?;
+        tracing::info!(name = config.name, %address, "host listens");
+        let longest = Duration::from_secs_f64(longest / 1_000.0);
+        Ok(Serving { listener, engine, hall, discovery, stopping, longest })
+    }
+
+    /// Where clients come.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.listener.local_addr().ok()
+    }
+
+    /// Follows discovery at another address from now on, with the list as it is.
+    pub fn follow(&self, discovery: SocketAddr) {
+        *lock(&self.discovery) = discovery;
+    }
+
+    /// Leaves in order: goes on taking what comes for a moment, then closes what is idle and answers what was taken.
+    /// False where the time ran out first.
+    pub fn stop(&self) -> bool {
+        std::thread::sleep(STILL_OPEN);
+        self.stopping.store(true, Ordering::SeqCst);
+        shut_listener(&self.listener);
+        let until = Instant::now() + self.longest + ANSWERED;
+        loop {
+            let held = {
+                let mut hall = lock(&self.hall);
+                let idle = hall.door.idle();
+                hall.close(idle);
+                hall.door.held()
+            };
+            let (to, from) = bounded(1);
+            let asked = self.engine.send(Message::Open(to)).is_ok();
+            let open = if asked { from.recv_timeout(Duration::from_secs(1)).unwrap_or(1) } else { 0 };
+            if held == 0 && open == 0 {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        shut_listener(&self.listener);
+        let _ = self.engine.try_send(Message::Stop);
+    }
+}
--- a/adapter/src/settings.rs
+++ b/crates/site/src/params.rs
@@ -97,54 +97,64 @@
 }
 
 /// Translates the settings text.
+///
+/// # Errors
+/// No JSON, or as [`read_value`].
 pub fn read(params: &[u8]) -> Result<(Settings, Fields), String> {
     let v: Value = serde_json::from_slice(params).map_err(|e| format!("settings are no JSON: {e}"))?;
+    read_value(&v)
+}
+
+/// Translates settings that were parsed already.
+///
+/// # Errors
+/// The setting that is missing or makes no sense, by its path.
+pub fn read_value(v: &Value) -> Result<(Settings, Fields), String> {
     let mut classes = Vec::new();
-    for (i, c) in list(&v, "Classes")?.iter().enumerate() {
+    for (i, c) in list(v, "Classes")?.iter().enumerate() {
         classes.push(class(c, &format!("Classes[{i}]."))?);
     }
     let mut plans = Vec::new();
-    if find(&v, "Plans").is_some() {
-        for (i, p) in list(&v, "Plans")?.iter().enumerate() {
+    if find(v, "Plans").is_some() {
+        for (i, p) in list(v, "Plans")?.iter().enumerate() {
             plans.push(plan(p, &format!("Plans[{i}]."))?);
         }
     }
-    let extra = match find(&v, "Safety.ResendSpanMs") {
+    let extra = match find(v, "Safety.ResendSpanMs") {
         None => None,
         Some(_) => Some(ExtraRation {
-            free: num_or(&v, "Safety.ExtraFree", "", 0.0)?,
-            ratio: num_or(&v, "Safety.ExtraRatio", "", 0.0)?,
-            span_ms: num(&v, "Safety.ResendSpanMs", "")?,
+            free: num_or(v, "Safety.ExtraFree", "", 0.0)?,
+            ratio: num_or(v, "Safety.ExtraRatio", "", 0.0)?,
+            span_ms: num(v, "Safety.ResendSpanMs", "")?,
         }),
     };
-    let retry_after =
-        if flag(&v, "Limits.RetryAfter")? { num(&v, "Limits.MaxRetryAfterMs", "")? } else { 0.0 };
-    let mean_units = num_or(&v, "Domain.MeanUnits", "", 1.0)?;
+    let retry_after = if flag(v, "Limits.RetryAfter")? { num(v, "Limits.MaxRetryAfterMs", "")? } else { 0.0 };
+    let mean_units = num_or(v, "Domain.MeanUnits", "", 1.0)?;
     let settings = Settings {
-        hosts: num(&v, "Balancers", "")? as u32,
+        hosts: num(v, "Balancers", "")? as u32,
         classes,
         plans,
-        list_on_request: find(&v, "RegistryMode").and_then(Value::as_str) == Some("subscribe"),
-        round_ms: num(&v, "RoundMs", "")?,
-        max_attempts: num(&v, "Limits.MostTries", "")? as u32,
-        cancel: flag(&v, "Limits.Cancel")?,
-        second_copies: flag(&v, "Limits.SecondCopies")?,
+        list_on_request: find(v, "RegistryMode").and_then(Value::as_str) == Some("subscribe"),
+        round_ms: num(v, "RoundMs", "")?,
+        max_attempts: num(v, "Limits.MostTries", "")? as u32,
+        cancel: flag(v, "Limits.Cancel")?,
+        second_copies: flag(v, "Limits.SecondCopies")?,
         max_retry_after_ms: retry_after,
         extra,
-        drain_grace_ms: num(&v, "Safety.StopSendingWithinMs", "")?,
-        cold_from: num(&v, "Safety.ColdFrom", "")?,
-        warm_after_ms: num(&v, "Safety.WarmAfterMs", "")?,
-        fall_multiple: num_or(&v, "Safety.OverloadFactor", "", 1.0)?,
-        fall_ms: num(&v, "Safety.FallMs", "")?,
-        cold_units: num_or(&v, "Domain.ColdUnits", "", 0.0)?,
-        key_rest_ms: num_or(&v, "Safety.KeyRestMs", "", 0.0)?,
+        drain_grace_ms: num(v, "Safety.StopSendingWithinMs", "")?,
+        cold_from: num(v, "Safety.ColdFrom", "")?,
+        warm_after_ms: num(v, "Safety.WarmAfterMs", "")?,
+        fall_multiple: num_or(v, "Safety.OverloadFactor", "", 1.0)?,
+        fall_ms: num(v, "Safety.FallMs", "")?,
+        cold_units: num_or(v, "Domain.ColdUnits", "", 0.0)?,
+        key_rest_ms: num_or(v, "Safety.KeyRestMs", "", 0.0)?,
         mean_units,
-        max_units: num_or(&v, "Domain.UnitsTop", "", mean_units)?,
-        share_worth: num_or(&v, "Domain.ShareWorth", "", 1.0)?,
-        spare_worth: num_or(&v, "Domain.SpareWorth", "", 1.0)?,
-        meter_ms: num_or(&v, "Domain.MeterMs", "", 0.0)?,
+        max_units: num_or(v, "Domain.UnitsTop", "", mean_units)?,
+        share_worth: num_or(v, "Domain.ShareWorth", "", 1.0)?,
+        spare_worth: num_or(v, "Domain.SpareWorth", "", 1.0)?,
+        meter_ms: num_or(v, "Domain.MeterMs", "", 0.0)?,
     };
-    let names = find(&v, "Report.Fields").and_then(Value::as_array);
+    let names = find(v, "Report.Fields").and_then(Value::as_array);
     let at = |name| names.and_then(|n| n.iter().position(|f| f.as_str() == Some(name)));
     let (queue, in_flight) = (at("pending"), at("busy_reqs"));
     Ok((settings, Fields { queue, in_flight, latency: at("svc_ms"), util: at("cpu_share") }))
