--- /dev/null
+++ b/crates/drive/tests/driver.rs
@@ -0,0 +1,137 @@
+//! The bookkeeping that a host does for the module.
+
+use pearfork::{
+    Class, Condition, Effect, Group, ListKind, NodeEntry, Plan, Request, Settings, Terms, Verdict,
+};
+use pearfork_drive::{AttemptId, Driver, Step, Told};
+
+fn driver(effect: Effect) -> Driver {
+    let class = Class {
+        aim_ms: 120.0,
+        deadline_ms: 1000.0,
+        worth: 1.0,
+        late_worth: 0.1,
+        effect,
+        group: Group::All,
+        window_ms: 0.0,
+        ordered: false,
+        terms: Terms::default(),
+    };
+    let plan =
+        Plan { nominal: 10.0, reserve: 5.0, weight: 1.0, pays: 1.0, limit: 0.0, burst: 0.0, slack: 0.0 };
+    let settings = Settings {
+        hosts: 3,
+        classes: vec![class],
+        plans: vec![plan],
+        list_on_request: false,
+        round_ms: 2.0,
+        max_attempts: 2,
+        cancel: true,
+        second_copies: false,
+        max_retry_after_ms: 1000.0,
+        extra: None,
+        drain_grace_ms: 2000.0,
+        cold_from: 0.2,
+        warm_after_ms: 15_000.0,
+        fall_multiple: 2.0,
+        fall_ms: 2000.0,
+        cold_units: 40.0,
+        key_rest_ms: 0.0,
+        mean_units: 2.0,
+        max_units: 6.0,
+        share_worth: 0.4,
+        spare_worth: 0.05,
+        meter_ms: 1000.0,
+    };
+    let mut driver = Driver::new(settings, 1).unwrap();
+    let node = |node| NodeEntry { node, shard: 0, zone: 0, condition: Condition::Ready, started_ms: 0.0 };
+    driver.list(ListKind::Full, vec![node(7)]);
+    driver.drive(0.0, &mut Vec::new());
+    driver
+}
+
+/// Takes a request at a time; its first attempt, which goes out at once.
+fn request(driver: &mut Driver, now: f64) -> AttemptId {
+    let id = driver.allot();
+    driver.request(Request {
+        id,
+        valid_until_ms: now + 1000.0,
+        volume: 9,
+        units: 2.0,
+        shard: Some(0),
+        volume_hosts: 1.0,
+        ..Request::default()
+    });
+    let mut steps = Vec::new();
+    driver.drive(now, &mut steps);
+    let [Step::Send { attempt, node: 7, until_ms }] = steps[..] else { panic!("{steps:?}") };
+    assert_eq!(until_ms, now + 1000.0);
+    attempt
+}
+
+#[test]
+fn an_answer_serves_once() {
+    let mut driver = driver(Effect::Safe);
+    let attempt = request(&mut driver, 0.0);
+    assert!(driver.ended(20.0, attempt, Verdict::Served, Told::default()));
+    assert!(!driver.ended(21.0, attempt, Verdict::Served, Told::default()));
+    assert_eq!((driver.open(), driver.out()), (0, 0));
+}
+
+/// Danger: an answer to a request whose client has left would be written to nobody, or to whoever took its place.
+#[test]
+fn an_answer_after_its_client_left_serves_nobody_and_is_heard_by_the_module() {
+    let mut driver = driver(Effect::Safe);
+    let attempt = request(&mut driver, 0.0);
+    driver.abandon(attempt.request);
+    let mut steps = Vec::new();
+    driver.drive(1.0, &mut steps);
+    assert!(driver.is_out(attempt));
+    assert!(!driver.ended(20.0, attempt, Verdict::Served, Told::default()));
+    assert!(!driver.is_out(attempt));
+}
+
+/// Rule 1: whatever does not happen, one final answer before the client gives up, and the attempt given up with it.
+#[test]
+fn silence_ends_in_one_final_answer_before_the_client_gives_up() {
+    for effect in [Effect::Safe, Effect::Unsafe] {
+        let mut driver = driver(effect);
+        let attempt = request(&mut driver, 0.0);
+        let (mut answers, mut withdrawn) = (0, 0);
+        for now in 0..1_200 {
+            let mut steps = Vec::new();
+            driver.ring(f64::from(now), &mut steps);
+            for step in steps {
+                match step {
+                    Step::Refused { .. } | Step::Failed { .. } => {
+                        assert!(now <= 1_000, "{now}");
+                        assert_eq!(effect == Effect::Safe, matches!(step, Step::Refused { .. }));
+                        answers += 1;
+                    }
+                    Step::Withdrawn { attempt: a, node: 7, .. } => {
+                        assert_eq!(a, attempt);
+                        withdrawn += 1;
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert_eq!((answers, withdrawn, driver.open(), driver.out()), (1, 1, 0, 0));
+        assert!(!driver.ended(1_300.0, attempt, Verdict::Served, Told::default()));
+    }
+}
+
+#[test]
+fn a_lost_attempt_of_a_safe_request_is_followed_by_another_under_the_next_number() {
+    let mut driver = driver(Effect::Safe);
+    let first = request(&mut driver, 0.0);
+    assert!(!driver.ended(5.0, first, Verdict::Reset, Told::default()));
+    let mut steps = Vec::new();
+    driver.drive(5.0, &mut steps);
+    let again = steps.iter().find_map(|s| match s {
+        Step::Send { attempt, .. } => Some(*attempt),
+        _ => None,
+    });
+    assert_eq!(again, Some(AttemptId { request: first.request, number: 1 }));
+    assert!(driver.ended(30.0, again.unwrap(), Verdict::Served, Told::default()));
+}
--- a/crates/host/src/dispatcher.rs
+++ b/crates/host/src/dispatcher.rs
@@ -1,21 +1,20 @@
 //! Drives the module: turns commands into its events and its actions into effects. No I/O, no clock.
 //!
-//! It decides nothing. What it adds is bookkeeping that the module's interface asks of a host: ids, numbers of
-//! attempts, timers, the time-out of an attempt at the moment the module named, and one answer for a command
-//! whose parts have one each ([`crate::join`]).
+//! It decides nothing. What the module's interface asks of any host is kept by [`pearfork_drive`]; what this adds is
+//! commands of volumes, and one answer for a command whose parts have one each ([`crate::join`]).
 
 use crate::counts::{ClassCounts, NodeCounts, ReasonCounts};
-use crate::ids::RequestIds;
 use crate::join::{Join, PartEnd};
 use crate::settings::{HostPlan, Matching};
 use crate::volumes::{Part, VolumeId};
 use hdrhistogram::Histogram;
-use pearfork::{Action, Event, ListKind, NodeEntry, Outcome, Reason, Request, Scheduler, Verdict};
+use pearfork::{ListKind, NodeEntry, Reason, Request, Verdict};
+pub use pearfork_drive::AttemptId;
+use pearfork_drive::{Driver, Step, Told};
 use pearfork_iscsi::ext::{RepeatKey, Report, Tag};
 use pearfork_iscsi::Payload;
 use pearfork_scsi::Media;
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
@@ -91,15 +90,6 @@
     pub wanted: Arc<AtomicBool>,
 }
 
-/// Names an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct AttemptId {
-    /// The request.
-    pub request: u32,
-    /// From 0, in order of issue.
-    pub number: u16,
-}
-
 /// How an attempt ended, as the link to the node knows it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ended {
@@ -169,54 +159,19 @@
     data: Payload,
     units: f64,
     key: RepeatKey,
-    valid_until: f64,
-    attempts: u16,
-}
-
-struct Flight {
-    node: u32,
-    sent: f64,
-    wanted: Arc<AtomicBool>,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Module(u64),
-    TimeOut(AttemptId),
-}
-
-/// A time that orders; all are finite.
-#[derive(Clone, Copy, PartialEq)]
-struct At(f64);
-
-impl Eq for At {}
-
-impl PartialOrd for At {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
 }
 
-impl Ord for At {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
-/// Drives one [`Scheduler`].
+/// Drives one [`pearfork::Scheduler`].
 pub struct Dispatcher {
     plan: Arc<HostPlan>,
     matching: Arc<Matching>,
-    scheduler: Scheduler,
+    driver: Driver,
     boot: u32,
-    ids: RequestIds,
     commands: BTreeMap<Origin, Command>,
     requests: HashMap<u32, Live>,
-    flights: HashMap<AttemptId, Flight>,
-    timers: BinaryHeap<Reverse<(At, u64, Due)>>,
-    timer_number: u64,
-    events: VecDeque<Event>,
-    actions: Vec<Action>,
+    /// Attempts that are out, and the word that each is still to go.
+    wanted: HashMap<AttemptId, Arc<AtomicBool>>,
+    steps: Vec<Step>,
     classes: Vec<ClassCounts>,
     /// Answer times of served commands, microseconds.
     times: Vec<Histogram<u32>>,
@@ -231,21 +186,17 @@
     /// # Errors
     /// The module refuses a setting.
     pub fn new(plan: Arc<HostPlan>, seed: u64, boot: u32) -> Result<Self, pearfork::SettingsError> {
-        let scheduler = Scheduler::new(plan.module.clone(), seed)?;
+        let driver = Driver::new(plan.module.clone(), seed)?;
         // Two digits up to an hour: a few tens of KiB for each class.
         let times = Histogram::new_with_bounds(1, 3_600_000_000, 2)
             .unwrap_or_else(|_| Histogram::new(2).expect("2 is a valid precision"));
         Ok(Dispatcher {
-            scheduler,
+            driver,
             boot,
-            ids: RequestIds::default(),
             commands: BTreeMap::new(),
             requests: HashMap::new(),
-            flights: HashMap::new(),
-            timers: BinaryHeap::new(),
-            timer_number: 0,
-            events: VecDeque::new(),
-            actions: Vec::new(),
+            wanted: HashMap::new(),
+            steps: Vec::new(),
             classes: vec![ClassCounts::default(); plan.class_names.len()],
             times: vec![times; plan.class_names.len()],
             nodes: BTreeMap::new(),
@@ -270,7 +221,7 @@
             Input::Matching(matching) => self.matching = matching,
             Input::List(kind, entries) => {
                 self.note_list(kind, &entries);
-                self.events.push_back(Event::List(kind, entries));
+                self.driver.list(kind, entries);
             }
         }
         self.drive(now, out);
@@ -278,30 +229,14 @@
 
     /// When something is due next.
     pub fn next_due(&self) -> Option<f64> {
-        self.timers.peek().map(|Reverse((at, ..))| at.0)
+        self.driver.next_due()
     }
 
     /// Rings what is due.
     pub fn ring(&mut self, now: f64, out: &mut Vec<Effect>) {
-        // Bounded by what was due at the call: a timer set for now by one that rings waits for the next call.
-        let before = self.timer_number;
-        let mut later = Vec::new();
-        while let Some(Reverse((at, number, due))) = self.timers.peek().copied() {
-            if at.0 > now {
-                break;
-            }
-            self.timers.pop();
-            if number > before {
-                later.push(Reverse((at, number, due)));
-                continue;
-            }
-            match due {
-                Due::Module(label) => self.events.push_back(Event::Timer { label }),
-                Due::TimeOut(id) => self.withdraw(now, id, Verdict::TimedOut, out),
-            }
-            self.drive(now, out);
-        }
-        self.timers.extend(later);
+        let mut steps = std::mem::take(&mut self.steps);
+        self.driver.ring(now, &mut steps);
+        self.carry_out_all(now, steps, out);
     }
 
     /// Commands without an answer.
@@ -331,11 +266,7 @@
 
     /// What the requests without an answer wait for now, by the module's word.
     pub fn waiting(&self, now: f64) -> BTreeMap<Reason, u64> {
-        let mut waiting = BTreeMap::new();
-        for (_, reason) in self.scheduler.waiting(now) {
-            *waiting.entry(reason).or_insert(0) += 1;
-        }
-        waiting
+        self.driver.waiting(now)
     }
 
     /// The node list as last heard.
@@ -374,11 +305,7 @@
         self.classes[usize::from(class)].taken += 1;
         let mut requests = Vec::with_capacity(parts.len());
         for (n, part) in parts.iter().enumerate() {
-            let attempts = plan.module.max_attempts.min(u32::from(u16::MAX)) as u16;
-            let id = self.ids.allot(|request| {
-                let out = |number| self.flights.contains_key(&AttemptId { request, number });
-                self.requests.contains_key(&request) || (0..attempts).any(out)
-            });
+            let id = self.driver.allot();
             let moved = part.media.moves(block);
             let valid_until = arrived + rule.deadline_ms;
             let live = Live {
@@ -395,10 +322,8 @@
                     command: s.command_number,
                     part: n as u16,
                 },
-                valid_until,
-                attempts: 0,
             };
-            self.events.push_back(Event::Request(Request {
+            self.driver.request(Request {
                 id,
                 class,
                 plan: plan_number,
@@ -408,7 +333,7 @@
                 units: live.units,
                 shard: Some(part.shard),
                 volume_hosts: f64::from(volume.hosts),
-            }));
+            });
             self.requests.insert(id, live);
             requests.push(id);
         }
@@ -422,55 +347,48 @@
         self.classes[usize::from(command.class)].abandoned += 1;
         for id in command.requests {
             if self.requests.remove(&id).is_some() {
-                self.events.push_back(Event::Abandoned { id });
+                self.driver.abandon(id);
             }
         }
     }
 
     /// Gives the module what waits for it and carries out what it says, until both are quiet.
     fn drive(&mut self, now: f64, out: &mut Vec<Effect>) {
-        while let Some(event) = self.events.pop_front() {
-            let mut actions = std::mem::take(&mut self.actions);
-            self.scheduler.handle(now, event, &mut actions);
-            for action in actions.drain(..) {
-                self.carry_out(now, action, out);
-            }
-            self.actions = actions;
-        }
+        let mut steps = std::mem::take(&mut self.steps);
+        self.driver.drive(now, &mut steps);
+        self.carry_out_all(now, steps, out);
     }
 
-    fn carry_out(&mut self, now: f64, action: Action, out: &mut Vec<Effect>) {
-        match action {
-            Action::Send { id, node, within_ms } => self.send(now, id, node, within_ms, out),
-            Action::Refuse { id, retry_after_ms, reason } => {
-                self.part_ends(now, id, PartEnd::Refused(retry_after_ms), Some(reason), out)
-            }
-            Action::Fail { id, reason } => self.part_ends(now, id, PartEnd::Failed, Some(reason), out),
-            Action::Cancel { id, attempt } => {
-                self.withdraw(now, AttemptId { request: id, number: attempt }, Verdict::Cancelled, out);
-            }
-            Action::SetTimer { at_ms, label } => self.set_timer(at_ms, Due::Module(label)),
-            Action::Watch(on) => out.push(Effect::Watch(on)),
-            Action::ReadList => out.push(Effect::ReadList),
-            Action::CloseIdle { node } => out.push(Effect::CloseIdle(node)),
-            Action::Log(text) => out.push(Effect::Log(text)),
-            // Not offered to the module by these settings: nodes can't be probed, hosts don't talk.
-            Action::Probe { .. } | Action::Tell { .. } => {}
-        }
+    fn carry_out_all(&mut self, now: f64, mut steps: Vec<Step>, out: &mut Vec<Effect>) {
+        steps.drain(..).for_each(|step| self.carry_out(now, step, out));
+        self.steps = steps;
     }
 
-    fn set_timer(&mut self, at_ms: f64, due: Due) {
-        if at_ms.is_finite() {
-            self.timer_number += 1;
-            self.timers.push(Reverse((At(at_ms), self.timer_number, due)));
+    fn carry_out(&mut self, now: f64, step: Step, out: &mut Vec<Effect>) {
+        match step {
+            Step::Send { attempt, node, .. } => self.send(attempt, node, out),
+            Step::Withdrawn { attempt, node, verdict } => {
+                self.unwanted(attempt);
+                out.push(Effect::Abort(node, attempt));
+                let counts = self.nodes.entry(node).or_default();
+                match verdict {
+                    Verdict::Cancelled => counts.cancelled += 1,
+                    _ => counts.timed_out += 1,
+                }
+            }
+            Step::Refused { id, retry_after_ms, reason } => {
+                self.part_ends(now, id, PartEnd::Refused(retry_after_ms), Some(reason), out)
+            }
+            Step::Failed { id, reason } => self.part_ends(now, id, PartEnd::Failed, Some(reason), out),
+            Step::Watch(on) => out.push(Effect::Watch(on)),
+            Step::ReadList => out.push(Effect::ReadList),
+            Step::CloseIdle(node) => out.push(Effect::CloseIdle(node)),
+            Step::Log(text) => out.push(Effect::Log(text)),
         }
     }
 
-    fn send(&mut self, now: f64, id: u32, node: u32, within_ms: f64, out: &mut Vec<Effect>) {
-        let Some(live) = self.requests.get_mut(&id) else { return };
-        let attempt = AttemptId { request: id, number: live.attempts };
-        live.attempts = live.attempts.saturating_add(1);
-        let until = if within_ms > 0.0 { live.valid_until.min(now + within_ms) } else { live.valid_until };
+    fn send(&mut self, attempt: AttemptId, node: u32, out: &mut Vec<Effect>) {
+        let Some(live) = self.requests.get(&attempt.request) else { return };
         let wanted = Arc::new(AtomicBool::new(true));
         let block_len = self.plan.volumes[live.volume.0 as usize].unit.block_len;
         let order = Order {
@@ -487,25 +405,16 @@
             },
             wanted: wanted.clone(),
         };
-        self.flights.insert(attempt, Flight { node, sent: now, wanted });
+        self.wanted.insert(attempt, wanted);
         let counts = self.nodes.entry(node).or_default();
         counts.sent += 1;
         counts.further += u64::from(attempt.number > 0);
-        self.set_timer(until, Due::TimeOut(attempt));
         out.push(Effect::Send(node, Box::new(order)));
     }
 
-    /// The host stops waiting for an attempt, by the module's word or at the time that it named.
-    fn withdraw(&mut self, now: f64, id: AttemptId, verdict: Verdict, out: &mut Vec<Effect>) {
-        let Some(flight) = self.flights.remove(&id) else { return };
-        flight.wanted.store(false, Ordering::SeqCst);
-        out.push(Effect::Abort(flight.node, id));
-        let counts = self.nodes.entry(flight.node).or_default();
-        match verdict {
-            Verdict::Cancelled => counts.cancelled += 1,
-            _ => counts.timed_out += 1,
-        }
-        self.tell(now, id, &flight, verdict, None);
+    /// An attempt is over for the host: it must not go out any more.
+    fn unwanted(&mut self, id: AttemptId) {
+        self.wanted.remove(&id).iter().for_each(|wanted| wanted.store(false, Ordering::SeqCst));
     }
 
     fn ended(
@@ -516,53 +425,21 @@
         report: Option<Report>,
         out: &mut Vec<Effect>,
     ) {
-        // Danger: an answer after its time-out. The attempt is over for the module; a late success must not
-        // answer a request that was refused meanwhile, nor one that took its id.
-        let Some(flight) = self.flights.remove(&id) else { return };
-        flight.wanted.store(false, Ordering::SeqCst);
-        let counts = self.nodes.entry(flight.node).or_default();
-        let verdict = match ended {
-            Ended::Served(served) => {
-                counts.served += 1;
-                self.part_ends(now, id.request, PartEnd::Served(served), None, out);
-                Verdict::Served
-            }
-            Ended::Error => {
-                counts.errors += 1;
-                Verdict::Error
-            }
-            Ended::Full => {
-                counts.full += 1;
-                Verdict::Full
-            }
-            Ended::ConnectFailed => {
-                counts.connect_failed += 1;
-                Verdict::ConnectFailed
-            }
-            Ended::Reset => {
-                counts.reset += 1;
-                Verdict::Reset
-            }
+        let Some(node) = self.driver.node_of(id) else { return };
+        self.unwanted(id);
+        let counts = self.nodes.entry(node).or_default();
+        let (verdict, count) = match &ended {
+            Ended::Served(_) => (Verdict::Served, &mut counts.served),
+            Ended::Error => (Verdict::Error, &mut counts.errors),
+            Ended::Full => (Verdict::Full, &mut counts.full),
+            Ended::ConnectFailed => (Verdict::ConnectFailed, &mut counts.connect_failed),
+            Ended::Reset => (Verdict::Reset, &mut counts.reset),
         };
-        self.tell(now, id, &flight, verdict, report);
-    }
-
-    fn tell(&mut self, now: f64, id: AttemptId, flight: &Flight, verdict: Verdict, report: Option<Report>) {
-        let used = report.filter(|r| r.used_percent != u16::MAX).map(|r| f64::from(r.used_percent));
-        self.events.push_back(Event::Outcome(Outcome {
-            id: id.request,
-            attempt: id.number,
-            node: flight.node,
-            verdict,
-            elapsed_ms: now - flight.sent,
-            complete: !self.requests.contains_key(&id.request),
-            used_percent: used,
-            foreign_units: report.map_or(0.0, |r| f64::from(r.foreign_milli_units) / 1_000.0),
-            queue: report.map(|r| f64::from(r.queue)),
-            in_flight: report.map(|r| f64::from(r.in_flight)),
-            latency_ms: report.map(|r| f64::from(r.service_us) / 1_000.0),
-            util: report.map(|r| f64::from(r.util_milli) / 1_000.0),
-        }));
+        *count += 1;
+        let serves = self.driver.ended(now, id, verdict, report.map_or(Told::default(), told));
+        if let (true, Ended::Served(served)) = (serves, ended) {
+            self.part_ends(now, id.request, PartEnd::Served(served), None, out);
+        }
     }
 
     fn part_ends(
@@ -611,6 +488,18 @@
     }
 }
 
+/// A node's report as the module is told it.
+fn told(r: Report) -> Told {
+    Told {
+        used_percent: Some(r.used_percent).filter(|u| *u != u16::MAX).map(f64::from),
+        foreign_units: f64::from(r.foreign_milli_units) / 1_000.0,
+        queue: Some(f64::from(r.queue)),
+        in_flight: Some(f64::from(r.in_flight)),
+        latency_ms: Some(f64::from(r.service_us) / 1_000.0),
+        util: Some(f64::from(r.util_milli) / 1_000.0),
+    }
+}
+
 /// Data of all parts in order; a part's definite no counts for the whole.
 fn joined(parts: Vec<Served>) -> Served {
     let mut all = Payload::new();
--- a/crates/host/src/engine.rs
+++ b/crates/host/src/engine.rs
@@ -1,37 +1,12 @@
-//! The one thread that owns a host's dispatcher, and the clock that it lives by.
+//! The one thread that owns a host's dispatcher.
 
 use crate::dispatcher::{AttemptId, Dispatcher, Effect, Ended, Final, Input, Origin};
 use crate::links::Links;
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use pearfork_iscsi::ext::Report;
+use pearfork_net::Clock;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-
-/// Milliseconds of the Unix epoch that only advance: read off the system's clock once, then monotonic.
-///
-/// Danger: the node list gives starts of nodes on this scale. A clock that began at 0 with the process would make
-/// a node that started just before the host look as if it had been up for ever, and it would be sent full load cold.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
-    began: Instant,
-    began_ms: f64,
-}
-
-impl Clock {
-    pub(crate) fn start() -> Clock {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::from_secs(1));
-        Clock { began: Instant::now(), began_ms: since.as_secs_f64() * 1_000.0 }
-    }
-
-    pub(crate) fn now_ms(&self) -> f64 {
-        self.began_ms + self.began.elapsed().as_secs_f64() * 1_000.0
-    }
-
-    fn instant(&self, at_ms: f64) -> Instant {
-        let after = ((at_ms - self.began_ms) / 1_000.0).clamp(0.0, 1e9);
-        self.began + Duration::from_secs_f64(after)
-    }
-}
+use std::time::Duration;
 
 /// What the engine is told.
 pub(crate) enum Message {
--- a/crates/host/src/front.rs
+++ b/crates/host/src/front.rs
@@ -3,12 +3,12 @@
 //! It holds no decision: what needs the medium goes to the engine, and the engine's answer is put into words.
 
 use crate::dispatcher::{Final, Input, Origin, Served, Submission};
-use crate::engine::{Clock, Message};
+use crate::engine::Message;
 use crate::settings::HostPlan;
 use crate::volumes::{Volume, VolumeId};
 use crossbeam_channel::Sender;
 use pearfork_iscsi::{Access, LoginStatus, Payload, Response, ScsiCommand, TaskTag, TmfFunction};
-use pearfork_net::{Service, Session};
+use pearfork_net::{Clock, Service, Session};
 use pearfork_scsi::{lun_field, report_luns, status, unit_of, Answer, Cdb, MediaOp, Sense};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -3,14 +3,14 @@
 use crate::counts::{ClassCounts, NodeCounts, ReasonCounts};
 use crate::directory::{Ask, Watcher};
 use crate::dispatcher::{Dispatcher, Final, Input, Origin};
-use crate::engine::{self, Clock, Message, Outside};
+use crate::engine::{self, Message, Outside};
 use crate::front::{Door, Front};
 use crate::links::Links;
 use crate::settings::{HostPlan, SettingsFaults};
 use crate::status::{self, Snapshot};
 use crossbeam_channel::{bounded, Receiver, Sender};
 use pearfork_iscsi::Limits;
-use pearfork_net::{http, spawn_small, Portal, PortalConfig};
+use pearfork_net::{http, spawn_small, Clock, Portal, PortalConfig};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,7 +12,6 @@
 mod engine;
 mod front;
 mod host;
-pub mod ids;
 pub mod join;
 mod links;
 pub mod settings;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,12 +4,14 @@
 //! lock is held over a read or a write, so that a peer that stands still blocks nobody else; what waits for it
 //! is bounded by its command window.
 
+mod clock;
 mod connection;
 pub mod http;
 mod outbox;
 mod portal;
 mod stream;
 
+pub use clock::Clock;
 pub use connection::{ConnectError, Connection, ConnectionEvent, Token};
 pub use outbox::{long_queue, shut_listener, Flusher, Outbox, Waiting};
 pub use portal::{Portal, PortalConfig, Service, Session, SessionId};
--- /dev/null
+++ b/crates/platform/tests/connections.rs
@@ -0,0 +1,219 @@
+//! Which client connections stay, and which connection to a node carries an attempt.
+
+use pearfork_drive::AttemptId;
+use pearfork_platform::config::Links;
+use pearfork_platform::door::{client_room, node_room, AfterFault, Door};
+use pearfork_platform::pool::{Do, Pool};
+
+const LINKS: Links = Links { streams: 2, idle_ms: 30_000.0, connect_ms: 250.0 };
+
+fn attempt(request: u32) -> AttemptId {
+    AttemptId { request, number: 0 }
+}
+
+/// Asks for an attempt to node 1 and tells what is to be done.
+fn send(pool: &mut Pool, now: f64, request: u32) -> Vec<Do> {
+    let mut out = Vec::new();
+    pool.send(now, 1, attempt(request), &mut out);
+    out
+}
+
+fn opened(pool: &mut Pool, now: f64, link: u64) -> Vec<Do> {
+    let mut out = Vec::new();
+    pool.opened(now, link, &mut out);
+    out
+}
+
+#[test]
+fn each_attempt_has_a_connection_and_idle_ones_are_used_again() {
+    let mut pool = Pool::new(LINKS, 10);
+    assert_eq!(send(&mut pool, 0.0, 1), [Do::Open(0, 1)]);
+    assert_eq!(send(&mut pool, 0.0, 2), [Do::Open(1, 1)]);
+    // Whichever is up first carries what waits longest.
+    assert_eq!(opened(&mut pool, 1.0, 1), [Do::Write(1, attempt(1))]);
+    assert_eq!(opened(&mut pool, 1.0, 0), [Do::Write(0, attempt(2))]);
+    let mut out = Vec::new();
+    assert_eq!(pool.answered(10.0, 1, &mut out), Some(attempt(1)));
+    assert_eq!(send(&mut pool, 20.0, 3), [Do::Write(1, attempt(3))]);
+    assert!(out.is_empty());
+}
+
+/// Danger: what a node sends behind its answer would be taken for the answer to the next command.
+#[test]
+fn a_connection_that_has_just_answered_is_not_the_first_choice() {
+    let mut pool = Pool::new(LINKS, 10);
+    let mut out = Vec::new();
+    for request in [1, 2] {
+        send(&mut pool, 0.0, request);
+        opened(&mut pool, 0.0, u64::from(request) - 1);
+    }
+    pool.answered(10.0, 0, &mut out);
+    pool.answered(19.5, 1, &mut out);
+    assert_eq!(send(&mut pool, 20.0, 3), [Do::Write(0, attempt(3))]);
+    pool.answered(25.0, 0, &mut out);
+    // Both have rested: the last used, so that the other ages.
+    assert_eq!(send(&mut pool, 40.0, 4), [Do::Write(0, attempt(4))]);
+}
+
+#[test]
+fn a_connection_that_does_not_come_up_fails_one_attempt() {
+    let mut pool = Pool::new(LINKS, 10);
+    send(&mut pool, 0.0, 1);
+    send(&mut pool, 0.0, 2);
+    let mut out = Vec::new();
+    pool.not_opened(0, &mut out);
+    assert_eq!(out, [Do::NeverSent(attempt(1))]);
+    assert_eq!(opened(&mut pool, 1.0, 1), [Do::Write(1, attempt(2))]);
+}
+
+/// Danger: an attempt that waits for a free connection is told as never sent while one is on its way to be free.
+#[test]
+fn what_waits_takes_a_connection_that_is_answered_before_a_new_one_is_up() {
+    let mut pool = Pool::new(LINKS, 10);
+    send(&mut pool, 0.0, 1);
+    opened(&mut pool, 0.0, 0);
+    assert_eq!(send(&mut pool, 1.0, 2), [Do::Open(1, 1)]);
+    let mut out = Vec::new();
+    pool.not_opened(1, &mut out);
+    assert!(out.is_empty(), "{out:?}");
+    assert_eq!(pool.answered(2.0, 0, &mut out), Some(attempt(1)));
+    assert_eq!(out, [Do::Write(0, attempt(2))]);
+}
+
+#[test]
+fn giving_up_an_attempt_closes_its_connection_and_no_other() {
+    let mut pool = Pool::new(LINKS, 10);
+    for request in [1, 2] {
+        send(&mut pool, 0.0, request);
+        opened(&mut pool, 0.0, u64::from(request) - 1);
+    }
+    let mut out = Vec::new();
+    pool.withdrawn(1, attempt(1), &mut out);
+    assert_eq!(out, [Do::Close(0)]);
+    assert_eq!(pool.answered(1.0, 0, &mut out), None);
+    assert_eq!(pool.answered(1.0, 1, &mut out), Some(attempt(2)));
+}
+
+/// Danger: descriptors that run out refuse clients, nodes and discovery alike.
+#[test]
+fn without_room_attempts_share_and_giving_one_up_spares_the_others() {
+    let mut pool = Pool::new(LINKS, 1);
+    send(&mut pool, 0.0, 1);
+    opened(&mut pool, 0.0, 0);
+    assert_eq!(send(&mut pool, 0.0, 2), [Do::Write(0, attempt(2))]);
+    // The node takes two on a connection: the third waits, and another node's has no way at all.
+    assert!(send(&mut pool, 0.0, 3).is_empty());
+    let mut out = Vec::new();
+    pool.send(0.0, 2, attempt(4), &mut out);
+    assert_eq!(out, [Do::NeverSent(attempt(4))]);
+    out.clear();
+    pool.withdrawn(1, attempt(1), &mut out);
+    assert!(out.is_empty(), "{out:?}");
+    // The answer to what was given up is nobody's; the next is still its owner's.
+    assert_eq!(pool.answered(1.0, 0, &mut out), None);
+    assert_eq!(pool.answered(2.0, 0, &mut out), Some(attempt(2)));
+    assert_eq!(out, [Do::Write(0, attempt(3))]);
+    assert_eq!(pool.held(), 1);
+}
+
+#[test]
+fn a_lost_connection_names_what_was_out_on_it_and_what_waits_gets_another() {
+    let mut pool = Pool::new(LINKS, 1);
+    send(&mut pool, 0.0, 1);
+    opened(&mut pool, 0.0, 0);
+    send(&mut pool, 0.0, 2);
+    send(&mut pool, 0.0, 3);
+    let mut out = Vec::new();
+    assert_eq!(pool.closed(0, &mut out), [attempt(1), attempt(2)]);
+    assert_eq!(out, [Do::Open(1, 1)]);
+    assert_eq!(opened(&mut pool, 1.0, 1), [Do::Write(1, attempt(3))]);
+}
+
+#[test]
+fn a_connection_found_unfit_gives_its_attempt_to_another() {
+    let mut pool = Pool::new(LINKS, 10);
+    send(&mut pool, 0.0, 1);
+    opened(&mut pool, 0.0, 0);
+    let mut out = Vec::new();
+    pool.answered(1.0, 0, &mut out);
+    assert_eq!(send(&mut pool, 9.0, 2), [Do::Write(0, attempt(2))]);
+    pool.unfit(9.0, 0, attempt(2), &mut out);
+    assert_eq!(out, [Do::Close(0), Do::Open(1, 1)]);
+}
+
+#[test]
+fn idle_connections_are_closed_before_their_node_would() {
+    let mut pool = Pool::new(LINKS, 10);
+    send(&mut pool, 0.0, 1);
+    opened(&mut pool, 0.0, 0);
+    let mut out = Vec::new();
+    pool.sweep(29_000.0, &mut out);
+    assert!(out.is_empty(), "closed while an attempt is out");
+    pool.answered(29_000.0, 0, &mut out);
+    pool.sweep(40_000.0, &mut out);
+    assert!(out.is_empty());
+    pool.sweep(29_000.0 + 29_000.0, &mut out);
+    assert_eq!(out, [Do::Close(0)]);
+}
+
+#[test]
+fn descriptors_are_dealt_out_with_some_kept() {
+    for descriptors in [1, 24, 25, 64, 256, 1024] {
+        let (clients, nodes) = (client_room(descriptors), node_room(descriptors));
+        assert!(clients + nodes < descriptors.max(2), "{descriptors}: {clients} and {nodes}");
+    }
+    // Requests come on a third of them.
+    assert!(client_room(256) > 256 / 3 + 16);
+}
+
+/// Danger: a crowd that only connects takes the places of those that ask.
+#[test]
+fn the_longest_silent_goes_first_then_the_longest_idle_and_nobody_with_a_request() {
+    let mut door = Door::new(3);
+    assert_eq!([door.arrived(0.0, 1), door.arrived(1.0, 2), door.arrived(2.0, 3)], [None; 3]);
+    assert!(door.began(3.0, 1) && door.began(4.0, 2));
+    assert_eq!(door.arrived(5.0, 4), Some(3), "the silent one");
+    assert_eq!(door.arrived(6.0, 5), Some(4));
+    assert!(door.began(7.0, 5));
+    assert_eq!(door.arrived(8.0, 6), Some(6), "all have requests open: the newcomer");
+    door.answered(10.0, 1);
+    door.answered(11.0, 2);
+    assert_eq!(door.arrived(12.0, 7), Some(7), "idle, but not for long enough");
+    assert_eq!(door.arrived(5_000.0, 8), Some(1));
+    assert!(!door.began(5_001.0, 1), "what was given up takes no more commands");
+    assert_eq!(door.held(), 3);
+}
+
+#[test]
+fn silence_and_halves_end_and_a_quiet_client_may_stay() {
+    let mut door = Door::new(10);
+    for id in [1, 2, 3] {
+        door.arrived(0.0, id);
+    }
+    door.began(10.0, 2);
+    door.answered(20.0, 2);
+    door.began(10.0, 3);
+    door.answered(20.0, 3);
+    door.partial(30.0, 3);
+    assert!(door.overdue(1_000.0).is_empty());
+    assert_eq!(door.overdue(2_500.0), [1, 3]);
+    door.left(1);
+    door.left(3);
+    assert!(door.overdue(60_000.0).is_empty(), "it asked once, and may hold its connection");
+    assert_eq!(door.idle(), [2]);
+}
+
+/// Danger: one that sends nonsense as fast as it is told so takes the core from those that are served.
+#[test]
+fn nonsense_is_read_ever_more_slowly_and_then_not_at_all() {
+    let mut door = Door::new(10);
+    door.arrived(0.0, 1);
+    let mut last = 0;
+    let mut pauses = 0;
+    while let AfterFault::Pause(ms) = door.fault(1) {
+        assert!(ms > last && ms < 2_000, "{ms} after {last}");
+        (last, pauses) = (ms, pauses + 1);
+    }
+    assert!((2..20).contains(&pauses));
+    assert_eq!(door.fault(99), AfterFault::Close);
+}
--- a/crates/serving/src/client.rs
+++ b/crates/serving/src/client.rs
@@ -1,10 +1,9 @@
 //! Client connections: a thread reads each; answers go out in the order of its commands.
 
-use crate::clock::Clock;
 use crate::engine::Message;
 use bytes::Bytes;
 use crossbeam_channel::Sender;
-use pearfork_net::{lock, long_queue, read_once, spawn_small, Flusher, Outbox, Waiting};
+use pearfork_net::{lock, long_queue, read_once, spawn_small, Clock, Flusher, Outbox, Waiting};
 use pearfork_platform::config::Vocabulary;
 use pearfork_platform::door::{AfterFault, Door, GuestId};
 use pearfork_platform::request::{self, Parsed};
@@ -111,7 +110,7 @@
     /// Danger: a request that crosses the closing was taken by this machine; its client would lose it.
     pub(crate) fn close(&mut self, those: Vec<GuestId>) {
         for id in those {
-            let quiet = self.clients.get(&id).map_or(true, |c| c.is_quiet());
+            let quiet = self.clients.get(&id).is_none_or(|c| c.is_quiet());
             if quiet {
                 self.door.left(id);
                 self.clients.remove(&id).iter().for_each(|c| c.shut());
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -1,14 +1,13 @@
 //! The one thread that owns the driver, and carries out what the module says.
 
 use crate::client::{Client, Hall};
-use crate::clock::Clock;
 use crate::links::{Link, Nodes};
 use crate::tally::Tally;
 use bytes::Bytes;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use pearfork::{ListKind, Verdict};
 use pearfork_drive::{AttemptId, Driver, Step, Told};
-use pearfork_net::lock;
+use pearfork_net::{lock, Clock};
 use pearfork_platform::answer::Answer;
 use pearfork_platform::door::GuestId;
 use pearfork_platform::pool::{Do, LinkId, Pool};
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,7 +5,6 @@
 //! the module's word; which connections stay and carry what is decided in `pearfork_platform`.
 
 mod client;
-mod clock;
 mod engine;
 mod links;
 mod serving;
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -1,12 +1,11 @@
 //! Connections to nodes: one thread connects and then reads.
 
-use crate::clock::Clock;
 use crate::engine::Message;
 use bytes::Bytes;
 use crossbeam_channel::Sender;
 use pearfork::Verdict;
 use pearfork_drive::Told;
-use pearfork_net::{lock, spawn_small, Flusher, Outbox, Waiting};
+use pearfork_net::{lock, spawn_small, Clock, Flusher, Outbox, Waiting};
 use pearfork_platform::answer::{self, Answer};
 use pearfork_platform::pool::LinkId;
 use pearfork_resp::Replies;
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -1,13 +1,12 @@
 //! A host put together.
 
 use crate::client::{Front, Hall};
-use crate::clock::Clock;
 use crate::engine::{Engine, Message};
 use crate::links::Nodes;
 use crate::watch::Watcher;
 use crossbeam_channel::{bounded, Sender};
 use pearfork_drive::Driver;
-use pearfork_net::{lock, shut_listener, spawn_small, Flusher};
+use pearfork_net::{lock, shut_listener, spawn_small, Clock, Flusher};
 use pearfork_platform::config::Config;
 use pearfork_platform::door::{client_room, node_room};
 use pearfork_platform::pool::Pool;
