--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -263,6 +263,13 @@
             Step::Withdrawn { attempt, node, verdict } => {
                 self.books.tally.ended(verdict);
                 self.books.until.remove(&attempt);
+                tracing::debug!(
+                    request = attempt.request,
+                    number = attempt.number,
+                    node,
+                    ?verdict,
+                    "given up"
+                );
                 self.pool.withdrawn(node, attempt, &mut self.books.todo);
             }
             Step::Refused { id, retry_after_ms, reason } => {
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -17,6 +17,7 @@
 pub(crate) struct Link {
     outbox: Arc<Outbox>,
     state: Mutex<State>,
+    clock: Clock,
 }
 
 struct State {
@@ -25,6 +26,10 @@
     out: usize,
     /// It is of no further use.
     over: bool,
+    /// For the log: answers that came, when it was last free, and how long it had been when it was last written on.
+    answers: u32,
+    free_since: f64,
+    rested_ms: f64,
 }
 
 /// A connection is of no use, and nothing was written on it.
@@ -42,6 +47,9 @@
             state.over = true;
             return Err(Unfit);
         }
+        if state.out == 0 {
+            state.rested_ms = self.clock.now_ms() - state.free_since;
+        }
         state.out += 1;
         // A write that fails is a lost connection, which its reader tells.
         let _ = self.outbox.put(command);
@@ -68,7 +76,9 @@
                 Ok(None) => continue,
                 Ok(Some(n)) => state.replies.buffer().extend_from_slice(&piece[..n]),
             }
-            if !state.take(told) {
+            let good = state.take(told);
+            state.free_since = self.clock.now_ms();
+            if !good {
                 state.over = true;
                 return;
             }
@@ -82,7 +92,7 @@
         while self.out > 0 {
             match self.replies.next_reply() {
                 Ok(Some(reply)) => {
-                    self.out -= 1;
+                    (self.out, self.answers) = (self.out - 1, self.answers + 1);
                     told(answer::read(reply));
                 }
                 Ok(None) => return true,
@@ -125,8 +135,16 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        let state = State { replies: Replies::new(answer::REPLY), out: 0, over: false };
-        let link = Arc::new(Link { outbox: Outbox::new(stream, &self.flusher), state: Mutex::new(state) });
+        let state = State {
+            replies: Replies::new(answer::REPLY),
+            out: 0,
+            over: false,
+            answers: 0,
+            free_since: self.clock.now_ms(),
+            rested_ms: 0.0,
+        };
+        let (outbox, state) = (Outbox::new(stream, &self.flusher), Mutex::new(state));
+        let link = Arc::new(Link { outbox, state, clock: self.clock });
         if self.engine.send(Message::Up(id, link.clone())).is_err() {
             return;
         }
@@ -134,7 +152,14 @@
             let _ = self.engine.send(Message::Answered { link: id, answer, at: self.clock.now_ms() });
         });
         let unsent = link.outbox.kept() > 0;
-        lock(&link.state).over = true;
+        {
+            let mut state = lock(&link.state);
+            state.over = true;
+            if state.out > 0 {
+                let (answers, rested_ms) = (state.answers, state.rested_ms as u64);
+                tracing::debug!(%address, out = state.out, answers, rested_ms, unsent, "connection over");
+            }
+        }
         link.shut();
         let _ = self.engine.send(Message::Over { link: id, unsent });
     }
