A silent node is tried now and then; overdue attempts that never end are given up and repeated

At fault: rules.rs predicted_room() (a node refused on its silence is never sent what would end it); nothing gave up an attempt whose node had answered what was sent later. Change: all hosts together try such a node once in 50 ms. Of overdue attempts (4 usual answer times, a later one answered) the part that never ends is measured; above a half they are given up, one in eight spared to go on measuring, and repeated where that does no harm. Books::end, set_condition and Envelope::ended moved to state.rs: bookkeeping, no decision.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,6 +38,8 @@
 const FAILURES: u32 = 3;
 /// An unreachable or full node gets one request in this time, so that its return is seen without probes.
 const TRICKLE_MS: f64 = 200.0;
+/// All hosts together try a node that answers nothing once in this time, whatever its silence predicts.
+const TRIAL_MS: f64 = 50.0;
 /// A node's usual load is the mean of its reports over about this time; unheard of it fades.
 const REPORT_MS: f64 = 2_000.0;
 /// What a report tells of a wait beyond the usual is worked off at this part of the time that passes.
@@ -50,6 +52,10 @@
 const FIT_PART: f64 = 0.8;
 /// Part of its aim that is left to the wait at the least, however long the service alone takes.
 const FIT_LEAST: f64 = 0.3;
+/// Usual answer times after which an attempt is overdue where its node has answered what was sent later.
+const LOST: f64 = 4.0;
+/// One overdue attempt in so many is waited for all the same: what comes late is told from what never comes.
+const SPARED: u32 = 8;
 /// Nodes that a new object looks at.
 const LOOKED_AT: usize = 4;
 /// Use of a volume, in parts of what its plan and weight give it, that still counts as inside its share.
@@ -129,13 +135,6 @@
         self.next - 1
     }
 
-    /// The request is over: it is no longer there for a newcomer to overlap with.
-    fn ended(&mut self, number: u64) {
-        if number + 1 == self.next {
-            self.latest_open = false;
-        }
-    }
-
     /// Takes the service samples of a request that was served: for each run of k overlapping arrivals that
     /// ends with it, the time from the first arrival to now.
     fn served(&mut self, now: f64, number: u64) {
@@ -228,7 +227,7 @@
             Event::List(kind, entries) => self.on_list(now, kind, &entries, actions),
             Event::Request(q) => self.on_request(now, q, actions),
             Event::Outcome(o) => self.on_outcome(now, &o, actions),
-            Event::AnswerBegan { id } | Event::Abandoned { id } => self.end(id),
+            Event::AnswerBegan { id } | Event::Abandoned { id } => self.books.end(id),
             Event::Timer { label: TIMER_TICK } => {
                 self.books.ticking = false;
                 self.on_tick(now, actions);
@@ -435,14 +434,18 @@
         }
     }
 
-    /// Wait at a node, as all nodes had it at the load that this one reported last. Old reports fade, so that
-    /// the node is tried again. Censored samples: what is out without a word counts at its age.
+    /// Wait at a node. Censored samples: what is out without a word counts at its age.
     fn wait(&self, n: &Node, now: f64) -> f64 {
+        let in_vain = n.waited - DRAIN * (now - n.waited_at).max(0.0);
+        self.reported(n, now).max(in_vain).max(n.silence(now))
+    }
+
+    /// The same, as all nodes had it at the load that this one reported last; old reports fade.
+    fn reported(&self, n: &Node, now: f64) -> f64 {
         let (age, slope) = ((now - n.load_at).max(0.0), self.books.fit.slope());
         let usual = slope * n.usual_load * (-age / REPORT_MS).exp();
         let above = slope * n.load - usual;
-        let in_vain = n.waited - DRAIN * (now - n.waited_at).max(0.0);
-        (usual + (above.abs() - DRAIN * age).max(0.0) * above.signum()).max(in_vain).max(n.silence(now))
+        usual + (above.abs() - DRAIN * age).max(0.0) * above.signum()
     }
 
     /// Departure, borrowed samples: what is left of the aims of all classes when the wait at the node and
@@ -454,7 +457,9 @@
         if self.books.fit.seen < FIT_SEEN {
             return 0.0;
         }
-        let wait = self.wait(n, now);
+        // Danger: refused on its silence alone, a node is not sent what would end it.
+        let trial = r.q.shard.is_some() && now - n.last_sent >= TRIAL_MS * f64::from(self.settings.hosts);
+        let wait = if trial { self.reported(n, now) } else { self.wait(n, now) };
         let part = FIT_PART * r.grade.clamp(0.0, 1.0).sqrt();
         let mut least = f64::INFINITY;
         for (l, class) in self.settings.classes.iter().enumerate() {
@@ -570,8 +575,16 @@
         n.last_sent = now;
         let class = usize::from(r.q.class);
         let lane = if self.settings.classes[class].ordered { r.q.key } else { 0 };
-        let flight =
-            Flight { node, sent: now, units: r.q.units, class, lane, shard: n.e.shard, zone: n.e.zone };
+        let flight = Flight {
+            node,
+            sent: now,
+            units: r.q.units,
+            class,
+            lane,
+            shard: n.e.shard,
+            zone: n.e.zone,
+            given_up: false,
+        };
         if lane != 0 {
             self.books.lanes.entry(lane).or_default().outstanding += 1;
         }
@@ -614,7 +627,7 @@
             }
         }
         if o.verdict == Verdict::Served || o.complete {
-            self.end(o.id);
+            self.books.end(o.id);
         } else if let Some(r) = self.books.requests.get(&o.id) {
             let alive = now < r.q.valid_until_ms - 2.0 * self.settings.round_ms && o.verdict != Verdict::Moot;
             let again = alive && self.may_resend(now, r);
@@ -671,6 +684,30 @@
         }
     }
 
+    fn overdue(&self, now: f64, f: &Flight) -> bool {
+        let usual = |n: &Node| n.sojourn.max(self.books.offsets[f.class]);
+        self.books.nodes.get(&f.node).is_some_and(|n| f.sent < n.heard && now - f.sent > LOST * usual(n))
+    }
+
+    /// Danger: an answer lost on its way costs its request, and its place in flight until the client leaves.
+    /// Where most overdue attempts never end they are given up, and repeated. Harm: dear requests run twice.
+    fn give_up_lost(&mut self, now: f64, actions: &mut Vec<Action>) {
+        if !self.settings.cancel || self.books.lost < 0.5 {
+            return;
+        }
+        let over = |id: &u32, f: &Flight| {
+            let harmless = |r: &Held| self.may_repeat(now, r) && self.extra_left(now);
+            let open = self.books.requests.get(id);
+            !f.given_up && id % SPARED > 0 && self.overdue(now, f) && open.map_or(true, harmless)
+        };
+        let lost: Vec<(u32, u16)> =
+            self.books.flights.iter().filter(|((id, _), f)| over(id, f)).map(|(at, _)| *at).collect();
+        for (id, attempt) in lost {
+            self.books.flights.entry((id, attempt)).and_modify(|f| f.given_up = true);
+            actions.push(Action::Cancel { id, attempt });
+        }
+    }
+
     /// What an outcome tells of its node and volume.
     fn learn(&mut self, now: f64, o: &Outcome, f: &Flight, actions: &mut Vec<Action>) {
         let Some(n) = self.books.nodes.get_mut(&f.node) else { return };
@@ -692,12 +729,17 @@
         let sane = |v: Option<f64>, top: f64| v.filter(|v| (0.0..top).contains(v));
         let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
         let told = count.map(|c| c * sane(o.latency_ms, 1e5).unwrap_or(1.0));
-        // A node that answers nothing is as full as one can be. Danger: one answer
-        // lost on its way would close a sound node for seconds; what was sent later and answered clears it. Harm:
-        // a dear request counts for nothing either. As a load it would be read by another slope later: minutes.
+        // A node that answers nothing is as full as one can be. Danger: one answer lost on its way would
+        // close a sound node for seconds; what was sent later and answered clears it. Harm: so it does a
+        // dear request. Kept as a load, it would be read by another slope later, as minutes.
         if matches!(o.verdict, Verdict::TimedOut | Verdict::Cancelled) && f.sent > n.heard {
             (n.waited, n.waited_at) = (took, now);
         }
+        if !f.given_up && self.overdue(now, f) {
+            let lost = if word { 0.0 } else { 1.0 };
+            self.books.lost += BLEND * (lost - self.books.lost);
+        }
+        let Some(n) = self.books.nodes.get_mut(&f.node) else { return };
         if let Some(load) = told {
             n.usual_load += (1.0 - (-(now - n.load_at) / REPORT_MS).exp()) * (load - n.usual_load);
             (n.load, n.load_at) = (load, now);
@@ -743,24 +785,6 @@
         }
     }
 
-    /// Takes a request off the books.
-    fn end(&mut self, id: u32) {
-        let Some(r) = self.books.requests.remove(&id) else { return };
-        if let Some(v) = self.books.volumes.get_mut(&r.q.volume).filter(|_| !r.charged) {
-            v.owed = (v.owed - r.q.units).max(0.0);
-        }
-        self.books.unplaced.retain(|u| *u != id);
-        if let Some(n) = r.node.and_then(|n| self.books.nodes.get_mut(&n)) {
-            if let Some(e) = n.envelopes.get_mut(usize::from(r.q.class)) {
-                e.ended(r.number);
-            }
-            n.held.retain(|h| *h != id);
-        }
-        if let Some(lane) = self.books.lanes.get_mut(&r.q.key) {
-            lane.queue.retain(|q| *q != id);
-        }
-    }
-
     /// The final answer where it was not served: refused if that does no harm, failed otherwise.
     fn answer(&mut self, now: f64, id: u32, wait: f64, reason: Reason, actions: &mut Vec<Action>) {
         let Some(r) = self.books.requests.get(&id) else { return };
@@ -782,7 +806,7 @@
             let out = self.books.flights.range((id, 0)..=(id, u16::MAX)).map(|((_, attempt), _)| *attempt);
             actions.extend(out.map(|attempt| Action::Cancel { id, attempt }));
         }
-        self.end(id);
+        self.books.end(id);
     }
 
     // ---- Guards ----------------------------------------------------------------------------------------
@@ -824,13 +848,8 @@
             Some(reason) => reason,
             None if r.q.units > self.cold_room(n, now) => Reason::Cold,
             None if now < n.rest_until => Reason::Rest,
-            None => {
-                if late {
-                    Reason::Late
-                } else {
-                    Reason::InFlight
-                }
-            }
+            None if late => Reason::Late,
+            None => Reason::InFlight,
         }
     }
 
@@ -842,13 +861,15 @@
     /// Guard, no effect twice: whether another attempt can do no harm.
     fn may_resend(&self, now: f64, r: &Held) -> bool {
         let class = &self.settings.classes[usize::from(r.q.class)];
-        let most = match class.terms.attempts {
-            0 => self.settings.max_attempts,
-            n => n.min(self.settings.max_attempts),
-        };
         let second = self.settings.second_copies && class.terms.second_after_ms > 0.0;
         let beside = second && r.outstanding == 1 && now >= r.sent + class.terms.second_after_ms;
-        if (r.outstanding > 0 && !beside) || r.tries >= most {
+        (r.outstanding == 0 || beside) && self.may_repeat(now, r)
+    }
+
+    fn may_repeat(&self, now: f64, r: &Held) -> bool {
+        let class = &self.settings.classes[usize::from(r.q.class)];
+        let (asked, most) = (class.terms.attempts, self.settings.max_attempts);
+        if r.tries >= if asked == 0 { most } else { asked.min(most) } {
             return false;
         }
         match (class.effect, r.may_have_run) {
@@ -909,7 +930,7 @@
         if kind != ListKind::Changes {
             let listed = |node: &u32| entries.iter().any(|e| e.node == *node);
             for node in self.books.nodes.keys().filter(|n| !listed(n)).copied().collect::<Vec<u32>>() {
-                self.set_condition(now, node, Condition::Gone);
+                self.books.set_condition(now, node, Condition::Gone);
             }
         }
         for e in entries {
@@ -939,7 +960,7 @@
                 }
             }
             if e.condition != Condition::Ready {
-                self.set_condition(now, e.node, e.condition);
+                self.books.set_condition(now, e.node, e.condition);
             }
         }
         for id in std::mem::take(&mut self.books.unplaced) {
@@ -954,16 +975,6 @@
         self.on_tick(now, actions);
     }
 
-    fn set_condition(&mut self, now: f64, node: u32, condition: Condition) {
-        let Some(n) = self.books.nodes.get_mut(&node) else { return };
-        if n.e.condition == Condition::Gone {
-            return;
-        }
-        n.e.condition = condition;
-        n.gone_at = now;
-        self.books.unplaced.append(&mut n.held);
-    }
-
     fn tick_soon(&mut self, now: f64, actions: &mut Vec<Action>) {
         if !self.books.ticking {
             self.books.ticking = true;
@@ -986,6 +997,7 @@
 
     fn on_tick(&mut self, now: f64, actions: &mut Vec<Action>) {
         self.double(now);
+        self.give_up_lost(now, actions);
         let waiting = self.books.nodes.iter().filter(|(_, n)| !n.held.is_empty()).map(|(id, _)| *id);
         for node in waiting.collect::<Vec<u32>>() {
             self.pump(now, node, actions);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a scheduler remembers. Plain data: every decision on it is in `rules.rs`.
 
-use crate::interface::{NodeEntry, Request};
+use crate::interface::{Condition, NodeEntry, Request};
 use crate::rules::{SPANS, TOP};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -68,6 +68,15 @@
     pub(crate) latest_open: bool,
 }
 
+impl Envelope {
+    /// The request is over: it is no longer there for a newcomer to overlap with.
+    pub(crate) fn ended(&mut self, number: u64) {
+        if number + 1 == self.next {
+            self.latest_open = false;
+        }
+    }
+}
+
 /// A node as this host knows it.
 #[derive(Default)]
 pub(crate) struct Node {
@@ -194,6 +203,7 @@
     pub(crate) lane: u64,
     pub(crate) shard: u16,
     pub(crate) zone: u16,
+    pub(crate) given_up: bool,
 }
 
 /// Requests of ordered classes on one data item.
@@ -238,6 +248,8 @@
     pub(crate) fit: Fit,
     /// For each class, what the fit leaves of its answer times.
     pub(crate) offsets: Vec<f64>,
+    /// Part of overdue attempts, of late, that never had an answer.
+    pub(crate) lost: f64,
     pub(crate) ticking: bool,
     pub(crate) last_event: f64,
     /// The last time the host stood still: from, to.
@@ -246,3 +258,34 @@
     pub(crate) next_log: f64,
     pub(crate) swept: f64,
 }
+
+impl Books {
+    /// A node is no longer ready; what was held for it has no node. One that is gone stays so.
+    pub(crate) fn set_condition(&mut self, now: f64, node: u32, condition: Condition) {
+        let Some(n) = self.nodes.get_mut(&node) else { return };
+        if n.e.condition == Condition::Gone {
+            return;
+        }
+        n.e.condition = condition;
+        n.gone_at = now;
+        self.unplaced.append(&mut n.held);
+    }
+
+    /// Takes a request off the books.
+    pub(crate) fn end(&mut self, id: u32) {
+        let Some(r) = self.requests.remove(&id) else { return };
+        if let Some(v) = self.volumes.get_mut(&r.q.volume).filter(|_| !r.charged) {
+            v.owed = (v.owed - r.q.units).max(0.0);
+        }
+        self.unplaced.retain(|u| *u != id);
+        if let Some(n) = r.node.and_then(|n| self.nodes.get_mut(&n)) {
+            if let Some(e) = n.envelopes.get_mut(usize::from(r.q.class)) {
+                e.ended(r.number);
+            }
+            n.held.retain(|h| *h != id);
+        }
+        if let Some(lane) = self.lanes.get_mut(&r.q.key) {
+            lane.queue.retain(|q| *q != id);
+        }
+    }
+}
