What was never sent by 0.45 of its time is refused; more of the descriptors for clients

And guests at their room of 116 of 256 descriptors with 20 to 40 connections to nodes: 228 new connections closed unserved. At fault: rules.rs on_request (one timer at the end of the client's time); door.rs CLIENT_PART (half). Change: the timer rings at 0.45 of the time; a request that was sent goes on, others are refused there and their client has the rest for another try. Clients get 0.64 of the descriptors less 24.

--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/door.rs
@@ -17,7 +17,7 @@
 /// Faults after which a connection is closed with its error.
 const FAULTS: u32 = 6;
 /// Part of the descriptors for clients, and what is kept for the listener, discovery, signals, standard streams.
-const CLIENT_PART: f64 = 0.5;
+const CLIENT_PART: f64 = 0.64;
 const KEPT: usize = 24;
 
 /// Client connections that a host may hold of so many descriptors. Requests come on a third of them at most; the
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,9 +7,9 @@
 use crate::state::*;
 
 /// The span T over which both envelopes are measured.
-const WINDOW_MS: f64 = 10_000.0;
+pub(crate) const WINDOW_MS: f64 = 10_000.0;
 /// The smallest sub-window; each tau of the grid is a whole number of these.
-const BUCKET_MS: f64 = 50.0;
+pub(crate) const BUCKET_MS: f64 = 50.0;
 /// The grid of tau, in buckets: 50 ms to 2 s, each a divisor of T.
 pub(crate) const SPANS: [usize; 6] = [1, 2, 4, 8, 20, 40];
 /// Gaussian 95 % point.
@@ -17,7 +17,7 @@
 /// Largest k of the service envelope; also the hard top of the in-flight limit.
 pub(crate) const TOP: usize = 32;
 /// The service envelope forgets in slots of T / SLOTS.
-const SLOTS: usize = 10;
+pub(crate) const SLOTS: usize = 10;
 /// Samples below which a k counts as not seen: a variance needs two.
 const SEEN: f64 = 2.0;
 /// In-flight limit of a node not yet known, requests.
@@ -56,6 +56,8 @@
 const LOST: f64 = 4.0;
 /// One overdue attempt in so many is waited for all the same: what comes late is told from what never comes.
 const SPARED: u32 = 8;
+/// A request that was never sent by this part of its time is refused: its client has the rest for another try.
+const UNSENT_PART: f64 = 0.45;
 /// Nodes that a new object looks at.
 const LOOKED_AT: usize = 4;
 /// Use of a volume, in parts of what its plan and weight give it, that still counts as inside its share.
@@ -82,13 +84,6 @@
 // ---- Envelopes -----------------------------------------------------------------------------------------
 
 impl Envelope {
-    fn new(now: f64) -> Self {
-        let (bucket, slot) =
-            ((now / BUCKET_MS).floor() as i64, (now * SLOTS as f64 / WINDOW_MS).floor() as i64);
-        let slots = vec![[Sums::default(); TOP]; SLOTS];
-        Envelope { bucket, slot, since: now, slots, ..Default::default() }
-    }
-
     /// Lets old sub-windows and service slots go.
     fn roll(&mut self, now: f64) {
         let bucket = (now / BUCKET_MS).floor() as i64;
@@ -235,7 +230,12 @@
             Event::Timer { label: TIMER_WATCH } => actions.push(Action::Watch(true)),
             Event::Timer { label } => {
                 if let Some(r) = u32::try_from(label).ok().and_then(|id| self.books.requests.get(&id)) {
-                    self.answer(now, r.q.id, 0.0, self.held_by(now, r), actions);
+                    let at_ms = r.q.valid_until_ms - 2.0 * self.settings.round_ms;
+                    if r.tries > 0 && now < at_ms {
+                        actions.push(Action::SetTimer { at_ms, label });
+                    } else {
+                        self.answer(now, r.q.id, 0.0, self.held_by(now, r), actions);
+                    }
                 }
             }
             Event::Message { .. } | Event::Probed { .. } => {}
@@ -258,7 +258,7 @@
         let all = f64::from(self.settings.hosts);
         q.volume_hosts = if q.volume_hosts >= 1.0 { q.volume_hosts.min(all) } else { all };
         // Guard, one final answer: its timer rings before the client gives up, whatever else happens.
-        let at_ms = (q.valid_until_ms - 2.0 * self.settings.round_ms).max(now);
+        let at_ms = now + (UNSENT_PART * (q.valid_until_ms - now)).max(0.0);
         actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
         let (from, to) = if self.books.stalled.1 == now { self.books.stalled } else { (now, now) };
         let arrived =
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a scheduler remembers. Plain data: every decision on it is in `rules.rs`.
 
 use crate::interface::{Condition, NodeEntry, Request};
-use crate::rules::{SPANS, TOP};
+use crate::rules::{BUCKET_MS, SLOTS, SPANS, TOP, WINDOW_MS};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Counts of admitted arrivals in jumping sub-windows of one length.
@@ -69,6 +69,13 @@
 }
 
 impl Envelope {
+    pub(crate) fn new(now: f64) -> Self {
+        let (bucket, slot) =
+            ((now / BUCKET_MS).floor() as i64, (now * SLOTS as f64 / WINDOW_MS).floor() as i64);
+        let slots = vec![[Sums::default(); TOP]; SLOTS];
+        Envelope { bucket, slot, since: now, slots, ..Default::default() }
+    }
+
     /// The request is over: it is no longer there for a newcomer to overlap with.
     pub(crate) fn ended(&mut self, number: u64) {
         if number + 1 == self.next {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -263,3 +263,17 @@
     }
     assert_eq!(again, 1, "one of two places is taken");
 }
+
+/// Danger: a request that is held to its end, with nothing sent, costs its client the time for another try.
+#[test]
+fn what_was_never_sent_is_refused_before_half_of_its_time_and_what_was_sent_is_waited_for() {
+    let mut h = Host::with_nodes(settings(), &[entry(7, 0)]);
+    let gone = Request { shard: Some(3), ..request(1, 1000.0) };
+    assert!(sent(&h.at(0.0, Event::Request(gone))).is_empty());
+    assert_eq!(sent(&h.at(0.0, Event::Request(request(2, 1000.0)))), [(2, 7)]);
+    let out = h.ring_until(990.0);
+    let at = answered(&out, 1).expect("an answer");
+    assert!(at > 250.0 && at < 500.0, "{at}");
+    assert_eq!(answered(&out, 2), None);
+    assert!(answered(&h.ring_until(1000.0), 2).is_some());
+}
