What is found late after the host stood still is not refused for having been unsent

Cause: the timer at 0.45 of the time was counted from the event; after a stall of 500 ms it refused what was past half of its time, which helps nobody and costs what an answer held back costs. At fault: rules.rs on_request and the timer. Change: counted from the arrival; past half the request waits on.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,8 +55,8 @@
 const LOST: f64 = 4.0;
 /// One overdue attempt in so many is waited for all the same: what comes late is told from what never comes.
 const SPARED: u32 = 8;
-/// A request never sent by this part of its time is refused: its client has the rest for another try.
-const UNSENT_PART: f64 = 0.45;
+/// In this part of its time a request never sent is refused: its client has the rest for another try.
+const UNSENT_PART: (f64, f64) = (0.45, 0.5);
 /// Nodes that a new object looks at.
 const LOOKED_AT: usize = 4;
 /// Use of a volume, in parts of what its plan and weight give it, that still counts as inside its share.
@@ -232,7 +232,8 @@
             Event::Timer { label } => {
                 if let Some(r) = u32::try_from(label).ok().and_then(|id| self.books.requests.get(&id)) {
                     let at_ms = r.q.valid_until_ms - 2.0 * self.settings.round_ms;
-                    if r.tries > 0 && now < at_ms {
+                    let late = now > r.arrived + UNSENT_PART.1 * (r.q.valid_until_ms - r.arrived);
+                    if (r.tries > 0 || late) && now < at_ms {
                         actions.push(Action::SetTimer { at_ms, label });
                     } else {
                         self.answer(now, r.q.id, 0.0, self.held_by(now, r), actions);
@@ -258,12 +259,13 @@
         }
         let all = f64::from(self.settings.hosts);
         q.volume_hosts = if q.volume_hosts >= 1.0 { q.volume_hosts.min(all) } else { all };
-        // Guard, one final answer: its timer rings before the client gives up, whatever else happens.
-        let at_ms = now + (UNSENT_PART * (q.valid_until_ms - now)).max(0.0);
-        actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
         let (from, to) = if self.books.stalled.1 == now { self.books.stalled } else { (now, now) };
         let arrived =
             (q.valid_until_ms - self.settings.classes[usize::from(q.class)].deadline_ms).max(from).min(to);
+        // Guard, one final answer: its timer rings before the client gives up, whatever else happens. Danger: what
+        // came while the host stood still is past that part already, and to refuse it then would help nobody.
+        let at_ms = (arrived + UNSENT_PART.0 * (q.valid_until_ms - arrived)).max(now);
+        actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
         let held = Held { q, arrived, grade: 1.0, ..Default::default() };
         self.books.requests.insert(q.id, held);
         self.meet_volume(now, &q);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -277,3 +277,14 @@
     assert_eq!(answered(&out, 2), None);
     assert!(answered(&h.ring_until(1000.0), 2).is_some());
 }
+
+/// Danger: what came while the host stood still is late by no fault of its client; refused at once it is lost for sure.
+#[test]
+fn what_is_found_late_after_the_host_stood_still_is_not_refused_for_that() {
+    let mut h = Host::with_nodes(settings(), &[entry(7, 0)]);
+    h.ring_until(1000.0);
+    let q = Request { shard: Some(3), ..request(1, 1700.0) };
+    h.at(1600.0, Event::Request(q));
+    let at = answered(&h.ring_until(1700.0), 1).expect("an answer");
+    assert!(at > 1690.0, "{at}");
+}
