Only what no node may take is refused at 0.45 of its time

At fault: rules.rs, the timer of 0.45: it refused what waited at a ready node and would have been served late. Change: it asks held_by() for NoNode.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,7 +55,7 @@
 const LOST: f64 = 4.0;
 /// One overdue attempt in so many is waited for all the same: what comes late is told from what never comes.
 const SPARED: u32 = 8;
-/// In this part of its time a request never sent is refused: its client has the rest for another try.
+/// In this part of its time a request that no node may take is refused: the rest is for another try.
 const UNSENT_PART: (f64, f64) = (0.45, 0.5);
 /// Nodes that a new object looks at.
 const LOOKED_AT: usize = 4;
@@ -233,7 +233,8 @@
                 if let Some(r) = u32::try_from(label).ok().and_then(|id| self.books.requests.get(&id)) {
                     let at_ms = r.q.valid_until_ms - 2.0 * self.settings.round_ms;
                     let late = now > r.arrived + UNSENT_PART.1 * (r.q.valid_until_ms - r.arrived);
-                    if (r.tries > 0 || late) && now < at_ms {
+                    let waits = r.tries > 0 || late || self.held_by(now, r) != Reason::NoNode;
+                    if waits && now < at_ms {
                         actions.push(Action::SetTimer { at_ms, label });
                     } else {
                         self.answer(now, r.q.id, 0.0, self.held_by(now, r), actions);
@@ -262,8 +263,7 @@
         let (from, to) = if self.books.stalled.1 == now { self.books.stalled } else { (now, now) };
         let arrived =
             (q.valid_until_ms - self.settings.classes[usize::from(q.class)].deadline_ms).max(from).min(to);
-        // Guard, one final answer: its timer rings before the client gives up, whatever else happens. Danger: what
-        // came while the host stood still is past that part already, and to refuse it then would help nobody.
+        // Guard, one final answer: its timer rings before the client gives up, whatever else happens.
         let at_ms = (arrived + UNSENT_PART.0 * (q.valid_until_ms - arrived)).max(now);
         actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
         let held = Held { q, arrived, grade: 1.0, ..Default::default() };
