--- a/crates/serving/tests/service.rs
+++ b/crates/serving/tests/service.rs
@@ -236,3 +236,35 @@
         calls.load(Ordering::SeqCst) > 0
     });
 }
+
+/// Danger: answers that a client does not read fill memory, or hold up whoever writes them.
+#[test]
+fn a_client_that_does_not_read_its_answers_stalls_nobody() {
+    let big = [b"*3\r\n$60000\r\n".to_vec(), vec![b'v'; 60_000], b"\r\n$-1\r\n$-1\r\n".to_vec()].concat();
+    let (node, _) = node(move |_, _| Reaction::Say(big.clone()));
+    let told = discovery(1, &[node]);
+    let (_host, address) = host(&told, &[node]);
+    let mut deaf = Client::connect(address);
+    deaf.stream.set_write_timeout(Some(Duration::from_secs(1))).unwrap();
+    let deaf = std::thread::spawn(move || {
+        for id in 1_000..1_400u64 {
+            let list = "c=read,t=gold,d=1000,volume=0000000000000002,units=1,shard=0,hosts=3";
+            let command = format!(
+                "*4\r\n$7\r\nOBJ.GET\r\n$16\r\n{id:016x}\r\n$16\r\n{id:016x}\r\n${}\r\n{list}\r\n",
+                list.len()
+            );
+            if deaf.stream.write_all(command.as_bytes()).is_err() {
+                break;
+            }
+        }
+        deaf
+    });
+    let mut client = Client::connect(address);
+    let mut served = 0;
+    until("thirty are served beside it", || {
+        served += 1;
+        client.read(served);
+        matches!(client.reply(), Some(Reply::Bulk(Some(v))) if v.len() == 60_000) && served >= 30
+    });
+    drop(deaf.join().unwrap());
+}
--- /dev/null
+++ b/fuzz/fuzz_targets/resp.rs
@@ -0,0 +1,36 @@
+//! Any bytes as a client's commands and as a node's replies, cut in two: the same as whole, no panic, nothing kept after a fault.
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use pearfork_platform::{answer, config::Vocabulary, request, roster};
+use pearfork_resp::{Commands, Replies};
+
+fuzz_target!(|bytes: &[u8]| {
+    let Some((cut, bytes)) = bytes.split_first() else { return };
+    let cut = usize::from(*cut).min(bytes.len());
+    let words = Vocabulary::default();
+    let commands = |pieces: &[&[u8]]| {
+        let (mut reader, mut all) = (Commands::new(request::COMMAND), Vec::new());
+        for piece in pieces {
+            reader.buffer().extend_from_slice(piece);
+            while let Ok(Some(command)) = reader.next_command() {
+                let _ = request::parse(&command, &words);
+                all.push(command);
+            }
+        }
+        (all, reader.next_command().err())
+    };
+    assert_eq!(commands(&[bytes]), commands(&[&bytes[..cut], &bytes[cut..]]));
+    let replies = |pieces: &[&[u8]]| {
+        let (mut reader, mut all) = (Replies::new(answer::REPLY), Vec::new());
+        for piece in pieces {
+            reader.buffer().extend_from_slice(piece);
+            while let Ok(Some(reply)) = reader.next_reply() {
+                all.push(answer::read(reply));
+            }
+        }
+        (all, reader.next_reply().err())
+    };
+    assert_eq!(replies(&[bytes]), replies(&[&bytes[..cut], &bytes[cut..]]));
+    let _ = roster::parse(bytes);
+});
