Where a node is reached is asked of the roster; the engine kept it a second time

Found on reading the change again: engine.rs kept addresses beside the roster's own, and bounded its copy by the lines of the list that had just come. After some 1,100 replaced nodes a change of one line would have had the addresses of all others forgotten, and their nodes unreachable. The roster knows them and is bounded already: Roster::dial. The test asks for the addresses where it counted them, and again after a change of one line. The whole suite passes.

--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -106,8 +106,6 @@
 /// What a list means for connections.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Changed {
-    /// Where nodes are reached.
-    pub dials: Vec<(u32, SocketAddr)>,
     /// Nodes that are gone, or started anew: connections to what they were lead nowhere.
     pub left: Vec<u32>,
 }
@@ -164,7 +162,6 @@
             });
             let number = known.number;
             if let Some(dial) = line.dial {
-                changed.dials.push((number, dial));
                 let moved = known.dial.is_some_and(|d| d != dial) || line.born_ms > known.born_ms;
                 if moved {
                     changed.left.push(number);
@@ -197,6 +194,11 @@
         }
     }
 
+    /// Where a node is reached, as last heard.
+    pub fn dial(&self, node: u32) -> Option<SocketAddr> {
+        self.numbers.values().find(|k| k.number == node)?.dial
+    }
+
     /// Names that it holds.
     pub fn held(&self) -> usize {
         self.numbers.len()
--- a/crates/platform/tests/protocol.rs
+++ b/crates/platform/tests/protocol.rs
@@ -166,7 +166,9 @@
     let (entries, changed) = roster.take(&first);
     let (na, nb) = (entries[0].node, entries[1].node);
     assert_ne!(na, nb);
-    assert_eq!((changed.dials.len(), changed.left.len()), (2, 0));
+    assert!(changed.left.is_empty());
+    let dial = |roster: &Roster, node| roster.dial(node).map(|d| d.to_string());
+    assert_eq!([na, nb].map(|n| dial(&roster, n).unwrap()), ["127.0.0.1:1", "127.0.0.1:2"]);
     let (entries, _) = roster.take(&list(2, false, &[("s-b", "127.0.0.1:2", "DRAINING", 5)]));
     assert_eq!((entries[0].node, entries[0].condition), (nb, Condition::Draining));
     // Missing from a whole list: gone. Back again: the number that it had.
@@ -176,6 +178,8 @@
     // Started anew elsewhere: what is connected leads nowhere.
     let (_, changed) = roster.take(&list(5, false, &[("s-a", "127.0.0.1:9", "SERVING", 70)]));
     assert_eq!(changed.left, [na]);
+    // Danger: a change of one line that has the others' addresses forgotten makes their nodes unreachable.
+    assert_eq!([na, nb].map(|n| dial(&roster, n).unwrap()), ["127.0.0.1:9", "127.0.0.1:2"]);
     let (entries, changed) = roster.take(&list(6, false, &[("s-a", "127.0.0.1:9", "DELETED", 70)]));
     assert_eq!((entries[0].condition, changed.left), (Condition::Gone, vec![na]));
 }
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -15,7 +15,6 @@
 use pearfork_platform::roster::{Listing, Roster};
 use pearfork_resp::write;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
 /// What the engine is told.
@@ -76,7 +75,6 @@
     /// Until when attempts that are out are waited for.
     until: HashMap<AttemptId, f64>,
     links: HashMap<LinkId, Arc<Link>>,
-    dials: HashMap<u32, SocketAddr>,
     tally: Tally,
     steps: Vec<Step>,
     todo: Vec<Do>,
@@ -230,11 +228,6 @@
         for node in changed.left {
             self.pool.close_idle(node, &mut self.books.todo);
         }
-        self.books.dials.extend(changed.dials);
-        if self.books.dials.len() > 4 * self.roster.held() + 64 {
-            let listed: HashSet<u32> = entries.iter().map(|e| e.node).collect();
-            self.books.dials.retain(|node, _| listed.contains(node));
-        }
         self.driver.list(kind, entries);
     }
 
@@ -298,7 +291,7 @@
         match one {
             Do::Open(link, node) => {
                 self.books.tally.opened += 1;
-                let dial = self.books.dials.get(&node).copied();
+                let dial = self.roster.dial(node);
                 if !dial.is_some_and(|dial| self.nodes.open(link, dial)) {
                     self.pool.not_opened(link, &mut self.books.todo);
                 }
