--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -26,17 +26,22 @@
     h.on_to(now, Event::Outcome(Outcome { elapsed_ms: 900.0, ..outcome(id, 0, node, Verdict::TimedOut) }));
 }
 
-/// Danger: a time waited in vain, kept as a load by the slope of that moment and read by a steeper one later, is
-/// minutes: nothing is sent to the node any more, and nothing ever corrects it.
-#[test]
-fn a_time_waited_in_vain_is_forgotten_whatever_other_nodes_report_since() {
-    let mut h = two_nodes();
-    let mut now = 0.0;
+/// The first of two nodes has answered twenty requests in 10 ms each, with so many waiting by its report; and the time.
+fn used(queue: fn(u32) -> f64) -> (Host, f64) {
+    let (mut h, mut now) = (two_nodes(), 0.0);
     for id in 0..20 {
         now += 50.0;
         assert!(ask(&mut h, now, id, 0));
-        answer(&mut h, now + 10.0, id, 1, 10.0, 0.0);
+        answer(&mut h, now + 10.0, id, 1, 10.0, queue(id));
     }
+    (h, now)
+}
+
+/// Danger: a time waited in vain, kept as a load by the slope of that moment and read by a steeper one later, is
+/// minutes: nothing is sent to the node any more, and nothing ever corrects it.
+#[test]
+fn a_time_waited_in_vain_is_forgotten_whatever_other_nodes_report_since() {
+    let (mut h, mut now) = used(|_| 0.0);
     assert!(ask(&mut h, now + 20.0, 100, 0));
     now += 1_018.0;
     silent(&mut h, now, 100, 1);
@@ -59,13 +64,7 @@
 /// Danger: one answer lost on its way closes its node for seconds, though what was sent there later was answered.
 #[test]
 fn what_was_sent_later_and_answered_clears_its_node() {
-    let mut h = two_nodes();
-    let mut now = 0.0;
-    for id in 0..20 {
-        now += 50.0;
-        assert!(ask(&mut h, now, id, 0));
-        answer(&mut h, now + 10.0, id, 1, 10.0, f64::from(id % 3));
-    }
+    let (mut h, mut now) = used(|id| f64::from(id % 3));
     assert!(ask(&mut h, now + 15.0, 100, 0));
     for id in 200..220 {
         now += 50.0;
@@ -82,13 +81,7 @@
 /// A node that answers nothing at all is still found out.
 #[test]
 fn a_node_that_answers_nothing_is_refused_for_a_while() {
-    let mut h = two_nodes();
-    let mut now = 0.0;
-    for id in 0..20 {
-        now += 50.0;
-        assert!(ask(&mut h, now, id, 0));
-        answer(&mut h, now + 10.0, id, 1, 10.0, f64::from(id % 3));
-    }
+    let (mut h, now) = used(|id| f64::from(id % 3));
     assert!(ask(&mut h, now + 20.0, 100, 0));
     h.ring_until(now + 400.0);
     assert!(ask(&mut h, now + 400.0, 101, 0), "a trial");
@@ -102,13 +95,7 @@
 /// Danger: refused on its silence alone, a node is not sent what would show that it is sound.
 #[test]
 fn a_silent_node_is_tried_now_and_then_and_an_answer_opens_it_at_once() {
-    let mut h = two_nodes();
-    let mut now = 0.0;
-    for id in 0..20 {
-        now += 50.0;
-        assert!(ask(&mut h, now, id, 0));
-        answer(&mut h, now + 10.0, id, 1, 10.0, f64::from(id % 3));
-    }
+    let (mut h, now) = used(|id| f64::from(id % 3));
     assert!(ask(&mut h, now + 20.0, 100, 0));
     let tried: Vec<u32> =
         (0..16).filter(|i| ask(&mut h, now + 130.0 + 10.0 * f64::from(*i), 200 + i, 0)).collect();
