Two threads read all connections of a host; a thread for each used up the machine's threads

Ruled out: descriptors (176 of 672), memory (9 of 64 MB), the door (a tenth of its room was used). At fault: Front::welcome and Nodes::open, which start a thread a connection; where none is to be had, welcome closes a connection that it accepted, and Serving::start ends the process.

Change: Poller (epoll through rustix) in the net package; one thread takes and reads all client connections, one sees node connections come up and reads them. The number of threads is the same whatever the number of connections, a test. The reader alone closes idle clients now, so no request can stand between socket and door. The reader no longer sends to the engine under a link's lock, which the engine waits for.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,11 +8,13 @@
 mod connection;
 pub mod http;
 mod outbox;
+mod poll;
 mod portal;
 mod stream;
 
 pub use clock::Clock;
 pub use connection::{ConnectError, Connection, ConnectionEvent, Token};
 pub use outbox::{long_queue, shut_listener, Flusher, Outbox, Waiting};
+pub use poll::{begin_connect, Poller, Ready, Want};
 pub use portal::{Portal, PortalConfig, Service, Session, SessionId};
-pub use stream::{lock, read_once, spawn_small, Direction, Tap, TapRef};
+pub use stream::{lock, spawn_small, Direction, Tap, TapRef};
--- /dev/null
+++ b/crates/net/src/poll.rs
@@ -0,0 +1,202 @@
+//! Waiting for many sockets in one thread.
+//!
+//! Danger: a thread for each connection is cheap in one host, and three hundred hosts on one machine use up the
+//! machine's threads; a host that gets none can neither take a connection nor make one.
+
+use rustix::event::epoll;
+use rustix::event::{eventfd, EventfdFlags, Timespec};
+use rustix::net::{AddressFamily, SocketFlags, SocketType};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::{Duration, Instant};
+
+/// The token under which [`Poller::wake`] comes; sockets have others.
+const WOKEN: u64 = u64::MAX;
+/// Events taken in one wait.
+const AT_ONCE: usize = 64;
+
+/// What a socket is watched for; that it broke is told in any case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Want {
+    /// That it broke.
+    Nothing,
+    /// Something to read, or its end.
+    Read,
+    /// Room to write; a connection that came up has it.
+    Write,
+}
+
+impl Want {
+    fn flags(self) -> epoll::EventFlags {
+        match self {
+            Want::Nothing => epoll::EventFlags::empty(),
+            Want::Read => epoll::EventFlags::IN,
+            Want::Write => epoll::EventFlags::OUT,
+        }
+    }
+}
+
+/// A socket that has what it was watched for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ready {
+    /// The token it was added with.
+    pub token: u64,
+    /// Both directions are over, or it has an error.
+    pub broken: bool,
+}
+
+/// A set of watched sockets. What is true of a socket is told at each wait for as long as it is true.
+#[derive(Debug)]
+pub struct Poller {
+    set: OwnedFd,
+    waker: OwnedFd,
+}
+
+impl Poller {
+    /// Watches nothing yet; takes two descriptors.
+    ///
+    /// # Errors
+    /// No descriptor is left.
+    pub fn new() -> io::Result<Poller> {
+        let set = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        let waker = eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)?;
+        epoll::add(&set, &waker, epoll::EventData::new_u64(WOKEN), Want::Read.flags())?;
+        Ok(Poller { set, waker })
+    }
+
+    /// Watches a socket.
+    ///
+    /// # Errors
+    /// What the system says: it is watched already, or no room is left.
+    pub fn add(&self, socket: impl AsFd, token: u64, want: Want) -> io::Result<()> {
+        Ok(epoll::add(&self.set, socket, epoll::EventData::new_u64(token), want.flags())?)
+    }
+
+    /// Watches it for something else.
+    ///
+    /// # Errors
+    /// It is not watched.
+    pub fn change(&self, socket: impl AsFd, token: u64, want: Want) -> io::Result<()> {
+        Ok(epoll::modify(&self.set, socket, epoll::EventData::new_u64(token), want.flags())?)
+    }
+
+    /// Watches it no more. Danger: a socket that others still hold open stays watched until this is called.
+    pub fn remove(&self, socket: impl AsFd) {
+        let _ = epoll::delete(&self.set, socket);
+    }
+
+    /// Ends a wait, or the next one.
+    pub fn wake(&self) {
+        let _ = rustix::io::write(&self.waker, &1u64.to_ne_bytes());
+    }
+
+    /// Waits for one socket at least, a wake or a moment.
+    ///
+    /// # Errors
+    /// What the system says; nothing can be waited for any more.
+    pub fn wait(&self, ready: &mut Vec<Ready>, until: Option<Instant>) -> io::Result<()> {
+        ready.clear();
+        let mut events =
+            [epoll::Event { flags: epoll::EventFlags::empty(), data: epoll::EventData::new_u64(0) }; AT_ONCE];
+        // In whole milliseconds, rounded up: a wait that ended just before its moment would be followed by another.
+        let left = until.map(|at| at.saturating_duration_since(Instant::now()));
+        let left = left.map(|d| Duration::from_millis(d.as_nanos().div_ceil(1_000_000) as u64));
+        let timeout = left.map(|d| Timespec { tv_sec: d.as_secs() as i64, tv_nsec: d.subsec_nanos().into() });
+        let n = match epoll::wait(&self.set, &mut events[..], timeout.as_ref()) {
+            Ok(n) => n,
+            Err(rustix::io::Errno::INTR) => 0,
+            Err(e) => return Err(e.into()),
+        };
+        for event in &events[..n] {
+            let (token, flags) = (event.data.u64(), event.flags);
+            if token == WOKEN {
+                let _ = rustix::io::read(&self.waker, &mut [0u8; 8]);
+            } else {
+                let broken = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP);
+                ready.push(Ready { token, broken });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Begins to connect, without waiting. Watched for [`Want::Write`], the stream is told once it is up or has failed, and
+/// `take_error` says which.
+///
+/// # Errors
+/// No descriptor is left, or the address is refused at once.
+pub fn begin_connect(address: &SocketAddr) -> io::Result<TcpStream> {
+    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    match rustix::net::connect(&socket, address) {
+        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Ok(TcpStream::from(socket)),
+        Err(e) => Err(e.into()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    fn pair() -> (TcpStream, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let here = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        (here, listener.accept().unwrap().0)
+    }
+
+    fn tokens(poller: &Poller, within: Duration) -> Vec<u64> {
+        let mut ready = Vec::new();
+        poller.wait(&mut ready, Some(Instant::now() + within)).unwrap();
+        ready.iter().map(|r| r.token).collect()
+    }
+
+    #[test]
+    fn a_socket_is_told_while_it_has_what_it_is_watched_for_and_not_after_its_removal() {
+        let poller = Poller::new().unwrap();
+        let (here, mut there) = pair();
+        poller.add(&here, 7, Want::Read).unwrap();
+        assert!(tokens(&poller, Duration::ZERO).is_empty());
+        there.write_all(b"x").unwrap();
+        let long = Duration::from_secs(10);
+        assert_eq!(tokens(&poller, long), [7]);
+        assert_eq!(tokens(&poller, long), [7], "still there");
+        poller.change(&here, 7, Want::Nothing).unwrap();
+        assert!(tokens(&poller, Duration::ZERO).is_empty());
+        poller.change(&here, 7, Want::Write).unwrap();
+        assert_eq!(tokens(&poller, long), [7]);
+        poller.remove(&here);
+        assert!(tokens(&poller, Duration::ZERO).is_empty());
+    }
+
+    #[test]
+    fn a_connection_comes_up_or_fails_without_being_waited_for() {
+        let poller = Poller::new().unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let up = begin_connect(&address).unwrap();
+        poller.add(&up, 1, Want::Write).unwrap();
+        assert_eq!(tokens(&poller, Duration::from_secs(10)), [1]);
+        assert!(up.take_error().unwrap().is_none());
+        poller.remove(&up);
+        drop(listener);
+        let Ok(refused) = begin_connect(&address) else { return };
+        poller.add(&refused, 2, Want::Write).unwrap();
+        assert_eq!(tokens(&poller, Duration::from_secs(10)), [2]);
+        assert!(refused.take_error().unwrap().is_some());
+    }
+
+    #[test]
+    fn a_wake_ends_one_wait_and_a_moment_the_next() {
+        let poller = Poller::new().unwrap();
+        poller.wake();
+        poller.wake();
+        let began = Instant::now();
+        assert!(tokens(&poller, Duration::from_secs(60)).is_empty());
+        assert!(began.elapsed() < Duration::from_secs(30));
+        assert!(tokens(&poller, Duration::from_millis(5)).is_empty());
+    }
+}
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -65,7 +65,7 @@
 ///
 /// # Errors
 /// What the socket says.
-pub fn read_once(stream: &mut impl Read, buffer: &mut BytesMut, wanted: usize) -> io::Result<usize> {
+pub(crate) fn read_once(stream: &mut impl Read, buffer: &mut BytesMut, wanted: usize) -> io::Result<usize> {
     let had = buffer.len();
     buffer.resize(had + wanted.clamp(READ_LEAST, READ_MOST), 0);
     let got = loop {
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -168,6 +168,11 @@
         self.next_waiting(now, link, out);
     }
 
+    /// Whether a connection has neither come up nor failed.
+    pub fn is_coming(&self, link: LinkId) -> bool {
+        self.links.get(&link).is_some_and(|l| l.state == State::Coming)
+    }
+
     /// A connection did not come up: one attempt that waited for it was never sent, unless another connection will carry it.
     pub fn not_opened(&mut self, link: LinkId, out: &mut Vec<Do>) {
         let Some(l) = self.links.remove(&link) else { return };
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -1,6 +1,6 @@
 //! The one thread that owns the driver, and carries out what the module says.
 
-use crate::client::{Client, Hall};
+use crate::client::Client;
 use crate::links::{Link, Nodes};
 use crate::tally::Tally;
 use bytes::Bytes;
@@ -9,7 +9,7 @@
 use pearfork_drive::{AttemptId, Driver, Step, Told};
 use pearfork_net::{lock, Clock};
 use pearfork_platform::answer::Answer;
-use pearfork_platform::door::GuestId;
+use pearfork_platform::door::{Door, GuestId};
 use pearfork_platform::pool::{Do, LinkId, Pool};
 use pearfork_platform::request::Asked;
 use pearfork_platform::roster::{Listing, Roster};
@@ -61,8 +61,10 @@
     pub(crate) pool: Pool,
     pub(crate) roster: Roster,
     pub(crate) clock: Clock,
-    pub(crate) hall: Arc<Mutex<Hall>>,
-    pub(crate) nodes: Nodes,
+    pub(crate) door: Arc<Mutex<Door>>,
+    pub(crate) nodes: Arc<Nodes>,
+    /// How long a connection may take to come up, milliseconds.
+    pub(crate) connect_ms: f64,
     books: Books,
 }
 
@@ -75,6 +77,8 @@
     /// Until when attempts that are out are waited for.
     until: HashMap<AttemptId, f64>,
     links: HashMap<LinkId, Arc<Link>>,
+    /// Connections that were begun, and when the time of each is up: in order, since all are given the same.
+    begun: VecDeque<(f64, LinkId)>,
     tally: Tally,
     steps: Vec<Step>,
     todo: Vec<Do>,
@@ -85,10 +89,12 @@
         driver: Driver,
         pool: Pool,
         clock: Clock,
-        hall: Arc<Mutex<Hall>>,
-        nodes: Nodes,
+        door: Arc<Mutex<Door>>,
+        nodes: Arc<Nodes>,
+        connect_ms: f64,
     ) -> Engine {
-        Engine { driver, pool, roster: Roster::default(), clock, hall, nodes, books: Books::default() }
+        let (roster, books) = (Roster::default(), Books::default());
+        Engine { driver, pool, roster, clock, door, nodes, connect_ms, books }
     }
 
     /// The list as the host last had it.
@@ -101,15 +107,16 @@
     pub(crate) fn run(mut self, messages: &Receiver<Message>) {
         let (mut sweep, mut tell) = (self.clock.now_ms() + SWEEP_MS, self.clock.now_ms() + TELL_MS);
         loop {
-            let due = self.driver.next_due().map_or(sweep, |at| at.min(sweep));
+            let begun = self.books.begun.front().map(|(at, _)| *at);
+            let due = self.driver.next_due().into_iter().chain(begun).fold(sweep, f64::min);
             let first = match messages.recv_deadline(self.clock.instant(due)) {
                 Ok(m) => Some(m),
                 Err(RecvTimeoutError::Timeout) => None,
-                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Disconnected) => return self.nodes.stop(),
             };
             for message in first.into_iter().chain(messages.try_iter().take(BATCH)) {
                 if matches!(message, Message::Stop) {
-                    return;
+                    return self.nodes.stop();
                 }
                 self.take(message);
                 self.settle();
@@ -118,24 +125,32 @@
             let mut steps = std::mem::take(&mut self.books.steps);
             self.driver.ring(now, &mut steps);
             self.books.steps = steps;
+            self.too_long(now);
             if now >= sweep {
                 sweep = now + SWEEP_MS;
-                let mut hall = lock(&self.hall);
-                let overdue = hall.door.overdue(now);
-                hall.close(overdue);
-                drop(hall);
                 self.pool.sweep(now, &mut self.books.todo);
             }
             self.settle();
             if now >= tell {
                 tell = now + TELL_MS;
-                let (guests, links) = (lock(&self.hall).door.held(), self.pool.held());
+                let (guests, links) = (lock(&self.door).held(), self.pool.held());
                 let line = self.books.tally.line();
                 tracing::info!(guests, links, open = self.driver.open(), out = self.driver.out(), "{line}");
             }
         }
     }
 
+    /// Gives up connections that do not come up.
+    fn too_long(&mut self, now: f64) {
+        while let Some((_, link)) = self.books.begun.pop_front_if(|(at, _)| now >= *at) {
+            if self.pool.is_coming(link) {
+                tracing::debug!(link, "no connection in time");
+                self.nodes.close(link);
+                self.pool.not_opened(link, &mut self.books.todo);
+            }
+        }
+    }
+
     fn take(&mut self, message: Message) {
         let now = self.clock.now_ms();
         match message {
@@ -220,7 +235,7 @@
 
     fn reply(&mut self, client: &Client, slot: u64, bytes: Bytes) {
         client.answer(slot, bytes);
-        lock(&self.hall).door.answered(self.clock.now_ms(), client.id);
+        lock(&self.door).answered(self.clock.now_ms(), client.id);
     }
 
     fn list(&mut self, list: &Listing, kind: ListKind) {
@@ -292,7 +307,9 @@
             Do::Open(link, node) => {
                 self.books.tally.opened += 1;
                 let dial = self.roster.dial(node);
-                if !dial.is_some_and(|dial| self.nodes.open(link, dial)) {
+                if dial.is_some_and(|dial| self.nodes.open(link, &dial)) {
+                    self.books.begun.push_back((now + self.connect_ms, link));
+                } else {
                     self.pool.not_opened(link, &mut self.books.todo);
                 }
             }
@@ -312,7 +329,10 @@
                     self.pool.unfit(now, link, attempt, &mut self.books.todo);
                 }
             }
-            Do::Close(link) => self.books.links.remove(&link).iter().for_each(|l| l.shut()),
+            Do::Close(link) => {
+                self.books.links.remove(&link);
+                self.nodes.close(link);
+            }
             Do::NeverSent(attempt) => self.never_sent(now, attempt),
         }
     }
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -1,19 +1,23 @@
-//! Connections to nodes: one thread connects and then reads.
+//! Connections to nodes: one thread sees them come up and reads them all.
 
 use crate::engine::Message;
 use bytes::Bytes;
 use crossbeam_channel::Sender;
 use pearfork::Verdict;
 use pearfork_drive::Told;
-use pearfork_net::{lock, spawn_small, Clock, Flusher, Outbox, Waiting};
+use pearfork_net::{begin_connect, lock, Clock, Flusher, Outbox, Poller, Waiting, Want};
 use pearfork_platform::answer::{self, Answer};
 use pearfork_platform::pool::LinkId;
 use pearfork_resp::Replies;
-use std::net::{SocketAddr, TcpStream};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
-/// An open connection.
+/// Bytes read from one connection before the next has its turn.
+const PIECE: usize = 16 * 1024;
+
+/// A connection.
 pub(crate) struct Link {
     outbox: Arc<Outbox>,
     state: Mutex<State>,
@@ -22,6 +26,8 @@
 
 struct State {
     replies: Replies,
+    /// It has not come up yet.
+    coming: bool,
     /// Commands without an answer.
     out: usize,
     /// It is of no further use.
@@ -56,52 +62,40 @@
         Ok(())
     }
 
-    pub(crate) fn shut(&self) {
-        self.outbox.shut();
-    }
-
-    fn read(&self, told: &dyn Fn(Answer)) {
-        let mut piece = vec![0u8; 4096];
-        loop {
-            // Waits without taking.
-            match self.outbox.stream().peek(&mut piece[..1]) {
-                Ok(0) => return,
-                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => continue,
-                Err(_) => return,
-                Ok(_) => {}
-            }
-            let mut state = lock(&self.state);
-            match self.outbox.read_now(&mut piece) {
-                Ok(Some(0)) | Err(_) => return,
-                Ok(None) => continue,
-                Ok(Some(n)) => state.replies.buffer().extend_from_slice(&piece[..n]),
-            }
-            let good = state.take(told);
-            state.free_since = self.clock.now_ms();
-            if !good {
+    /// Reads what came: the answers in it, and whether the connection is of further use.
+    fn read(&self, piece: &mut [u8], told: &mut Vec<Answer>) -> bool {
+        let mut state = lock(&self.state);
+        match self.outbox.read_now(piece) {
+            Ok(None) => return true,
+            Ok(Some(0)) | Err(_) => {
                 state.over = true;
-                return;
+                return false;
             }
+            Ok(Some(n)) => state.replies.buffer().extend_from_slice(&piece[..n]),
         }
+        let good = state.take(told);
+        state.free_since = self.clock.now_ms();
+        state.over |= !good;
+        good
     }
 }
 
 impl State {
     /// Takes the answers that came; false where the connection is of no further use.
-    fn take(&mut self, told: &dyn Fn(Answer)) -> bool {
+    fn take(&mut self, told: &mut Vec<Answer>) -> bool {
         while self.out > 0 {
             match self.replies.next_reply() {
                 Ok(Some(reply)) => {
                     (self.out, self.answers) = (self.out - 1, self.answers + 1);
                     let answer = answer::read(reply);
                     tracing::trace!(rested_ms = self.rested_ms as u64, answers = self.answers, verdict = ?answer.verdict, "answered");
-                    told(answer);
+                    told.push(answer);
                 }
                 Ok(None) => return true,
                 Err(fault) => {
                     self.out -= 1;
                     tracing::debug!(%fault, "spoilt answer");
-                    told(Answer { verdict: Verdict::Error, value: None, told: Told::default() });
+                    told.push(Answer { verdict: Verdict::Error, value: None, told: Told::default() });
                     return false;
                 }
             }
@@ -111,58 +105,125 @@
     }
 }
 
-/// What connections to nodes share.
-#[derive(Clone)]
+/// The connections of a host to its nodes.
 pub(crate) struct Nodes {
-    pub(crate) engine: Sender<Message>,
-    pub(crate) clock: Clock,
-    pub(crate) flusher: Flusher,
-    pub(crate) within: Duration,
+    engine: Sender<Message>,
+    clock: Clock,
+    flusher: Flusher,
+    poller: Poller,
+    links: Mutex<HashMap<LinkId, Arc<Link>>>,
+    stopped: AtomicBool,
 }
 
 impl Nodes {
-    /// Connects in a thread of its own, which then reads. False: there is no thread.
-    pub(crate) fn open(&self, id: LinkId, address: SocketAddr) -> bool {
-        let nodes = self.clone();
-        spawn_small("node", move || nodes.run(id, address)).is_ok()
+    pub(crate) fn new(engine: Sender<Message>, clock: Clock, flusher: Flusher, poller: Poller) -> Nodes {
+        Nodes { engine, clock, flusher, poller, links: Mutex::default(), stopped: AtomicBool::new(false) }
     }
 
-    fn run(&self, id: LinkId, address: SocketAddr) {
-        let stream = match TcpStream::connect_timeout(&address, self.within) {
+    /// Begins to connect; the engine is told what became of it. False: it can't.
+    pub(crate) fn open(&self, id: LinkId, address: &SocketAddr) -> bool {
+        let stream = match begin_connect(address) {
             Ok(stream) => stream,
             Err(error) => {
                 tracing::debug!(%address, %error, "no connection");
-                let _ = self.engine.send(Message::NotUp(id));
-                return;
+                return false;
             }
         };
         let _ = stream.set_nodelay(true);
         let state = State {
             replies: Replies::new(answer::REPLY),
+            coming: true,
             out: 0,
             over: false,
             answers: 0,
-            free_since: self.clock.now_ms(),
+            free_since: 0.0,
             rested_ms: 0.0,
         };
-        let (outbox, state) = (Outbox::new(stream, &self.flusher), Mutex::new(state));
-        let link = Arc::new(Link { outbox, state, clock: self.clock });
-        if self.engine.send(Message::Up(id, link.clone())).is_err() {
+        let outbox = Outbox::new(stream, &self.flusher);
+        let link = Arc::new(Link { outbox, state: Mutex::new(state), clock: self.clock });
+        let mut links = lock(&self.links);
+        if self.poller.add(link.outbox.stream(), id, Want::Write).is_err() {
+            return false;
+        }
+        links.insert(id, link);
+        true
+    }
+
+    /// Closes a connection, which the engine is not told.
+    pub(crate) fn close(&self, id: LinkId) {
+        let link = lock(&self.links).remove(&id);
+        if let Some(link) = link {
+            self.poller.remove(link.outbox.stream());
+            lock(&link.state).over = true;
+            link.outbox.shut();
+        }
+    }
+
+    /// Ends the thread that reads.
+    pub(crate) fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        self.poller.wake();
+    }
+
+    /// Reads all connections until told to stop.
+    pub(crate) fn run(&self) {
+        let (mut ready, mut told) = (Vec::new(), Vec::new());
+        let mut piece = vec![0u8; PIECE];
+        while !self.stopped.load(Ordering::SeqCst) {
+            if let Err(why) = self.poller.wait(&mut ready, None) {
+                tracing::error!(%why, "connections to nodes can't be waited for");
+                return;
+            }
+            for one in &ready {
+                let Some(link) = lock(&self.links).get(&one.token).cloned() else { continue };
+                let coming = lock(&link.state).coming;
+                if coming {
+                    self.came(one.token, &link);
+                    continue;
+                }
+                let good = link.read(&mut piece, &mut told);
+                for answer in told.drain(..) {
+                    let message = Message::Answered { link: one.token, answer, at: self.clock.now_ms() };
+                    let _ = self.engine.send(message);
+                }
+                if !good {
+                    self.over(one.token, &link);
+                }
+            }
+        }
+    }
+
+    /// A connection came up, or failed.
+    fn came(&self, id: LinkId, link: &Arc<Link>) {
+        let stream = link.outbox.stream();
+        let failed = match stream.take_error() {
+            Ok(None) => self.poller.change(stream, id, Want::Read).err(),
+            Ok(Some(e)) | Err(e) => Some(e),
+        };
+        if let Some(error) = failed {
+            tracing::debug!(%error, link = id, "no connection");
+            self.close(id);
+            let _ = self.engine.send(Message::NotUp(id));
             return;
         }
-        link.read(&|answer| {
-            let _ = self.engine.send(Message::Answered { link: id, answer, at: self.clock.now_ms() });
-        });
-        let unsent = link.outbox.kept() > 0;
         {
             let mut state = lock(&link.state);
-            state.over = true;
+            (state.coming, state.free_since) = (false, self.clock.now_ms());
+        }
+        let _ = self.engine.send(Message::Up(id, link.clone()));
+    }
+
+    /// A connection is over by the node's doing.
+    fn over(&self, id: LinkId, link: &Link) {
+        let unsent = link.outbox.kept() > 0;
+        {
+            let state = lock(&link.state);
             if state.out > 0 {
                 let (answers, rested_ms) = (state.answers, state.rested_ms as u64);
-                tracing::debug!(%address, out = state.out, answers, rested_ms, unsent, "connection over");
+                tracing::debug!(link = id, out = state.out, answers, rested_ms, unsent, "connection over");
             }
         }
-        link.shut();
+        self.close(id);
         let _ = self.engine.send(Message::Over { link: id, unsent });
     }
 }
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -1,18 +1,19 @@
 //! A host put together.
 
-use crate::client::{Front, Hall};
+use crate::client::Desk;
 use crate::engine::{Engine, Message};
+use crate::front::{Front, Leaving};
 use crate::links::Nodes;
 use crate::watch::Watcher;
 use crossbeam_channel::{bounded, Sender};
 use pearfork_drive::Driver;
-use pearfork_net::{lock, shut_listener, spawn_small, Clock, Flusher};
+use pearfork_net::{lock, spawn_small, Clock, Flusher, Poller};
 use pearfork_platform::config::Config;
-use pearfork_platform::door::{client_room, node_room};
+use pearfork_platform::door::{client_room, node_room, Door};
 use pearfork_platform::pool::Pool;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -46,9 +47,10 @@
 pub struct Serving {
     listener: Arc<TcpListener>,
     engine: Sender<Message>,
-    hall: Arc<Mutex<Hall>>,
+    desk: Arc<Desk>,
+    door: Arc<Mutex<Door>>,
     discovery: Arc<Mutex<SocketAddr>>,
-    stopping: Arc<AtomicBool>,
+    leaving: Arc<Leaving>,
     longest: Duration,
 }
 
@@ -64,11 +66,12 @@
         let clock = Clock::start();
         let flusher = Flusher::start()?;
         let (engine, messages) = bounded(ENGINE_QUEUE);
-        let hall = Arc::new(Mutex::new(Hall::new(client_room(config.limits.sockets))));
+        let door = Arc::new(Mutex::new(Door::new(client_room(config.limits.sockets))));
         let pool = Pool::new(config.links, node_room(config.limits.sockets));
-        let within = Duration::from_secs_f64(config.links.connect_ms / 1_000.0);
-        let nodes = Nodes { engine: engine.clone(), clock, flusher: flusher.clone(), within };
-        let mut running = Engine::new(driver, pool, clock, hall.clone(), nodes);
+        let nodes = Arc::new(Nodes::new(engine.clone(), clock, flusher.clone(), Poller::new()?));
+        let reads = nodes.clone();
+        spawn_small("nodes", move || reads.run())?;
+        let mut running = Engine::new(driver, pool, clock, door.clone(), nodes, config.links.connect_ms);
         running.known(&config.known);
         spawn_small("engine", move || running.run(&messages))?;
         let discovery = Arc::new(Mutex::new(config.discovery));
@@ -77,21 +80,22 @@
         let listener =
             TcpListener::bind(address).map_err(|source| ServingError::Listen { address, source })?;
         let listener = Arc::new(listener);
-        let stopping = Arc::new(AtomicBool::new(false));
-        let front = Front {
-            hall: hall.clone(),
-            vocabulary: Arc::new(config.words),
-            engine: engine.clone(),
+        let (desk, leaving) = (Arc::new(Desk::new(Poller::new()?)), Arc::new(Leaving::default()));
+        let front = Front::new(
+            desk.clone(),
+            door.clone(),
+            config.words,
+            engine.clone(),
             clock,
             flusher,
-            stopping: stopping.clone(),
-            reading: Arc::new(AtomicUsize::new(0)),
-        };
+            leaving.clone(),
+        );
+        front.open(&listener)?;
         let accepting = listener.clone();
-        spawn_small("accept", move || front.accept(&accepting))?;
+        spawn_small("clients", move || front.run(&accepting))?;
         tracing::info!(name = config.name, %address, "host listens");
         let longest = Duration::from_secs_f64(longest / 1_000.0);
-        Ok(Serving { listener, engine, hall, discovery, stopping, longest })
+        Ok(Serving { listener, engine, desk, door, discovery, leaving, longest })
     }
 
     /// Where clients come.
@@ -108,16 +112,11 @@
     /// False where the time ran out first.
     pub fn stop(&self) -> bool {
         std::thread::sleep(STILL_OPEN);
-        self.stopping.store(true, Ordering::SeqCst);
-        shut_listener(&self.listener);
+        self.leaving.begun.store(true, Ordering::SeqCst);
+        self.desk.poller.wake();
         let until = Instant::now() + self.longest + ANSWERED;
         loop {
-            let held = {
-                let mut hall = lock(&self.hall);
-                let idle = hall.door.idle();
-                hall.close(idle);
-                hall.door.held()
-            };
+            let held = lock(&self.door).held();
             let (to, from) = bounded(1);
             let asked = self.engine.send(Message::Open(to)).is_ok();
             let open = if asked { from.recv_timeout(Duration::from_secs(1)).unwrap_or(1) } else { 0 };
@@ -134,8 +133,9 @@
 
 impl Drop for Serving {
     fn drop(&mut self) {
-        self.stopping.store(true, Ordering::SeqCst);
-        shut_listener(&self.listener);
+        self.leaving.begun.store(true, Ordering::SeqCst);
+        self.leaving.over.store(true, Ordering::SeqCst);
+        self.desk.poller.wake();
         let _ = self.engine.try_send(Message::Stop);
     }
 }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -34,16 +34,23 @@
 /// Commands that a stand-in node was sent.
 pub type Heard = Arc<Mutex<Vec<Command>>>;
 
+/// Threads of stand-ins go by a name of their own, so that a host's can be counted.
+pub const STAND_IN: &str = "stand-in";
+
+fn stand_in(body: impl FnOnce() + Send + 'static) {
+    std::thread::Builder::new().name(STAND_IN.to_owned()).spawn(body).unwrap();
+}
+
 /// A node that reacts to each command; the number of commands before it is told.
 pub fn node(react: impl Fn(usize, &Command) -> Reaction + Send + Sync + 'static) -> (SocketAddr, Heard) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let heard: Heard = Arc::default();
     let (react, kept) = (Arc::new(react), heard.clone());
-    std::thread::spawn(move || {
+    stand_in(move || {
         for stream in listener.incoming() {
             let (mut stream, react, heard) = (stream.unwrap(), react.clone(), kept.clone());
-            std::thread::spawn(move || {
+            stand_in(move || {
                 let limits = CommandLimits { words: 8, word: 1 << 17, whole: 1 << 18 };
                 let mut commands = Commands::new(limits);
                 let mut piece = [0; 4096];
