Cold nodes: a lot for each request where a host's part is under one request

Cause: Scheduler::cold_room fills a host's bucket at its even part, with 300 hosts a twentieth of a unit a second, or at its usual use of the shard, which a host that sees two requests a second on 168 shards does not know, the less after a restart. Saving up for one request takes longer than a node is cold. Ruled out: limits (no refusal 'limit'), trials and rests ('silent' 162, 'rest' 0).

Change: where that part is under a mean request, each request draws a lot and the lower ones go: what a node bears by its age of all that a warm one does, and no more than the part over what this host is asked of a shard (its own requests over the shards listed, so the parts of all hosts add up whatever they see). Nothing is remembered, so restarts lose nothing. The even part grows with the node's age as well. What no lot lets through is refused at once, for its client to try again.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -286,6 +286,18 @@
     Moot,
 }
 
+impl Verdict {
+    /// Why a request is over whose last attempt ended so, without being served.
+    pub(crate) fn reason(self) -> Reason {
+        match self {
+            Verdict::Full => Reason::NodeFull,
+            Verdict::ConnectFailed | Verdict::Reset => Reason::Unreached,
+            Verdict::TimedOut | Verdict::Cancelled => Reason::Silent,
+            Verdict::Served | Verdict::Error | Verdict::Moot => Reason::NodeError,
+        }
+    }
+}
+
 /// A request as it reaches the host.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Request {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use std::collections::BTreeSet;
 
 /// The span T over which both envelopes are measured.
 pub(crate) const WINDOW_MS: f64 = 10_000.0;
@@ -65,12 +66,12 @@
 const STANDING_MS: f64 = 1_000.0;
 /// Part of a guarded budget that is used; the rest covers clocks and rounding.
 const SAFE_PART: f64 = 0.9;
-/// Part of what a cold node bears that the hosts fill by their usual use of the shard: use is uneven.
+/// Part of what a cold node bears that is sent: shards are used unevenly, and asked for more than is usual.
 const COLD_PART: f64 = 0.5;
-/// A node is warm whose answers of late took less than this many times what its class takes at nodes long up.
-const QUICK: f64 = 1.5;
 /// A host's usual use of a shard is the mean over about this time: longer than a restart takes.
 const USUAL_MS: f64 = 30_000.0;
+/// A node is warm whose answers of late took less than this many times what its class takes at nodes long up.
+const QUICK: f64 = 1.5;
 /// Held requests are looked at again at this pace where a guard or trickle holds them.
 const TICK_MS: f64 = 10.0;
 /// The pace where nothing is held or out: a host that misses it by more than STALL_MS stood still itself.
@@ -233,7 +234,8 @@
                 if let Some(r) = u32::try_from(label).ok().and_then(|id| self.books.requests.get(&id)) {
                     let at_ms = r.q.valid_until_ms - 2.0 * self.settings.round_ms;
                     let late = now > r.arrived + UNSENT_PART.1 * (r.q.valid_until_ms - r.arrived);
-                    let waits = r.tries > 0 || late || self.held_by(now, r) != Reason::NoNode;
+                    let none = matches!(self.held_by(now, r), Reason::NoNode | Reason::Cold);
+                    let waits = r.tries > 0 || late || !none;
                     if waits && now < at_ms {
                         actions.push(Action::SetTimer { at_ms, label });
                     } else {
@@ -266,7 +268,8 @@
         // Guard, one final answer: its timer rings before the client gives up, whatever else happens.
         let at_ms = (arrived + UNSENT_PART.0 * (q.valid_until_ms - arrived)).max(now);
         actions.push(Action::SetTimer { at_ms, label: u64::from(q.id) });
-        let held = Held { q, arrived, grade: 1.0, ..Default::default() };
+        self.books.asked.add(now, q.units, WINDOW_MS);
+        let held = Held { q, arrived, grade: 1.0, lot: self.random.next(), ..Default::default() };
         self.books.requests.insert(q.id, held);
         self.meet_volume(now, &q);
         if self.settings.classes[usize::from(q.class)].ordered && q.key != 0 {
@@ -278,8 +281,12 @@
             return;
         };
         self.stand(now, q.id);
-        let limited = self.limit_wait(now, q.id);
-        if limited > 0.0 && limited > self.spare_time(now, q.id, node) {
+        if self.books.requests[&q.id].lot >= self.cold_chance(&self.books.nodes[&node], now) {
+            self.answer(now, q.id, 0.0, Reason::Cold, actions);
+            return;
+        }
+        let (limited, sojourn) = (self.limit_wait(now, q.id), self.books.nodes[&node].sojourn);
+        if limited > 0.0 && limited > self.worth(&self.books.requests[&q.id], sojourn, now).1 {
             self.answer(now, q.id, limited, Reason::Limit, actions);
             return;
         }
@@ -331,14 +338,6 @@
         }
     }
 
-    /// Time to spare before the aim, as far as this node's answers go.
-    fn spare_time(&self, now: f64, id: u32, node: u32) -> f64 {
-        match (self.books.requests.get(&id), self.books.nodes.get(&node)) {
-            (Some(r), Some(n)) => self.worth(r, n.sojourn, now).1,
-            _ => 0.0,
-        }
-    }
-
     /// The LMAC test: the least time, over the grid, that the request curve raised by one newcomer of this
     /// class stays within the aims of all classes at the node; below zero the newcomer does not fit.
     fn room(&mut self, node: u32, class: usize, now: f64) -> f64 {
@@ -454,9 +453,7 @@
     /// Departure, borrowed samples: what is left of the aims of all classes when the wait at the node and
     /// the service alone are taken off. A newcomer of less standing may use less of the aims.
     fn predicted_room(&self, now: f64, id: u32, node: u32) -> f64 {
-        let (Some(r), Some(n)) = (self.books.requests.get(&id), self.books.nodes.get(&node)) else {
-            return 0.0;
-        };
+        let (r, n) = (&self.books.requests[&id], &self.books.nodes[&node]);
         if self.books.fit.seen < FIT_SEEN {
             return 0.0;
         }
@@ -491,9 +488,7 @@
     /// Departure, standing: the test says that something must go; it is the request, held or new, that is
     /// worth least for its work. Only what was never sent may go. True: the newcomer stays.
     fn make_way(&mut self, now: f64, id: u32, node: u32, fits: bool, actions: &mut Vec<Action>) -> bool {
-        let (Some(r), Some(n)) = (self.books.requests.get(&id), self.books.nodes.get(&node)) else {
-            return false;
-        };
+        let (r, n) = (&self.books.requests[&id], &self.books.nodes[&node]);
         let own = self.worth(r, n.sojourn, now).0;
         // Spare capacity is used: with nothing waiting and room in flight, the test is moot.
         // Danger: what waits for its volume's limit, for order or a pause does not wait for the node; it
@@ -515,9 +510,8 @@
     }
 
     fn hold(&mut self, now: f64, id: u32, node: u32) {
-        let (Some(r), Some(n)) = (self.books.requests.get_mut(&id), self.books.nodes.get_mut(&node)) else {
-            return;
-        };
+        let Some(r) = self.books.requests.get_mut(&id) else { return };
+        let Some(n) = self.books.nodes.get_mut(&node) else { return };
         let before = r.node.replace(node);
         r.number = n.envelopes[usize::from(r.q.class)].admitted(now);
         n.held.push(id);
@@ -540,12 +534,12 @@
             if full && !run_on {
                 return;
             }
-            let cold = self.cold_room(n, now);
+            let cold = (self.cold_room(n, now), self.cold_chance(n, now));
             let mut best: Option<(f64, u32)> = None;
             for id in &n.held {
                 let Some(r) = self.books.requests.get(id) else { continue };
                 let same = run_on && r.q.key == n.last_key;
-                if (full && !same) || r.q.units > cold || self.barred(now, r).is_some() {
+                if (full && !same) || r.q.units > cold.0 || r.lot >= cold.1 || self.barred(now, r).is_some() {
                     continue;
                 }
                 let (worth, slack) = self.worth(r, n.sojourn, now);
@@ -578,16 +572,8 @@
         n.last_sent = now;
         let class = usize::from(r.q.class);
         let lane = if self.settings.classes[class].ordered { r.q.key } else { 0 };
-        let flight = Flight {
-            node,
-            sent: now,
-            units: r.q.units,
-            class,
-            lane,
-            shard: n.e.shard,
-            zone: n.e.zone,
-            given_up: false,
-        };
+        let (shard, zone) = (n.e.shard, n.e.zone);
+        let flight = Flight { node, sent: now, units: r.q.units, class, lane, shard, zone, given_up: false };
         if lane != 0 {
             self.books.lanes.entry(lane).or_default().outstanding += 1;
         }
@@ -647,13 +633,7 @@
                 // The attempt beside it may still be served.
                 None if other => {}
                 None => {
-                    let reason = match o.verdict {
-                        Verdict::Full => Reason::NodeFull,
-                        Verdict::ConnectFailed | Verdict::Reset => Reason::Unreached,
-                        Verdict::TimedOut | Verdict::Cancelled => Reason::Silent,
-                        Verdict::Served | Verdict::Error | Verdict::Moot => Reason::NodeError,
-                    };
-                    self.answer(now, o.id, 0.0, reason, actions);
+                    self.answer(now, o.id, 0.0, o.verdict.reason(), actions);
                 }
             }
         }
@@ -852,7 +832,7 @@
         match self.barred(now, r) {
             _ if r.outstanding > 0 => Reason::Silent,
             Some(reason) => reason,
-            None if r.q.units > self.cold_room(n, now) => Reason::Cold,
+            None if r.q.units > self.cold_room(n, now) || r.lot >= self.cold_chance(n, now) => Reason::Cold,
             None if now < n.rest_until => Reason::Rest,
             None if late => Reason::Late,
             None => Reason::InFlight,
@@ -897,26 +877,43 @@
         sent + 1.0 <= e.free + e.ratio * taken
     }
 
-    /// Guard, cold nodes: units that this host may send now; a token bucket that holds for all hosts
-    /// together. It fills at the larger of two parts. Few hosts: an even one of the units that a node always
-    /// bears, half as rate, half as depth. Many, whose even part is under one request: what the shard served
-    /// each host before adds up to what it does warm; of its part, what a cold node bears by now.
+    /// Part of its capacity that a node has at the least by now; `None`: all of it. Answers as quick as those
+    /// of nodes long up show that it is warm, however lately it started.
+    fn cold_by_now(&self, n: &Node, now: f64) -> Option<f64> {
+        let s = &self.settings;
+        let cold = n.age(now) < s.warm_after_ms && n.slowness >= QUICK;
+        let warm = (now - n.e.started_ms - s.fall_ms) / s.warm_after_ms.max(1.0);
+        cold.then(|| s.cold_from + (1.0 - s.cold_from) * warm.clamp(0.0, 1.0))
+    }
+
+    /// Guard, cold nodes: units that this host may send now: its part of what a cold node bears, as a token
+    /// bucket, never shallower than one request.
     fn cold_room(&self, n: &Node, now: f64) -> f64 {
-        // Answers as quick as those of nodes long up show that it is warm, however lately it started.
-        if n.age(now) >= self.settings.warm_after_ms || n.slowness < QUICK {
-            return f64::INFINITY;
-        }
-        let span = self.settings.fall_ms.max(1.0);
-        let warm = (now - n.e.started_ms - span) / self.settings.warm_after_ms.max(1.0);
-        let least = self.settings.cold_from + (1.0 - self.settings.cold_from) * warm.clamp(0.0, 1.0);
-        let even = self.even_cold_units() / span;
-        let rate = even.max(COLD_PART * self.settings.fall_multiple * least * n.usual_units / USUAL_MS);
-        let tokens = n.cold_tokens + rate * (now - n.cold_at).max(0.0);
-        tokens.min((rate * span).max(self.settings.max_units))
+        let Some(least) = self.cold_by_now(n, now) else { return f64::INFINITY };
+        let part = self.cold_units(n, least);
+        let tokens = n.cold_tokens + part / self.settings.fall_ms.max(1.0) * (now - n.cold_at).max(0.0);
+        tokens.min(part.max(self.settings.max_units))
+    }
+
+    /// Guard, cold nodes: the chance of a request. A part under one request is not saved up for while a node
+    /// is cold; so each draws a lot, and the lower ones go: what this one bears of all that a warm one does,
+    /// and no more than the part of what is asked of a shard. Whatever restarts, the parts add up.
+    fn cold_chance(&self, n: &Node, now: f64) -> f64 {
+        let s = &self.settings;
+        let lots = self.cold_units(n, s.cold_from) < s.mean_units;
+        let Some(least) = self.cold_by_now(n, now).filter(|_| lots) else { return 1.0 };
+        let seen = 1.0 - (-(now - self.books.since.unwrap_or(now)).max(s.fall_ms) / WINDOW_MS).exp();
+        let asked = self.books.asked.faded(now, WINDOW_MS) / seen * s.fall_ms / WINDOW_MS / self.books.shards;
+        (COLD_PART * s.fall_multiple * least).min(self.cold_units(n, least) / asked.max(1e-9))
     }
 
-    fn even_cold_units(&self) -> f64 {
-        0.5 * SAFE_PART * self.settings.cold_units / f64::from(self.settings.hosts)
+    /// Units within the span that are this host's part of what a node with this part of its capacity bears:
+    /// an even one of what is stated, or of what the shard served each host before, which adds up to what it
+    /// does warm.
+    fn cold_units(&self, n: &Node, least: f64) -> f64 {
+        let s = &self.settings;
+        let even = SAFE_PART * s.cold_units / f64::from(s.hosts) / s.cold_from.max(1e-3);
+        COLD_PART * least * even.max(s.fall_multiple * n.usual_units * s.fall_ms / USUAL_MS)
     }
 
     /// Guard, drains and list: nothing goes to a node from the first word that it drains or is gone.
@@ -951,11 +948,13 @@
                 let entry = NodeEntry { started_ms: started, ..*e };
                 let mut new = Node::new(entry, now, self.settings.classes.len(), self.tightest_aim);
                 let usual = self.books.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
-                new.usual_units =
-                    usual / (1.0 - (-(now - since).max(self.settings.fall_ms) / USUAL_MS).exp());
-                // The even part, and a part of one request by chance: not all hosts at once.
-                new.cold_tokens = self.even_cold_units() + self.random.next() * self.settings.mean_units;
-                (new.cold_at, new.slowness) = (started, 1.0 / self.settings.cold_from.max(1e-3));
+                let s = &self.settings;
+                new.usual_units = usual / (1.0 - (-(now - since).max(s.fall_ms) / USUAL_MS).exp());
+                // Its part; and one request, which a lot lets through, or a part of one by chance.
+                let part = self.cold_units(&new, s.cold_from);
+                let by_lot = part < s.mean_units;
+                new.cold_tokens = part + if by_lot { s.max_units } else { self.random.next() * s.mean_units };
+                (new.cold_at, new.slowness) = (started, 1.0 / s.cold_from.max(1e-3));
                 if let Some(mut old) = self.books.nodes.insert(e.node, new) {
                     self.books.unplaced.append(&mut old.held);
                     self.books.nodes.entry(e.node).and_modify(|n| n.out = old.out);
@@ -968,6 +967,8 @@
                 self.books.set_condition(now, e.node, e.condition);
             }
         }
+        let shards: BTreeSet<u16> = self.books.nodes.values().map(|n| n.e.shard).collect();
+        self.books.shards = shards.len().max(1) as f64;
         for id in std::mem::take(&mut self.books.unplaced) {
             match self.choose_node(now, id) {
                 Some(node) => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -106,7 +106,7 @@
     pub(crate) last_failure: f64,
     pub(crate) last_key: u64,
     pub(crate) run: u32,
-    /// What its shard usually serves this host, and the tokens that gives while it is cold.
+    /// What its shard usually serves this host, and the tokens for it while it is cold.
     pub(crate) usual_units: f64,
     pub(crate) cold_tokens: f64,
     pub(crate) cold_at: f64,
@@ -191,6 +191,8 @@
     pub(crate) outstanding: u32,
     /// Part of full worth that its volume's standing gave it.
     pub(crate) grade: f64,
+    /// Drawn once; where only a part of all requests may be sent, those with the lower lots are.
+    pub(crate) lot: f64,
     pub(crate) charged: bool,
     /// When the latest attempt was sent, and before when no further one goes.
     pub(crate) sent: f64,
@@ -261,8 +263,11 @@
     /// When requests were taken, and further attempts sent.
     pub(crate) taken: VecDeque<f64>,
     pub(crate) extras: VecDeque<f64>,
-    /// Units that each shard served this host of late.
+    /// Units that each shard served this host of late, and those that it was asked.
     pub(crate) usual: BTreeMap<u16, Fading>,
+    pub(crate) asked: Fading,
+    /// Shards that the list names.
+    pub(crate) shards: f64,
     /// When the first list came.
     pub(crate) since: Option<f64>,
     pub(crate) fit: Fit,
