A leaving host serves its open connections to the end; 1,024 names of gone nodes are kept

Serving::stop closed idle ones at 0.5 s. Change: requests of a leaving host are given to the module with the time until 0.2 s before the platform may end it as their client's patience; connections with nothing open are closed from 0.4 s before it. Two tests on loopback.

Roster::retire forgot names beyond 256, and retired before it took the lines of the same list, so that a release taken back over more nodes came back under new numbers; Roster::dial looked through all names for each connection. Now 1,024 or the largest list, after the lines, and an index.

--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -100,8 +100,9 @@
     })
 }
 
-/// Names of nodes that are gone and whose numbers are kept for their return.
-const GONE_KEPT: usize = 256;
+/// Names of nodes that are gone and whose numbers are kept for their return: as many as were ever listed at once, and
+/// this at the least.
+const GONE_KEPT: usize = 1_024;
 
 /// What a list means for connections.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -114,6 +115,9 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     numbers: HashMap<String, Known>,
+    /// Where each number is reached. Asked for each connection: a look through all names would cost more than the connection.
+    dials: HashMap<u32, SocketAddr>,
+    most: usize,
     next: u32,
     sites: HashMap<String, u16>,
     gone: VecDeque<String>,
@@ -134,20 +138,6 @@
     /// number is never given twice.
     pub fn take(&mut self, list: &Listing) -> (Vec<NodeEntry>, Changed) {
         let (mut entries, mut changed) = (Vec::new(), Changed::default());
-        if list.whole {
-            let listed: std::collections::HashSet<&str> =
-                list.lines.iter().map(|l| l.name.as_str()).collect();
-            let mut missing: Vec<String> = self
-                .numbers
-                .iter()
-                .filter(|(n, k)| k.listed && !listed.contains(n.as_str()))
-                .map(|(n, _)| n.clone())
-                .collect();
-            missing.sort_unstable();
-            for name in missing {
-                self.retire(&name, &mut changed);
-            }
-        }
         for line in &list.lines {
             let sites = self.sites.len();
             let zone = match self.sites.get(&line.site) {
@@ -167,6 +157,7 @@
                     changed.left.push(number);
                 }
                 (known.dial, known.born_ms) = (Some(dial), line.born_ms);
+                self.dials.insert(number, dial);
             }
             if line.condition == Condition::Gone {
                 self.retire(&line.name, &mut changed);
@@ -182,6 +173,22 @@
                 started_ms: line.born_ms,
             });
         }
+        // After the lines: a name that is listed again is not to make room for those that went with the same list.
+        if list.whole {
+            let listed: std::collections::HashSet<&str> =
+                list.lines.iter().map(|l| l.name.as_str()).collect();
+            let mut missing: Vec<String> = self
+                .numbers
+                .iter()
+                .filter(|(n, k)| k.listed && !listed.contains(n.as_str()))
+                .map(|(n, _)| n.clone())
+                .collect();
+            missing.sort_unstable();
+            for name in missing {
+                self.retire(&name, &mut changed);
+            }
+        }
+        self.most = self.most.max(self.numbers.len().saturating_sub(self.gone.len()));
         (entries, changed)
     }
 
@@ -196,7 +203,7 @@
 
     /// Where a node is reached, as last heard.
     pub fn dial(&self, node: u32) -> Option<SocketAddr> {
-        self.numbers.values().find(|k| k.number == node)?.dial
+        self.dials.get(&node).copied()
     }
 
     /// Names that it holds.
@@ -210,9 +217,9 @@
         if std::mem::take(&mut known.listed) || !self.gone.iter().any(|n| n == name) {
             self.gone.push_back(name.to_owned());
         }
-        while self.gone.len() > GONE_KEPT {
-            if let Some(oldest) = self.gone.pop_front() {
-                self.numbers.remove(&oldest);
+        while self.gone.len() > GONE_KEPT.max(self.most) {
+            if let Some(known) = self.gone.pop_front().and_then(|oldest| self.numbers.remove(&oldest)) {
+                self.dials.remove(&known.number);
             }
         }
     }
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -16,6 +16,7 @@
 use pearfork_resp::write;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// What the engine is told.
 pub(crate) enum Message {
@@ -35,6 +36,8 @@
     Over { link: LinkId, unsent: bool },
     /// The node list, or a change of it.
     List(Listing),
+    /// The host leaves: what comes from now on has its answer within this time, whatever its client would wait.
+    Leave(Duration),
     /// How many requests are open, for a host that leaves.
     Open(Sender<usize>),
     /// Leave.
@@ -79,6 +82,8 @@
     links: HashMap<LinkId, Arc<Link>>,
     /// Connections that were begun, and when the time of each is up: in order, since all are given the same.
     begun: VecDeque<(f64, LinkId)>,
+    /// When the last answer goes out, in a host that leaves.
+    last: Option<f64>,
     tally: Tally,
     steps: Vec<Step>,
     todo: Vec<Do>,
@@ -178,6 +183,7 @@
                 }
             }
             Message::List(list) => self.list(&list, Roster::kind(&list)),
+            Message::Leave(last) => self.books.last = Some(now + last.as_secs_f64() * 1_000.0),
             Message::Open(to) => drop(to.try_send(self.driver.open())),
             Message::Stop => {}
         }
@@ -194,7 +200,8 @@
             return;
         }
         let id = self.driver.allot();
-        self.driver.request(asked.request(id, at + asked.wait_ms));
+        let until = at + asked.wait_ms;
+        self.driver.request(asked.request(id, self.books.last.map_or(until, |last| until.min(last))));
         self.books.by_client.insert((client.id, id));
         self.books.open.insert(id, Open { client, slot, asked, at });
     }
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -32,8 +32,10 @@
 /// How far a host that leaves has come.
 #[derive(Debug, Default)]
 pub(crate) struct Leaving {
-    /// No connection is taken any more, and those with nothing open are closed.
+    /// No connection is taken any more.
     pub(crate) begun: AtomicBool,
+    /// Those with nothing open are closed.
+    pub(crate) closing: AtomicBool,
     /// The thread is to end.
     pub(crate) over: AtomicBool,
 }
@@ -126,15 +128,15 @@
             }
             let now = self.clock.now_ms();
             self.resume(now, listener);
-            let leaving = self.leaving.begun.load(Ordering::SeqCst);
-            if leaving && std::mem::take(&mut open) {
+            if self.leaving.begun.load(Ordering::SeqCst) && std::mem::take(&mut open) {
                 self.accept(listener);
                 self.desk.poller.remove(listener);
                 pearfork_net::shut_listener(listener);
             }
-            if now >= sweep {
-                sweep = now + if leaving { LEAVING_MS } else { SWEEP_MS };
-                self.sweep(now, leaving);
+            let closing = self.leaving.closing.load(Ordering::SeqCst);
+            if now >= sweep || (closing && sweep > now + LEAVING_MS) {
+                sweep = now + if closing { LEAVING_MS } else { SWEEP_MS };
+                self.sweep(now, closing);
             }
         }
         pearfork_net::shut_listener(listener);
@@ -157,10 +159,10 @@
     ///
     /// Danger: a request that crosses the closing was taken by this machine; its client would lose it. This thread
     /// alone reads and closes, so none can be between the socket and the door.
-    fn sweep(&mut self, now: f64, leaving: bool) {
+    fn sweep(&mut self, now: f64, closing: bool) {
         let those = {
             let door = lock(&self.door);
-            if leaving {
+            if closing {
                 door.idle()
             } else {
                 door.overdue(now)
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -40,8 +40,30 @@
 const ENGINE_QUEUE: usize = 4096;
 /// How long a host that leaves goes on taking connections: the platform sends new ones for 0.4 s.
 const STILL_OPEN: Duration = Duration::from_millis(500);
-/// What an answer may take beyond its deadline before a host that leaves no longer waits for it.
+/// The platform ends a host no sooner than this after the longest deadline, which counts as [`LONGEST`] at the most.
+const ENDED: Duration = Duration::from_millis(700);
+const LONGEST: Duration = Duration::from_secs(3);
+/// Before it is ended all is answered, and before that, connections with nothing open are closed.
 const ANSWERED: Duration = Duration::from_millis(200);
+const CLOSING: Duration = Duration::from_millis(400);
+
+/// The moments of a host that leaves, counted from the word to leave.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    /// Connections with nothing open are closed.
+    closing: Duration,
+    /// The last answer to what came since.
+    last: Duration,
+}
+
+impl Departure {
+    /// Danger: clients go on using the connections that they have, and a host that closes these early refuses them
+    /// its service for seconds; with a tenth of the fleet on its way out at any time, it is the fleet's.
+    fn of(longest: Duration) -> Departure {
+        let end = longest.min(LONGEST) + ENDED;
+        Departure { closing: end - CLOSING, last: end - ANSWERED }
+    }
+}
 
 /// A running host.
 pub struct Serving {
@@ -108,13 +130,21 @@
         *lock(&self.discovery) = discovery;
     }
 
-    /// Leaves in order: goes on taking what comes for a moment, then closes what is idle and answers what was taken.
-    /// False where the time ran out first.
+    /// Leaves in order: takes connections for a moment more, serves those that are there for as long as the platform
+    /// lets it, then closes them. False where something taken could not be answered.
     pub fn stop(&self) -> bool {
+        let began = Instant::now();
+        let departure = Departure::of(self.longest);
+        if self.engine.send(Message::Leave(departure.last)).is_err() {
+            return false;
+        }
         std::thread::sleep(STILL_OPEN);
         self.leaving.begun.store(true, Ordering::SeqCst);
         self.desk.poller.wake();
-        let until = Instant::now() + self.longest + ANSWERED;
+        std::thread::sleep(departure.closing.saturating_sub(began.elapsed()));
+        self.leaving.closing.store(true, Ordering::SeqCst);
+        self.desk.poller.wake();
+        let until = began + self.longest + ENDED;
         loop {
             let held = lock(&self.door).held();
             let (to, from) = bounded(1);
--- a/crates/serving/tests/service.rs
+++ b/crates/serving/tests/service.rs
@@ -212,6 +212,41 @@
     assert!(stopped.join().unwrap());
 }
 
+/// Danger: clients go on using the connections that they have. A host that closes them early serves them nothing for
+/// seconds, and with a tenth of a fleet on its way out at any time that is a tenth of its service.
+#[test]
+fn a_host_that_leaves_serves_open_connections_until_shortly_before_its_end() {
+    let (node, _) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (host, address) = host(&told, &[node]);
+    let mut client = Client::connect(address);
+    client.read(1);
+    assert_eq!(client.served(), Some(1));
+    let stopped = std::thread::spawn(move || host.stop());
+    // The longest deadline is 1.2 s: it may be ended 1.9 s after the word, and closes what is idle from 1.5 s on.
+    std::thread::sleep(Duration::from_millis(950));
+    client.read(2);
+    assert_eq!(client.served(), Some(2));
+    assert_eq!(client.reply(), None, "closed in the end");
+    assert!(stopped.join().unwrap());
+}
+
+/// What comes late has its answer before the host ends, whatever its client would wait.
+#[test]
+fn a_host_that_leaves_answers_in_time_what_its_node_does_not() {
+    let (node, _) = node(|_, _| Reaction::Nothing);
+    let told = discovery(1, &[node]);
+    let (host, address) = host(&told, &[node]);
+    let mut client = Client::connect(address);
+    client.send(&["PING"]);
+    assert!(client.reply().is_some());
+    let stopped = std::thread::spawn(move || host.stop());
+    std::thread::sleep(Duration::from_millis(950));
+    client.read_of(2, 0, 60_000);
+    assert!(matches!(client.reply(), Some(Reply::Error(_))));
+    assert!(stopped.join().unwrap());
+}
+
 /// A new configuration names discovery elsewhere: what it tells there is what counts.
 #[test]
 fn discovery_is_followed_to_its_new_address() {
