A node's address is kept once in the roster, by number

The index of addresses by number came in beside the address that each name already held. The name's copy is gone; whether a node moved is what the index gives back on insert. Behaviour is as before.

--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -127,7 +127,6 @@
 struct Known {
     number: u32,
     born_ms: f64,
-    dial: Option<SocketAddr>,
     listed: bool,
 }
 
@@ -148,16 +147,16 @@
             };
             let known = self.numbers.entry(line.name.clone()).or_insert_with(|| {
                 self.next = self.next.wrapping_add(1);
-                Known { number: self.next, born_ms: line.born_ms, dial: line.dial, listed: false }
+                Known { number: self.next, born_ms: line.born_ms, listed: false }
             });
             let number = known.number;
             if let Some(dial) = line.dial {
-                let moved = known.dial.is_some_and(|d| d != dial) || line.born_ms > known.born_ms;
+                let before = self.dials.insert(number, dial);
+                let moved = before.is_some_and(|d| d != dial) || line.born_ms > known.born_ms;
                 if moved {
                     changed.left.push(number);
                 }
-                (known.dial, known.born_ms) = (Some(dial), line.born_ms);
-                self.dials.insert(number, dial);
+                known.born_ms = line.born_ms;
             }
             if line.condition == Condition::Gone {
                 self.retire(&line.name, &mut changed);
