The module takes its part of a volume's limit as an event; a part ends at its time by itself

Need: hosts that divide a limit among them. A request's volume_hosts is fixed when it comes, and parts change under it. Change: Event::Part says over how many hosts, as it were, this host's part is even, until when, and what it is after that. The token bucket is filled piece by piece over that moment, and what a part stored is kept only as far as the new part's bucket holds it, so that stores of all hosts together never hold more than the burst nor fill faster than the limit. A lent part is used to 0.98, an even one to 0.9 as before; where nothing is lent the arithmetic is the same to the last bit.

--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -181,6 +181,12 @@
         self.events.push_back(Event::List(kind, entries));
     }
 
+    /// This host's part of a volume's limit from now on: that of one host among `hosts` until a moment, then of one
+    /// among `floor_hosts`.
+    pub fn part(&mut self, volume: u64, plan: u16, hosts: f64, floor_hosts: f64, until_ms: f64) {
+        self.events.push_back(Event::Part { volume, plan, hosts, floor_hosts, until_ms });
+    }
+
     /// An attempt ended at `at` on the caller's clock. True: the request was open and this served it; the client is
     /// to be given what the node gave.
     ///
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,11 +21,11 @@
 /// Samples below which a k counts as not seen: a variance needs two.
 const SEEN: f64 = 2.0;
 /// In-flight limit of a node not yet known, requests.
-const FIRST_LIMIT: f64 = 3.0;
+pub(crate) const FIRST_LIMIT: f64 = 3.0;
 /// The limit aims at answers within this part of the tightest aim, counted from the send.
 const SOJOURN_PART: f64 = 0.6;
 /// Answer time presumed of a node not yet known, as part of the tightest aim: it must count as in time.
-const FIRST_SOJOURN: f64 = 0.25;
+pub(crate) const FIRST_SOJOURN: f64 = 0.25;
 /// Usual answer times that must fit before the aim for a request to count as in time: answers vary.
 const SURE: f64 = 2.0;
 /// Weight of a new sample in running means: the last dozen or so count.
@@ -66,6 +66,8 @@
 const STANDING_MS: f64 = 1_000.0;
 /// Part of a guarded budget that is used; the rest covers clocks and rounding.
 const SAFE_PART: f64 = 0.9;
+/// The same of a volume's limit where the fleet's hosts divide it among them, and no part is used twice.
+const LENT_PART: f64 = 0.98;
 /// Part of what a cold node bears that is sent: shards are used unevenly, and asked for more than is usual.
 const COLD_PART: f64 = 0.5;
 /// A host's usual use of a shard is the mean over about this time: longer than a restart takes.
@@ -235,14 +237,21 @@
                     let at_ms = r.q.valid_until_ms - 2.0 * self.settings.round_ms;
                     let late = now > r.arrived + UNSENT_PART.1 * (r.q.valid_until_ms - r.arrived);
                     let none = matches!(self.held_by(now, r), Reason::NoNode | Reason::Cold);
-                    let waits = r.tries > 0 || late || !none;
-                    if waits && now < at_ms {
+                    if (r.tries > 0 || late || !none) && now < at_ms {
                         actions.push(Action::SetTimer { at_ms, label });
                     } else {
                         self.answer(now, r.q.id, 0.0, self.held_by(now, r), actions);
                     }
                 }
             }
+            Event::Part { volume, plan, hosts, floor_hosts, until_ms } => {
+                let share = Share { hosts, floor_hosts, until_ms, used: LENT_PART };
+                let (v, plan) = (self.books.volumes.get_mut(&volume), self.settings.plans.get(plan as usize));
+                // Guard, limits: what a part stored is kept only as far as the new part's bucket holds it.
+                if let (Some(v), Some(p), Some(old)) = (v, plan, self.books.lent.insert(volume, share)) {
+                    (v.tokens, v.tokens_at) = (v.filled(now, p, old), now);
+                }
+            }
             Event::Message { .. } | Event::Probed { .. } => {}
         }
     }
@@ -311,28 +320,32 @@
     }
 
     fn meet_volume(&mut self, now: f64, q: &Request) {
-        let hosts = q.volume_hosts;
-        let plan = &self.settings.plans[usize::from(q.plan)];
+        let (plan, share) = (&self.settings.plans[usize::from(q.plan)], self.share(q));
         // Guard, limits: a host that restarted has forgotten what it sent, so the token bucket starts empty.
-        let new = || Volume { tokens_at: now, part: 1.0 / hosts, ..Default::default() };
+        let new = || Volume { tokens_at: now, part: 1.0 / q.volume_hosts, ..Default::default() };
         let v = self.books.volumes.entry(q.volume).or_insert_with(new);
         v.seen = now;
         v.own.add(now, q.units, STANDING_MS);
         v.owed += q.units;
-        v.tokens = v.filled(now, plan, hosts);
+        v.tokens = v.filled(now, plan, share);
         v.tokens_at = now;
     }
 
+    /// An even part over the volume's hosts, or what the fleet lent this one.
+    fn share(&self, q: &Request) -> Share {
+        self.books.lent.get(&q.volume).copied().unwrap_or(Share::for_good(q.volume_hosts, SAFE_PART))
+    }
+
     /// Guard, limits: how long until this host's part of the volume's token bucket holds this request's
     /// units, after those that wait for it already. Danger: held past its aim it is lost to its client, and
     /// in its node's queue it stands before others.
     fn limit_wait(&self, now: f64, id: u32) -> f64 {
         let Some(r) = self.books.requests.get(&id) else { return 0.0 };
-        let (plan, hosts) = (&self.settings.plans[usize::from(r.q.plan)], r.q.volume_hosts);
+        let (plan, share) = (&self.settings.plans[usize::from(r.q.plan)], self.share(&r.q));
         match self.books.volumes.get(&r.q.volume) {
             Some(v) if plan.limit > 0.0 => {
-                let short = (v.owed - v.filled(now, plan, hosts)).max(0.0);
-                1_000.0 * short * hosts / (SAFE_PART * plan.limit)
+                let short = (v.owed - v.filled(now, plan, share)).max(0.0);
+                1_000.0 * short * share.hosts_at(now) / (share.used * plan.limit)
             }
             _ => 0.0,
         }
@@ -651,9 +664,6 @@
 
     /// Second attempts for what waits longer for its first than its class bears.
     fn double(&mut self, now: f64) {
-        if !self.settings.second_copies {
-            return;
-        }
         let due = |r: &&Held| r.outstanding > 0 && !r.doubled && self.may_resend(now, r);
         for id in self.books.requests.values().filter(due).map(|r| r.q.id).collect::<Vec<u32>>() {
             // The first may run yet: the second goes where a repeat of it is known, or nowhere.
@@ -701,13 +711,15 @@
         let unreached = matches!(o.verdict, Verdict::ConnectFailed | Verdict::Reset);
         // Danger: links that drop now and then would bench a sound node. The resets of one moment are one
         // failure; only consecutive failures without a word count. Harm: a dead node costs a few more tries.
-        let mut lost = false;
         if word {
             (n.last_word, n.failures, n.waited) = (now, 0, 0.0);
             n.heard = n.heard.max(f.sent);
         } else if unreached && n.last_failure < now {
             (n.last_failure, n.failures) = (now, n.failures + 1);
-            lost = n.failures == FAILURES;
+            if n.failures == FAILURES {
+                actions
+                    .push(Action::Log(format!("node {} cannot be reached; a few tries at a time", f.node)));
+            }
         }
         let sane = |v: Option<f64>, top: f64| v.filter(|v| (0.0..top).contains(v));
         let count = sane(o.queue, 1e4).or(sane(o.in_flight, 1e4));
@@ -719,8 +731,7 @@
             (n.waited, n.waited_at) = (took, now);
         }
         if !f.given_up && self.overdue(now, f) {
-            let lost = if word { 0.0 } else { 1.0 };
-            self.books.lost += BLEND * (lost - self.books.lost);
+            self.books.lost += BLEND * (f64::from(!word) - self.books.lost);
         }
         let Some(n) = self.books.nodes.get_mut(&f.node) else { return };
         if let Some(load) = told {
@@ -745,9 +756,6 @@
             n.rest_until = n.rest_until.max(now + TRICKLE_MS);
         }
         if o.verdict != Verdict::Served {
-            if lost {
-                self.log(now, format!("node {} cannot be reached; a few tries at a time", f.node), actions);
-            }
             return;
         }
         self.books.usual.entry(n.e.shard).or_default().add(now, f.units, USUAL_MS);
@@ -801,7 +809,7 @@
     fn barred(&self, now: f64, r: &Held) -> Option<Reason> {
         let plan = &self.settings.plans[usize::from(r.q.plan)];
         if plan.limit > 0.0 && !r.charged {
-            let filled = |v: &Volume| v.filled(now, plan, r.q.volume_hosts);
+            let filled = |v: &Volume| v.filled(now, plan, self.share(&r.q));
             if self.books.volumes.get(&r.q.volume).map_or(true, |v| filled(v) < r.q.units) {
                 return Some(Reason::Limit);
             }
@@ -922,7 +930,7 @@
             self.books.watch_failures = (self.books.watch_failures + 1).min(4);
             let wait = 250.0 * f64::from(1 << self.books.watch_failures) * (0.5 + self.random.next());
             actions.push(Action::SetTimer { at_ms: now + wait, label: TIMER_WATCH });
-            self.log(now, "the node list cannot be had; going on with the last one".to_owned(), actions);
+            actions.push(Action::Log("the node list cannot be had; going on with the last one".to_owned()));
             return;
         }
         self.books.watch_failures = 0;
@@ -1002,7 +1010,9 @@
     }
 
     fn on_tick(&mut self, now: f64, actions: &mut Vec<Action>) {
-        self.double(now);
+        if self.settings.second_copies {
+            self.double(now);
+        }
         self.give_up_lost(now, actions);
         let waiting = self.books.nodes.iter().filter(|(_, n)| !n.held.is_empty()).map(|(id, _)| *id);
         for node in waiting.collect::<Vec<u32>>() {
@@ -1026,30 +1036,19 @@
         // A forgotten volume starts again with an empty bucket, which is never more than it has.
         self.books.volumes.retain(|_, v| now - v.seen < FORGET_MS);
     }
-
-    fn log(&mut self, now: f64, text: String, actions: &mut Vec<Action>) {
-        if now >= self.books.next_log {
-            self.books.next_log = now + STANDING_MS;
-            actions.push(Action::Log(text));
-        }
-    }
 }
 
 impl Volume {
-    /// Guard, limits: this host's even part of the volume's token bucket.
-    fn filled(&self, now: f64, plan: &Plan, hosts: f64) -> f64 {
-        let fill = SAFE_PART * plan.limit / hosts * (now - self.tokens_at).max(0.0) / 1_000.0;
-        (self.tokens + fill).min(plan.burst / hosts)
+    /// Guard, limits: this host's part of the volume's token bucket. Danger: what was lent ends at its time,
+    /// wherever the host stood still then; what it stored goes with it.
+    fn filled(&self, now: f64, plan: &Plan, share: Share) -> f64 {
+        share.stretches(self.tokens_at, now).into_iter().fold(self.tokens, |tokens, (hosts, ms)| {
+            (tokens + share.used * plan.limit / hosts * ms / 1_000.0).min(plan.burst / hosts)
+        })
     }
 }
 
 impl Node {
-    fn new(e: NodeEntry, now: f64, classes: usize, aim: f64) -> Self {
-        let (envelopes, sojourn) = (vec![Envelope::new(now); classes], FIRST_SOJOURN * aim);
-        let in_flight_limit = FIRST_LIMIT;
-        Node { e, envelopes, in_flight_limit, sojourn, last_word: now, rest_until: now, ..Default::default() }
-    }
-
     /// Departure, censored samples: a node without a word longer than usual counts what is
     /// out at its age, so that a frozen envelope moves. What was sent before an answered one is no sign.
     fn silence(&self, now: f64) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What a scheduler remembers. Plain data: every decision on it is in `rules.rs`.
 
 use crate::interface::{Condition, NodeEntry, Request};
-use crate::rules::{BUCKET_MS, SLOTS, SPANS, TOP, WINDOW_MS};
+use crate::rules::{BUCKET_MS, FIRST_LIMIT, FIRST_SOJOURN, SLOTS, SPANS, TOP, WINDOW_MS};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Counts of admitted arrivals in jumping sub-windows of one length.
@@ -120,6 +120,13 @@
 }
 
 impl Node {
+    /// One that nothing is known of; `aim` is the tightest of all classes.
+    pub(crate) fn new(e: NodeEntry, now: f64, classes: usize, aim: f64) -> Self {
+        let (envelopes, sojourn) = (vec![Envelope::new(now); classes], FIRST_SOJOURN * aim);
+        let in_flight_limit = FIRST_LIMIT;
+        Node { e, envelopes, in_flight_limit, sojourn, last_word: now, rest_until: now, ..Default::default() }
+    }
+
     /// Time since its last start; without end where that was long ago.
     pub(crate) fn age(&self, now: f64) -> f64 {
         if self.e.started_ms > 0.0 {
@@ -203,6 +210,36 @@
     pub(crate) may_have_run: Option<(f64, u16, u16)>,
 }
 
+/// This host's part of a volume's limit: over how many hosts it would be an even one, up to a moment and after it.
+#[derive(Clone, Copy)]
+pub(crate) struct Share {
+    pub(crate) hosts: f64,
+    pub(crate) floor_hosts: f64,
+    pub(crate) until_ms: f64,
+    /// What of it is used; the rest covers clocks and rounding.
+    pub(crate) used: f64,
+}
+
+impl Share {
+    pub(crate) fn for_good(hosts: f64, used: f64) -> Self {
+        Share { hosts, floor_hosts: hosts, until_ms: f64::INFINITY, used }
+    }
+
+    pub(crate) fn hosts_at(&self, now: f64) -> f64 {
+        if now < self.until_ms {
+            self.hosts
+        } else {
+            self.floor_hosts
+        }
+    }
+
+    /// The time between two moments as it lies before and after the change: hosts, milliseconds.
+    pub(crate) fn stretches(&self, from: f64, to: f64) -> [(f64, f64); 2] {
+        let over = self.until_ms.max(from);
+        [(self.hosts_at(from), (to.min(over) - from).max(0.0)), (self.hosts_at(to), (to - over).max(0.0))]
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Volume {
     pub(crate) reserve: f64,
@@ -259,6 +296,8 @@
     pub(crate) unplaced: Vec<u32>,
     pub(crate) flights: BTreeMap<(u32, u16), Flight>,
     pub(crate) volumes: BTreeMap<u64, Volume>,
+    /// Parts of volumes' limits that the fleet lent.
+    pub(crate) lent: BTreeMap<u64, Share>,
     pub(crate) lanes: BTreeMap<u64, Lane>,
     /// When requests were taken, and further attempts sent.
     pub(crate) taken: VecDeque<f64>,
@@ -282,7 +321,6 @@
     /// The last time the host stood still: from, to.
     pub(crate) stalled: (f64, f64),
     pub(crate) watch_failures: u32,
-    pub(crate) next_log: f64,
     pub(crate) swept: f64,
 }
 
