--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,5 +1,6 @@
-//! Asks running hosts how they are, or to drain, over their HTTP; and lays the answers out. [`table`] does no I/O.
+//! Asks running hosts how they are, or to drain, over their HTTP; and lays the answers out. [`table`] and [`fleet`] do no I/O.
 
+pub mod fleet;
 pub mod table;
 
 use pearfork_net::http::{get, post};
@@ -18,6 +19,8 @@
     Volumes,
     /// Its metrics, as they are.
     Metrics,
+    /// Its fleet: `fleet members`, `fleet budgets` or `fleet why VOLUME`.
+    Fleet,
     /// To stop in order: take no more sessions, answer what was taken, go.
     Drain,
 }
@@ -29,6 +32,7 @@
             Question::Nodes => "/nodes",
             Question::Volumes => "/volumes",
             Question::Metrics => "/metrics",
+            Question::Fleet => "/fleet",
             Question::Drain => "/drain",
         }
     }
@@ -62,6 +66,8 @@
         return Told::Ill(format!("{status}: {words}"));
     }
     match (question, serde_json::from_slice(&body)) {
+        (Question::Fleet, Ok(view @ Value::Object(_))) => Told::Rows(vec![view]),
+        (Question::Fleet, _) => Told::Ill(format!("no state of a fleet: {words}")),
         (Question::Nodes | Question::Volumes, Ok(Value::Array(rows))) => Told::Rows(rows),
         (Question::Nodes | Question::Volumes, _) => Told::Ill(format!("no list of JSON: {words}")),
         _ => Told::Words(words),
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::Parser;
 use pearfork_cli::{Common, Exit, Mark};
+use pearfork_ctl::fleet::{look, Topic};
 use pearfork_ctl::{ask, drain, table, Question, Told};
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -16,6 +17,8 @@
     common: Common,
     /// What is asked.
     question: Question,
+    /// Of `fleet`: `members`, `budgets`, or `why` and a volume.
+    what: Vec<String>,
     /// HTTP addresses of the hosts, as `http` in their settings has them; 127.0.0.1:9180 where none is named, but `drain`
     /// wants its host named.
     #[arg(long = "host")]
@@ -45,6 +48,12 @@
         ([], _) => vec![SocketAddr::from(([127, 0, 0, 1], 9180))],
         (named, _) => named.to_vec(),
     };
+    if a.question == Question::Fleet {
+        return fleet(a, &hosts);
+    }
+    if let Some(word) = a.what.first() {
+        return Err(format!("`{word}` makes no sense after this question"));
+    }
     let output = a.common.output;
     let mut end = Exit::Fine;
     for host in &hosts {
@@ -76,3 +85,37 @@
     }
     Ok(end)
 }
+
+/// The views of all hosts that were named, beside each other.
+fn fleet(a: &Arguments, hosts: &[SocketAddr]) -> Result<Exit, String> {
+    let topic = match a.what.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        ["members"] | [] => Topic::Members,
+        ["budgets"] => Topic::Budgets,
+        ["why", volume] => Topic::Why(volume.to_owned()),
+        _ => return Err("say `fleet members`, `fleet budgets` or `fleet why VOLUME`".to_owned()),
+    };
+    let output = a.common.output;
+    let mut views = Vec::new();
+    let mut end = Exit::Fine;
+    for host in hosts {
+        match ask(*host, Question::Fleet, PATIENCE) {
+            Told::Rows(rows) => views.extend(rows),
+            Told::Words(w) | Told::Ill(w) => {
+                eprintln!("{host}: {} {w}", output.paint(Mark::Bad, "ill:"));
+                end = end.max(Exit::No);
+            }
+            Told::Silent(w) => {
+                eprintln!("{host}: {} {w}", output.paint(Mark::Bad, "silent:"));
+                end = end.max(Exit::Unusable);
+            }
+        }
+    }
+    let seen = look(&views, &topic);
+    let mut words = if seen.rows.is_empty() { String::new() } else { table::lay_out(&seen.rows) };
+    seen.words.iter().for_each(|w| words += &format!("{w}\n"));
+    seen.disagree
+        .iter()
+        .for_each(|w| words += &format!("{} {w}\n", output.paint(Mark::Bad, "disagreement:")));
+    output.put(&seen, &words);
+    Ok(if seen.disagree.is_empty() { end } else { end.max(Exit::No) })
+}
--- a/crates/day/benches/calm.rs
+++ b/crates/day/benches/calm.rs
@@ -4,6 +4,7 @@
 //! `cargo bench -p pearfork-day --bench calm` prints a table for `docs/results/quiet.md`; `-- 0.7 8` plays one cell, a part of
 //! the power and a number of hosts. No figure here is a test.
 
+use pearfork_day::crew::InProcess;
 use pearfork_day::play;
 use pearfork_day::script::Day;
 use pearfork_host::settings::HostPlan;
@@ -62,7 +63,8 @@
     let wanted = |at: usize, value: f64| asked.get(at).is_none_or(|a| *a == value);
     for part in [0.1, 0.25, 0.5, 0.7].into_iter().filter(|p| wanted(0, *p)) {
         for hosts in [1u16, 2, 8, 40].into_iter().filter(|h| wanted(1, f64::from(*h))) {
-            let result = play(&day(part, hosts), &plan, |_, _| {}).expect("a day played");
+            let result =
+                play(&day(part, hosts), &plan, &mut InProcess::default(), |_, _| {}).expect("a day played");
             assert!(result.rules.kept(), "\n{}", result.rules);
             let sum = |f: fn(&pearfork_host::counts::ClassCounts) -> u64| -> u64 {
                 result.hosts.iter().flatten().map(f).sum()
--- a/crates/day/benches/retries.rs
+++ b/crates/day/benches/retries.rs
@@ -3,6 +3,7 @@
 //!
 //! `cargo bench -p pearfork-day --bench retries` prints a table for `docs/results/`. No figure here is a test.
 
+use pearfork_day::crew::InProcess;
 use pearfork_day::script::Day;
 use pearfork_day::{play, DayResult};
 use pearfork_host::settings::HostPlan;
@@ -118,7 +119,8 @@
     println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for round in 1..=ROUNDS {
         for ((what, day), (name, plan)) in days.iter().flat_map(|d| kinds.iter().map(move |k| (d, k))) {
-            let result = play(day, plan, |_, _| {}).unwrap_or_else(|e| panic!("{e}"));
+            let result =
+                play(day, plan, &mut InProcess::default(), |_, _| {}).unwrap_or_else(|e| panic!("{e}"));
             let r = row(&result);
             println!(
                 "| {what}, {round} | {name} | {} | {} | {} | {} | {} | {} |",
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -1,8 +1,10 @@
 //! Scripted days on loopback: nodes, hosts and clients, troubles at their times, and the proof of the seven rules.
 //!
-//! [`script`] is the day as a file, [`play()`] plays it, [`figures`] puts what the hosts are told into the words of the
+//! [`script`] is the day as a file, [`play()`] plays it with a [`crew`] that runs its hosts, [`figures`] puts what the hosts are told into the words of the
 //! checker of rules, [`judge()`] judges a record, [`summary`] says what came of it.
 
+pub mod crew;
+pub mod expect;
 pub mod figures;
 mod judge;
 mod play;
--- a/crates/day/src/main.rs
+++ b/crates/day/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use pearfork_cli::{Common, Exit, SettingsArguments};
+use pearfork_day::crew::InProcess;
 use pearfork_day::script::Day;
 use pearfork_day::summary::Summary;
 use pearfork_day::{play, DEMO};
@@ -104,7 +105,7 @@
             day.day.length.ms() / 1_000.0
         ),
     );
-    let result = play(&day, plan, told).map_err(|e| e.to_string())?;
+    let result = play(&day, plan, &mut InProcess::default(), told).map_err(|e| e.to_string())?;
     let summary = Summary::of(&result);
     output.put(&summary, &summary.words(output));
     if let (Some(file), Some(path)) = (file, record) {
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -1,10 +1,12 @@
 //! Plays a scripted day on loopback: nodes, hosts and clients, troubles at their times, and the verdict.
 
+use crate::crew::{Counts, Crew};
+use crate::expect::{self, Expected};
 use crate::script::{Day, EventKind, EventTable};
 use crate::{figures, judge_notes};
 use pearfork_host::counts::{ClassCounts, ReasonCounts};
 use pearfork_host::settings::HostPlan;
-use pearfork_host::{Host, HostError};
+use pearfork_host::HostError;
 use pearfork_record::{Counted, Head, Recording, Said};
 use pearfork_rulecheck::{Note, Report, What};
 use pearfork_stand::{Client, ClientSpec, ClientTally, Fault, Fleet, FleetSpec, Recorder};
@@ -49,9 +51,6 @@
     lost: Vec<Counts>,
 }
 
-/// By class, and refusals and failures by reason.
-type Counts = (Vec<ClassCounts>, ReasonCounts);
-
 impl Ledger {
     fn new(hosts: usize, classes: usize) -> Ledger {
         let none = (vec![ClassCounts::default(); classes], ReasonCounts::default());
@@ -59,9 +58,9 @@
     }
 
     /// All that a host counted up to now, before it was killed included.
-    fn counts(&self, number: usize, host: Option<&Host>) -> Counts {
+    fn counts(&self, number: usize, crew: &dyn Crew) -> Counts {
         let (mut classes, mut reasons) = self.lost[number].clone();
-        if let Some((own, why)) = host.and_then(Host::counts) {
+        if let Some((own, why)) = crew.counts(number as u16) {
             classes.iter_mut().zip(&own).for_each(|(sum, c)| sum.merge(c));
             reasons.merge(&why);
         }
@@ -69,14 +68,14 @@
     }
 
     /// A host is about to be killed.
-    fn lose(&mut self, number: usize, host: &Host) {
-        self.lost[number] = self.counts(number, Some(host));
+    fn lose(&mut self, number: usize, crew: &dyn Crew) {
+        self.lost[number] = self.counts(number, crew);
     }
 
     /// Closes the stretch that ends now.
-    fn close(&mut self, at: Duration, hosts: &[Option<Host>]) {
+    fn close(&mut self, at: Duration, crew: &dyn Crew) {
         let mut all = ReasonCounts::default();
-        hosts.iter().enumerate().for_each(|(i, h)| all.merge(&self.counts(i, h.as_ref()).1));
+        (0..self.lost.len()).for_each(|i| all.merge(&self.counts(i, crew).1));
         let (reasons, lasted) = (all.since(&self.seen), at.saturating_sub(self.since));
         match self.during.iter_mut().find(|d| d.troubles == self.under_way) {
             Some(d) => {
@@ -108,6 +107,8 @@
     pub notes: Vec<Note>,
     /// What it was judged by.
     pub figures: pearfork_rulecheck::Figures,
+    /// What was promised of volumes with a limit, and what came.
+    pub expected: Vec<Expected>,
     /// Nodes that fell over cold.
     pub fallen: Vec<u32>,
     /// What the script did.
@@ -166,13 +167,14 @@
     End(EventTable),
 }
 
-/// Plays a day with hosts of a plan. `progress` is called about once a second.
+/// Plays a day with hosts of a plan, run by a crew. `progress` is called about once a second.
 ///
 /// # Errors
 /// Nothing was played, or no thread could be had on the way.
 pub fn play(
     day: &Day,
     plan: &HostPlan,
+    crew: &mut dyn Crew,
     mut progress: impl FnMut(Duration, &str),
 ) -> Result<DayResult, DayError> {
     let mut luns: Vec<u16> = plan.volumes.iter().map(|v| v.unit_number).collect();
@@ -181,6 +183,13 @@
     if luns.len() != plan.volumes.len() {
         return Err(DayError::Unfit("in a day, each volume needs a unit number of its own".to_owned()));
     }
+    let limited = |name: &str| {
+        let volume = plan.volumes.iter().find(|v| v.name == name);
+        volume.is_some_and(|v| plan.module.plans[usize::from(v.plan)].limit > 0.0)
+    };
+    if let Some(e) = day.expect.iter().find(|e| !limited(&e.volume)) {
+        return Err(DayError::Unfit(format!("there is no volume `{}` with a limit to expect of", e.volume)));
+    }
     let began_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1_000.0;
     let recorder = Recorder::default();
     let mut said = Vec::new();
@@ -197,41 +206,26 @@
     };
     let late = day.day.directory_late.duration();
     let fleet = Fleet::start(&spec, &plan.module, anywhere, late, &recorder)?;
-    let mut hosts: Vec<Option<Host>> = Vec::new();
-    let mut plans: Vec<HostPlan> = Vec::new();
-    for number in 0..day.day.hosts {
-        let mut own = plan.clone();
-        own.number = number;
-        own.module.hosts = u32::from(day.day.hosts);
-        for v in &mut own.volumes {
-            v.hosts = u32::from(day.day.hosts);
-        }
-        (own.listen, own.http, own.directory) = (anywhere, None, fleet.directory().address());
-        own.seed = Some(day.day.seed.wrapping_mul(1_000).wrapping_add(u64::from(number)));
-        let host = Host::start(own.clone())?;
-        own.listen = host.address();
-        hosts.push(Some(host));
-        plans.push(own);
-    }
-    let clients = start_clients(day, plan, &plans, &recorder)?;
+    let hosts = crew.start(day, plan, fleet.directory().address())?;
+    let clients = start_clients(day, plan, &hosts, &recorder)?;
     let steps = timeline(day);
-    let began = Instant::now();
+    let (began, began_us) = (Instant::now(), recorder.elapsed_us());
     let length = day.day.length.duration();
     let mut ledger = Ledger::new(hosts.len(), plan.class_names.len());
     let (mut next_step, mut next_line) = (0, Duration::from_secs(1));
     while began.elapsed() < length {
         while steps.get(next_step).is_some_and(|(at, _)| began.elapsed() >= *at) {
-            ledger.close(began.elapsed(), &hosts);
+            ledger.close(began.elapsed(), crew);
             let words = match &steps[next_step].1 {
                 Step::Begin(e) => {
                     if e.lasts.is_some() {
                         ledger.under_way.push(name(e));
                     }
-                    begin(e, &fleet, &mut hosts, &mut ledger, &clients, &recorder)
+                    begin(e, &fleet, crew, &mut ledger, &clients, &recorder)?
                 }
                 Step::End(e) => {
                     ledger.under_way.retain(|u| *u != name(e));
-                    end(e, &fleet, &mut hosts, &plans, &clients)?
+                    end(e, &fleet, crew, &clients)?
                 }
             };
             said.push(Said { at_us: recorder.elapsed_us(), words: words.clone() });
@@ -248,11 +242,9 @@
     let longest = plan.module.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let within = Duration::from_secs_f64(longest / 1_000.0) + Duration::from_secs(1);
     let done: Vec<(String, ClientTally)> = clients.into_iter().map(|(n, c)| (n, c.finish(within))).collect();
-    ledger.close(began.elapsed(), &hosts);
-    let counts: Vec<Counts> = hosts.iter().enumerate().map(|(i, h)| ledger.counts(i, h.as_ref())).collect();
-    for host in hosts.iter().flatten() {
-        host.stop();
-    }
+    ledger.close(began.elapsed(), crew);
+    let counts: Vec<Counts> = (0..hosts.len()).map(|i| ledger.counts(i, crew)).collect();
+    crew.stop();
     let (by_class, reasons) = counts.into_iter().unzip();
     std::thread::sleep(Duration::from_millis(50));
     let notes = recorder.notes();
@@ -268,6 +260,7 @@
         rules: judged.report,
         notes,
         figures: judged.figures,
+        expected: expect::judge(&day.expect, plan, &judged.trace, began_us),
         fallen,
         said,
         began_ms,
@@ -277,7 +270,7 @@
 fn start_clients(
     day: &Day,
     plan: &HostPlan,
-    plans: &[HostPlan],
+    hosts: &[SocketAddr],
     recorder: &Recorder,
 ) -> Result<Vec<(String, Client)>, DayError> {
     let mut clients = Vec::new();
@@ -300,11 +293,11 @@
             )));
         }
         for n in 0..table.count {
-            let host = (clients.len() % plans.len()) as u16;
+            let host = table.host.unwrap_or((clients.len() % hosts.len()) as u16);
             let spec = ClientSpec {
                 name: format!("{}{n}", table.name),
                 seed: day.day.seed.wrapping_mul(4_096).wrapping_add(clients.len() as u64 + 1),
-                host: (host, plans[usize::from(host)].listen),
+                host: (host, hosts[usize::from(host)]),
                 target: volume.target.clone(),
                 lun: volume.unit_number,
                 block: volume.unit.block_len,
@@ -340,11 +333,11 @@
 fn begin(
     e: &EventTable,
     fleet: &Fleet,
-    hosts: &mut [Option<Host>],
+    crew: &mut dyn Crew,
     ledger: &mut Ledger,
     clients: &[(String, Client)],
     recorder: &Recorder,
-) -> String {
+) -> Result<String, DayError> {
     let node = || fleet.node(e.node.unwrap_or(1));
     let times = e.times.unwrap_or(1.0);
     let span = e.lasts.unwrap_or_default().duration();
@@ -361,31 +354,32 @@
         EventKind::Drain => fleet.drain(e.node.unwrap_or(1)),
         EventKind::HostStall => {
             let host = e.host.unwrap_or(0);
-            if let Some(h) = hosts.get(usize::from(host)).and_then(Option::as_ref) {
-                recorder.note(What::HostStalled { host, for_us: span.as_micros() as u64 });
-                h.stand_still(span);
-            }
+            recorder.note(What::HostStalled { host, for_us: span.as_micros() as u64 });
+            crew.stall(host, span);
         }
         EventKind::HostKill => {
-            let i = usize::from(e.host.unwrap_or(0));
-            if let Some(host) = hosts.get_mut(i).and_then(Option::take) {
-                ledger.lose(i, &host);
-                recorder.note(What::HostKilled { host: i as u16 });
-                host.kill();
-            }
+            let host = e.host.unwrap_or(0);
+            ledger.lose(usize::from(host), crew);
+            recorder.note(What::HostKilled { host });
+            crew.kill(host);
+        }
+        EventKind::HostStop => {
+            let host = e.host.unwrap_or(0);
+            recorder.note(What::HostStalled { host, for_us: span.as_micros() as u64 });
+            crew.trouble(e, true)?;
         }
         EventKind::Surge => named().for_each(|(_, c)| c.surge(times)),
         EventKind::Leave => named().for_each(|(_, c)| c.leave()),
         EventKind::DirectoryDown => fleet.directory().set_down(true),
+        _ => crew.trouble(e, true)?,
     }
-    words(e, "begins")
+    Ok(words(e, "begins"))
 }
 
 fn end(
     e: &EventTable,
     fleet: &Fleet,
-    hosts: &mut [Option<Host>],
-    plans: &[HostPlan],
+    crew: &mut dyn Crew,
     clients: &[(String, Client)],
 ) -> Result<String, DayError> {
     let id = e.node.unwrap_or(1);
@@ -397,15 +391,13 @@
         EventKind::TurnAway => node().fault(Fault::TurnAway(false)),
         EventKind::ForgetRepeats => node().fault(Fault::ForgetRepeats(false)),
         EventKind::Die | EventKind::Drain => fleet.restart(id)?,
-        EventKind::HostKill => {
-            let i = usize::from(e.host.unwrap_or(0));
-            hosts[i] = Some(Host::start(plans[i].clone())?);
-        }
+        EventKind::HostKill => crew.restart(e.host.unwrap_or(0))?,
         EventKind::Surge => {
             clients.iter().filter(|(n, _)| Some(n) == e.client.as_ref()).for_each(|(_, c)| c.surge(1.0));
         }
         EventKind::DirectoryDown => fleet.directory().set_down(false),
         EventKind::Reset | EventKind::StandStill | EventKind::HostStall | EventKind::Leave => {}
+        _ => crew.trouble(e, false)?,
     }
     Ok(words(e, "ends"))
 }
@@ -417,6 +409,8 @@
 /// A trouble and whom it strikes.
 fn name(e: &EventTable) -> String {
     let whom = match (e.node, e.host, &e.client) {
+        (_, Some(h), _) if e.peer.is_some() => format!(" host {h} and {}", e.peer.unwrap_or(h)),
+        (_, Some(h), _) if e.disk.is_some() => format!(" host {h}: {}", e.disk.as_deref().unwrap_or("")),
         (Some(n), ..) => format!(" node {n}"),
         (_, Some(h), _) => format!(" host {h}"),
         (.., Some(c)) => format!(" clients {c}"),
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -16,6 +16,25 @@
     /// The troubles.
     #[serde(default)]
     pub event: Vec<EventTable>,
+    /// What is promised of volumes with a limit.
+    #[serde(default)]
+    pub expect: Vec<ExpectTable>,
+}
+
+/// A promise of how much of a volume's limit is used, in a stretch of the day.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ExpectTable {
+    /// The volume; its plan has a limit.
+    pub volume: String,
+    /// From when.
+    pub from: Span,
+    /// To when.
+    pub to: Span,
+    /// Part of the limit at the least.
+    pub at_least: f64,
+    /// And at the most.
+    pub at_most: Option<f64>,
 }
 
 /// Length, hosts, seed.
@@ -80,6 +99,8 @@
     pub count: u16,
     /// Name of the volume; each client has an even part of it alone.
     pub volume: String,
+    /// The host that they all use; dealt out over all hosts where absent.
+    pub host: Option<u16>,
     /// Requests a second of each.
     pub rate: f64,
     /// Part that writes.
@@ -129,6 +150,10 @@
     pub node: Option<u32>,
     /// Host.
     pub host: Option<u16>,
+    /// The host at the other end of a link.
+    pub peer: Option<u16>,
+    /// What a disk does: `full`, `fsync`, `torn`, `read-only`, or `stall MILLISECONDS`.
+    pub disk: Option<String>,
     /// Client table.
     pub client: Option<String>,
     /// For how long; until the end where absent.
@@ -170,6 +195,30 @@
     Leave,
     /// The directory answers errors.
     DirectoryDown,
+    /// A host's process is stopped (SIGSTOP), and goes on after `for`.
+    HostStop,
+    /// A host is asked to end (SIGTERM), and is started again after `for`.
+    HostTerm,
+    /// Nothing passes between `host` and `peer`, or between `host` and all others; it comes late, when the cut ends.
+    Cut,
+    /// Nothing passes from `host` to `peer`, or to all others.
+    CutOneWay,
+    /// The hosts fall into `times` groups that do not hear each other.
+    Split,
+    /// Each host hears its neighbours by number alone.
+    Ring,
+    /// Each message from `host` takes `times` milliseconds more.
+    SlowLink,
+    /// Of the messages from `host` this part (`times`) is lost.
+    DropLink,
+    /// Messages from `host` come again, about `times` milliseconds late.
+    RepeatLink,
+    /// The connections of `host` to voters break, in the middle of a message.
+    ResetLink,
+    /// What `host` says to voters comes byte by byte.
+    Trickle,
+    /// The disk of `host` has a trouble (`disk`).
+    Disk,
 }
 
 /// A day that can't be played.
@@ -218,13 +267,27 @@
                 return bad(format!("client `{}`", c.name), "count, small and large must be 1 at least");
             }
         }
+        if let Some(c) = day.client.iter().find(|c| c.host.is_some_and(|h| h >= day.day.hosts)) {
+            return bad(format!("client `{}`", c.name), "there is no such host");
+        }
+        for (i, e) in day.expect.iter().enumerate() {
+            let sane = (0.0..=10.0).contains(&e.at_least) && e.to.ms() > e.from.ms();
+            if !sane || e.to.ms() > day.day.length.ms() {
+                return bad(
+                    format!("expect[{i}]"),
+                    "from, to and at_least must make sense, and end within the day",
+                );
+            }
+        }
         for (i, e) in day.event.iter().enumerate() {
             let entry = format!("event[{i}]");
             use EventKind as K;
             let (node, host, client) = match e.what {
-                K::HostStall | K::HostKill => (false, true, false),
+                K::HostStall | K::HostKill | K::HostStop | K::HostTerm => (false, true, false),
+                K::Cut | K::CutOneWay | K::SlowLink | K::DropLink | K::RepeatLink => (false, true, false),
+                K::ResetLink | K::Trickle | K::Disk => (false, true, false),
                 K::Surge | K::Leave => (false, false, true),
-                K::DirectoryDown => (false, false, false),
+                K::DirectoryDown | K::Split | K::Ring => (false, false, false),
                 _ => (true, false, false),
             };
             if node != e.node.is_some() || host != e.host.is_some() || client != e.client.is_some() {
@@ -233,7 +296,7 @@
             if e.node.is_some_and(|n| n == 0 || n > u32::from(day.nodes.count)) {
                 return bad(entry, "there is no such node");
             }
-            if e.host.is_some_and(|h| h >= day.day.hosts) {
+            if e.host.iter().chain(&e.peer).any(|h| *h >= day.day.hosts) {
                 return bad(entry, "there is no such host");
             }
             if e.client.as_ref().is_some_and(|n| day.client.iter().all(|c| c.name != *n)) {
@@ -243,6 +306,16 @@
             if timed && e.lasts.is_none() {
                 return bad(entry, "needs `for`");
             }
+            if e.peer.is_some() && (!matches!(e.what, K::Cut | K::CutOneWay) || e.peer == e.host) {
+                return bad(entry, "`peer` is the other end of a link that is cut");
+            }
+            if (e.what == K::Disk) != e.disk.is_some() {
+                return bad(entry, "a disk needs `disk`, and nothing else has it");
+            }
+            let factor = matches!(e.what, K::SlowLink | K::DropLink | K::RepeatLink | K::Split);
+            if factor && e.times.is_none_or(|t| t.is_nan() || t <= 0.0) {
+                return bad(entry, "needs `times`, above 0");
+            }
             if matches!(e.what, K::Slow | K::Surge) && e.times.is_none_or(|t| t.is_nan() || t <= 0.0) {
                 return bad(entry, "needs `times`, above 0");
             }
--- a/crates/day/src/summary.rs
+++ b/crates/day/src/summary.rs
@@ -1,5 +1,6 @@
 //! What came of a day, for people and for programs.
 
+use crate::expect::Expected;
 use crate::DayResult;
 use pearfork_cli::{Mark, Output};
 use pearfork_rulecheck::Report;
@@ -108,7 +109,7 @@
 /// What came of a day.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Summary {
-    /// Whether all rules were kept, no block was stale, and no node fell over.
+    /// Whether all rules were kept, no block was stale, no node fell over, and what was promised came.
     pub right: bool,
     /// Answers by class.
     pub classes: Vec<ClassLine>,
@@ -116,6 +117,8 @@
     pub during: Vec<DuringLine>,
     /// What clients saw.
     pub clients: Vec<ClientLine>,
+    /// What was promised of volumes with a limit, and what came.
+    pub expected: Vec<Expected>,
     /// The first stale blocks, in words.
     pub stale: Vec<String>,
     /// Nodes that fell over.
@@ -159,7 +162,11 @@
             reasons: d.reasons.by_reason(|_| true).into_iter().map(|(r, n)| (r.word(), n)).collect(),
         };
         Summary {
-            right: r.rules.kept() && r.stale().is_empty() && r.fallen.is_empty(),
+            right: r.rules.kept()
+                && r.stale().is_empty()
+                && r.fallen.is_empty()
+                && r.expected.iter().all(|e| e.right),
+            expected: r.expected.clone(),
             classes: r.class_names.iter().enumerate().map(class).collect(),
             during: r.during.iter().map(during).collect(),
             clients: r.clients.iter().map(client).collect(),
@@ -209,6 +216,19 @@
                 c.client, c.sent, c.served, c.p50_ms, c.p99_ms, c.proved, c.stale
             );
         }
+        for e in &self.expected {
+            let mark = if e.right { Mark::Good } else { Mark::Bad };
+            let verdict = output.paint(mark, if e.right { "as promised" } else { "NOT AS PROMISED" });
+            let _ = writeln!(
+                out,
+                "  {} from {:.1} to {:.1} s: {:.1} % of its limit, {:.1} % at the least: {verdict}",
+                e.volume,
+                e.between_s.0,
+                e.between_s.1,
+                e.came * 100.0,
+                e.wanted.0 * 100.0
+            );
+        }
         for words in &self.stale {
             let _ = writeln!(out, "  {} {words}", output.paint(Mark::Bad, "STALE"));
         }
--- a/crates/day/tests/customers.rs
+++ b/crates/day/tests/customers.rs
@@ -14,7 +14,7 @@
     let plan = HostPlan::load(&example("hosts", customer)).unwrap_or_else(|e| panic!("{e}"));
     assert_eq!(plan.warnings, Vec::<String>::new());
     let day = Day::from_toml(&std::fs::read_to_string(example("days", customer)).unwrap()).unwrap();
-    let result = play(&day, &plan, |_, _| {}).unwrap();
+    let result = play(&day, &plan, &mut pearfork_day::crew::InProcess::default(), |_, _| {}).unwrap();
     assert!(result.rules.kept(), "{customer}\n{}", result.rules);
     assert_eq!(result.stale(), Vec::<&str>::new());
     for class in busy {
--- a/crates/day/tests/day.rs
+++ b/crates/day/tests/day.rs
@@ -34,7 +34,7 @@
 fn a_bad_day_keeps_the_seven_rules_and_its_record_broken_on_purpose_does_not() {
     let day = Day::from_toml(DAY).unwrap();
     let plan = HostPlan::from_toml(HOSTS).unwrap();
-    let result = play(&day, &plan, |_, _| {}).unwrap();
+    let result = play(&day, &plan, &mut pearfork_day::crew::InProcess::default(), |_, _| {}).unwrap();
     assert!(result.rules.kept(), "\n{}", result.rules);
     assert_eq!(result.stale(), Vec::<&str>::new());
     assert!(result.fallen.is_empty(), "{:?}", result.fallen);
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,72 @@
+//! What a host is told of its fleet; valid as a whole.
+
+use pearfork_ledger::{HostNumber, Part, Times};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// A voter as this host reaches it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VoterAt {
+    /// Its number.
+    pub host: HostNumber,
+    /// Where it listens for its fleet.
+    pub address: SocketAddr,
+}
+
+/// Trouble that the settings ask for, for trials alone.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Trouble {
+    /// How fast this process's clock runs for its leases; 1 where nothing is said.
+    pub clock_rate: Option<f64>,
+    /// A file whose first word is the disk's present trouble.
+    pub disk: Option<PathBuf>,
+}
+
+/// A host's place in its fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetPlan {
+    /// The fleet's name.
+    pub name: String,
+    /// This host.
+    pub me: HostNumber,
+    /// Hosts of the fleet at the most: each has a floor.
+    pub hosts: u32,
+    /// Where a voter listens for its fleet; others listen nowhere.
+    pub listen: Option<SocketAddr>,
+    /// Where a voter keeps its promises.
+    pub folder: Option<PathBuf>,
+    /// All voters, this host perhaps among them.
+    pub voters: Vec<VoterAt>,
+    /// What all floors together make of each whole.
+    pub floors: Part,
+    /// Times.
+    pub times: Times,
+    /// For trials.
+    pub trouble: Trouble,
+}
+
+impl FleetPlan {
+    /// Whether this host is a voter.
+    pub fn votes(&self) -> bool {
+        self.voters.iter().any(|v| v.host == self.me)
+    }
+
+    /// Each host's floor. All floors add up to no more than `floors`.
+    pub fn floor(&self) -> Part {
+        Part(self.floors.0 / u64::from(self.hosts.max(1)))
+    }
+
+    /// What floors leave to be lent.
+    pub fn lendable(&self) -> Part {
+        Part::WHOLE.minus(self.floors)
+    }
+
+    /// Checksum of all that must be alike at every host. Addresses may differ: each host has its own way to a voter.
+    pub fn fingerprint(&self) -> String {
+        let voters: Vec<u16> = self.voters.iter().map(|v| v.host.0).collect();
+        let t = &self.times;
+        let words =
+            format!("{} {} {voters:?} {} {} {}", self.name, self.hosts, self.floors.0, t.lease_ms, t.drift);
+        format!("{:08x}", crc32c::crc32c(words.as_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/seat.rs
@@ -0,0 +1,141 @@
+//! The voter's thread: hears, writes, and only then speaks.
+
+use crate::disk::{Disk, RealDisk, TroubledDisk};
+use crate::hub::{Asker, ForHolder, ForVoter, HubHandle, Order};
+use crate::plan::FleetPlan;
+use crate::state::{Shared, VoterView};
+use crate::store::{owner, Folder, Store, StoreError};
+use crate::time::LeaseClock;
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use pearfork_ledger::raft::Image;
+use pearfork_ledger::{Answer, HostNumber, Message, Refusal, Said, Voter};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How often a disk that failed is tried again.
+const AGAIN: Duration = Duration::from_millis(500);
+/// Messages taken before what they led to is written: one write serves them all.
+const BATCH: usize = 64;
+
+pub(crate) struct Seat {
+    pub(crate) plan: Arc<FleetPlan>,
+    pub(crate) folder: Folder,
+    pub(crate) inbox: Receiver<ForVoter>,
+    pub(crate) hub: HubHandle,
+    pub(crate) here: Sender<ForHolder>,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) clock: LeaseClock,
+    pub(crate) seed: u64,
+}
+
+impl Seat {
+    pub(crate) fn disk(plan: &FleetPlan) -> Box<dyn Disk> {
+        match &plan.trouble.disk {
+            Some(trouble) => Box::new(TroubledDisk::new(RealDisk::default(), trouble.clone())),
+            None => Box::<RealDisk>::default(),
+        }
+    }
+
+    fn open(&self) -> Result<(Store, Image), StoreError> {
+        let owner = owner(&self.plan.name, self.plan.me.0);
+        Store::open(&self.folder, Seat::disk(&self.plan), owner, self.plan.lendable())
+    }
+
+    /// Votes until told to stop; while the disk fails it neither votes nor lends, and tries again now and then.
+    pub(crate) fn run(mut self, mut open: Option<(Store, Image)>) {
+        loop {
+            if let Some((store, image)) = open.take() {
+                match self.vote(store, image) {
+                    None => return,
+                    Some(why) => {
+                        tracing::error!(%why, "this voter stops voting and lending until its disk is well");
+                        self.shared.voter(|v| {
+                            *v = VoterView { trouble: Some(why.to_string()), ..VoterView::default() }
+                        });
+                    }
+                }
+            }
+            if self.deaf(Instant::now() + AGAIN) {
+                return;
+            }
+            match self.open() {
+                Ok(again) => {
+                    tracing::warn!("the disk is well again, this voter votes");
+                    open = Some(again);
+                }
+                Err(why) => self.shared.voter(|v| v.trouble = Some(why.to_string())),
+            }
+        }
+    }
+
+    /// Hears nobody for a while, but tells those who ask to go elsewhere; true where it is to stop.
+    fn deaf(&self, until: Instant) -> bool {
+        loop {
+            match self.inbox.recv_deadline(until) {
+                Ok(ForVoter::Stop) | Err(RecvTimeoutError::Disconnected) => return true,
+                Ok(ForVoter::Ask(asker, ask)) => {
+                    let said = Said::Refused(Refusal::NotLeader(None));
+                    self.answer(asker, Answer { nonce: ask.nonce, seq: ask.seq, said });
+                }
+                Ok(ForVoter::Raft(..)) => {}
+                Err(RecvTimeoutError::Timeout) => return false,
+            }
+        }
+    }
+
+    fn answer(&self, asker: Asker, answer: Answer) {
+        match asker {
+            Asker::Connection(id) => self.hub.order(Order::Answer(id, answer)),
+            Asker::Here => drop(self.here.try_send(ForHolder::Answer(self.plan.me, answer))),
+        }
+    }
+
+    /// Votes while the disk takes what has to be written: the fault that ended it, or none where it was told to stop.
+    fn vote(&mut self, mut store: Store, image: Image) -> Option<StoreError> {
+        let voters: Vec<HostNumber> = self.plan.voters.iter().map(|v| v.host).collect();
+        self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        let mut voter: Voter<Asker> =
+            Voter::new(self.plan.me, &voters, self.plan.times, self.seed, image, self.clock.now_ms());
+        loop {
+            let first = match self.inbox.recv_deadline(self.clock.instant(voter.next_due())) {
+                Ok(m) => Some(m),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return None,
+            };
+            for message in first.into_iter().chain(self.inbox.try_iter().take(BATCH)) {
+                let now = self.clock.now_ms();
+                match message {
+                    ForVoter::Raft(from, m) => voter.message(now, from, m),
+                    ForVoter::Ask(asker, ask) => voter.ask(now, asker, ask),
+                    ForVoter::Stop => return None,
+                }
+            }
+            voter.tick(self.clock.now_ms());
+            loop {
+                let ready = voter.take();
+                let writes = ready.raft.rewrite || !ready.raft.records.is_empty();
+                // Danger: a word that goes out before what it promises is on disk is a promise that a crash forgets.
+                let written = match (ready.raft.rewrite, writes) {
+                    (true, _) => store.rewrite(&voter.raft().image()),
+                    (false, true) => store.append(ready.raft.records),
+                    (false, false) => Ok(()),
+                };
+                if let Err(why) = written {
+                    return Some(why);
+                }
+                let done = !writes && ready.raft.messages.is_empty() && ready.answers.is_empty();
+                for (to, message) in ready.raft.messages {
+                    self.hub.order(Order::Say(to, Message::Raft(message)));
+                }
+                ready.answers.into_iter().for_each(|(asker, answer)| self.answer(asker, answer));
+                if done {
+                    break;
+                }
+                if writes {
+                    voter.persisted(self.clock.now_ms());
+                }
+            }
+            self.shared.voter(|v| v.note(&voter, self.clock.now_ms()));
+        }
+    }
+}
--- a/crates/host/src/counts.rs
+++ b/crates/host/src/counts.rs
@@ -52,6 +52,8 @@
     pub connect_failed: u64,
     /// Lost with the connection.
     pub reset: u64,
+    /// Not sent at all, for a reason that says nothing of the node.
+    pub moot: u64,
     /// Withdrawn.
     pub cancelled: u64,
 }
--- a/crates/host/src/dispatcher.rs
+++ b/crates/host/src/dispatcher.rs
@@ -15,7 +15,7 @@
 use pearfork_iscsi::Payload;
 use pearfork_scsi::Media;
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 
 /// Names a command at its front: the connection and the tag there.
@@ -88,6 +88,9 @@
     pub tag: Tag,
     /// Cleared when the attempt is over for the host: it must not go out any more.
     pub wanted: Arc<AtomicBool>,
+    /// From this moment on the part of its volume's limit that it was drawn from may be another host's: it must not go
+    /// out any more. Milliseconds of the dispatcher's clock; without end where nothing is lent.
+    pub not_after_ms: f64,
 }
 
 /// How an attempt ended, as the link to the node knows it.
@@ -101,6 +104,8 @@
     Full,
     /// It was never sent.
     ConnectFailed,
+    /// It was not sent, for a reason that says nothing of its node.
+    Moot,
     /// The connection was lost after it was sent.
     Reset,
 }
@@ -118,10 +123,25 @@
     Ended(AttemptId, Ended, Option<Report>),
     /// The node list, or a change of it.
     List(ListKind, Vec<NodeEntry>),
+    /// This host's parts of volumes' limits from now on.
+    Lent(Vec<LentPart>),
     /// Rules by which commands that come from now on get class, plan and key; those in flight keep theirs.
     Matching(Arc<Matching>),
 }
 
+/// This host's part of a volume's limit, as parts of the whole.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LentPart {
+    /// The volume.
+    pub volume: VolumeId,
+    /// For good.
+    pub floor: f64,
+    /// On top of it, until `until_ms`.
+    pub lent: f64,
+    /// On the dispatcher's clock.
+    pub until_ms: f64,
+}
+
 /// What is to be done.
 #[derive(Debug)]
 pub enum Effect {
@@ -171,6 +191,10 @@
     requests: HashMap<u32, Live>,
     /// Attempts that are out, and the word that each is still to go.
     wanted: HashMap<AttemptId, Arc<AtomicBool>>,
+    /// Until when what was lent of a volume's limit holds; none for volumes whose limits are not shared out.
+    lent_until: HashMap<VolumeId, f64>,
+    /// Thousandths of units asked of each volume since the start.
+    asked: Arc<[AtomicU64]>,
     steps: Vec<Step>,
     classes: Vec<ClassCounts>,
     /// Answer times of served commands, microseconds.
@@ -196,6 +220,8 @@
             commands: BTreeMap::new(),
             requests: HashMap::new(),
             wanted: HashMap::new(),
+            lent_until: HashMap::new(),
+            asked: plan.volumes.iter().map(|_| AtomicU64::new(0)).collect(),
             steps: Vec::new(),
             classes: vec![ClassCounts::default(); plan.class_names.len()],
             times: vec![times; plan.class_names.len()],
@@ -219,6 +245,7 @@
             }
             Input::Ended(id, ended, report) => self.ended(now, id, ended, report, out),
             Input::Matching(matching) => self.matching = matching,
+            Input::Lent(parts) => parts.into_iter().for_each(|p| self.lend(p)),
             Input::List(kind, entries) => {
                 self.note_list(kind, &entries);
                 self.driver.list(kind, entries);
@@ -227,6 +254,19 @@
         self.drive(now, out);
     }
 
+    /// Thousandths of units that clients asked of each volume, by position; it counts on while the host runs.
+    pub fn asked(&self) -> Arc<[AtomicU64]> {
+        self.asked.clone()
+    }
+
+    fn lend(&mut self, p: LentPart) {
+        let Some(volume) = self.plan.volumes.get(p.volume.0 as usize) else { return };
+        let hosts = |part: f64| if part > 0.0 { 1.0 / part } else { f64::INFINITY };
+        let (now, then) = (hosts(p.floor + p.lent), hosts(p.floor));
+        self.driver.part(u64::from(p.volume.0), volume.plan, now, then, p.until_ms);
+        self.lent_until.insert(p.volume, if p.lent > 0.0 { p.until_ms } else { f64::INFINITY });
+    }
+
     /// When something is due next.
     pub fn next_due(&self) -> Option<f64> {
         self.driver.next_due()
@@ -334,6 +374,7 @@
                 shard: Some(part.shard),
                 volume_hosts: f64::from(volume.hosts),
             });
+            self.asked[s.volume.0 as usize].fetch_add((live.units * 1_000.0) as u64, Ordering::Relaxed);
             self.requests.insert(id, live);
             requests.push(id);
         }
@@ -404,6 +445,11 @@
                 milli_units: (live.units * 1_000.0) as u32,
             },
             wanted: wanted.clone(),
+            // Its units are drawn at its first sending; a further attempt draws none.
+            not_after_ms: match self.lent_until.get(&live.volume) {
+                Some(until) if attempt.number == 0 => *until,
+                _ => f64::INFINITY,
+            },
         };
         self.wanted.insert(attempt, wanted);
         let counts = self.nodes.entry(node).or_default();
@@ -433,6 +479,7 @@
             Ended::Error => (Verdict::Error, &mut counts.errors),
             Ended::Full => (Verdict::Full, &mut counts.full),
             Ended::ConnectFailed => (Verdict::ConnectFailed, &mut counts.connect_failed),
+            Ended::Moot => (Verdict::Moot, &mut counts.moot),
             Ended::Reset => (Verdict::Reset, &mut counts.reset),
         };
         *count += 1;
--- a/crates/host/src/engine.rs
+++ b/crates/host/src/engine.rs
@@ -1,6 +1,6 @@
 //! The one thread that owns a host's dispatcher.
 
-use crate::dispatcher::{AttemptId, Dispatcher, Effect, Ended, Final, Input, Origin};
+use crate::dispatcher::{AttemptId, Dispatcher, Effect, Ended, Final, Input, LentPart, Origin};
 use crate::links::Links;
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use pearfork_iscsi::ext::Report;
@@ -11,6 +11,8 @@
 /// What the engine is told.
 pub(crate) enum Message {
     Input(Input),
+    /// This host's parts of volumes' limits from now on, and whom to tell that all that goes out from then on goes by them.
+    Lent(Vec<LentPart>, Sender<()>),
     /// A look at the state of things, at a time of the engine's clock.
     Look(Box<Look>),
     /// Stand still for so long, as a suspended process does: for tests of that trouble.
@@ -74,6 +76,11 @@
         for message in first.into_iter().chain(messages.try_iter().take(BATCH)) {
             match message {
                 Message::Input(input) => dispatcher.handle(clock.now_ms(), input, &mut effects),
+                Message::Lent(parts, done) => {
+                    dispatcher.handle(clock.now_ms(), Input::Lent(parts), &mut effects);
+                    // Whoever waited too long for this has gone, and takes the parts as not applied.
+                    let _ = done.try_send(());
+                }
                 Message::Look(look) => look(&dispatcher, clock.now_ms()),
                 Message::StandStill(span) => std::thread::sleep(span),
                 Message::Stop => return,
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -4,11 +4,13 @@
 use crate::directory::{Ask, Watcher};
 use crate::dispatcher::{Dispatcher, Final, Input, Origin};
 use crate::engine::{self, Message, Outside};
+use crate::fleet::Limits as SharedLimits;
 use crate::front::{Door, Front};
 use crate::links::Links;
 use crate::settings::{HostPlan, SettingsFaults};
 use crate::status::{self, Snapshot};
 use crossbeam_channel::{bounded, Receiver, Sender};
+use pearfork_fleet::Fleet;
 use pearfork_iscsi::Limits;
 use pearfork_net::{http, spawn_small, Clock, Portal, PortalConfig};
 use std::collections::BTreeMap;
@@ -32,6 +34,9 @@
     /// No thread could be had.
     #[error("cannot start a thread: {0}")]
     Thread(#[from] io::Error),
+    /// No place in the fleet could be taken.
+    #[error(transparent)]
+    Fleet(#[from] pearfork_fleet::FleetError),
     /// The module refuses a setting.
     #[error(transparent)]
     Module(#[from] pearfork::SettingsError),
@@ -52,6 +57,10 @@
     http: Option<http::Server>,
     draining: Arc<AtomicBool>,
     drains: Receiver<()>,
+    /// Danger: without HTTP nobody else holds this end, and a channel that is closed reads as a wish to drain: the host
+    /// would stop as soon as it had started.
+    _drain: Sender<()>,
+    fleet: Option<Arc<Fleet>>,
 }
 
 struct Outward {
@@ -90,7 +99,12 @@
         let clock = Clock::start();
         let boot = (clock.now_ms() / 1_000.0) as u32;
         let seed = plan.seed.unwrap_or_else(|| clock.now_ms().to_bits() ^ u64::from(plan.number) << 48);
-        let dispatcher = Dispatcher::new(plan.clone(), seed, boot)?;
+        let mut dispatcher = Dispatcher::new(plan.clone(), seed, boot)?;
+        // Danger: until the fleet's first word a host in a fleet has its floors, and not an even part of each limit.
+        let shared = plan.fleet.as_ref().map(|f| SharedLimits::of(&plan, f, dispatcher.asked()));
+        if let Some(limits) = &shared {
+            dispatcher.handle(clock.now_ms(), Input::Lent(limits.floors()), &mut Vec::new());
+        }
         let (engine, messages) = bounded(ENGINE_QUEUE);
         let (asks, asked) = bounded(64);
         let links = Links::new(
@@ -99,6 +113,7 @@
             plan.extension,
             plan.connect_timeout.duration(),
             engine.clone(),
+            clock,
         );
         let front = Arc::new(Front::new(plan.clone(), engine.clone(), clock));
         let outward = Outward { front: front.clone(), asks: asks.clone() };
@@ -120,13 +135,19 @@
             first_handle: (boot.wrapping_mul(40_503) >> 8) as u16,
             tap: None,
         };
+        let fleet = match (&plan.fleet, shared) {
+            (Some(own), Some(limits)) => {
+                Some(Arc::new(Fleet::start(own.clone(), limits.user(engine.clone(), clock))?))
+            }
+            _ => None,
+        };
         let portal = Portal::start(listener, config, front.clone())?;
         let draining = Arc::new(AtomicBool::new(false));
         let (drain, drains) = bounded(1);
         let http = match http_listener {
             Some(listener) => {
                 let (plan, engine, front) = (plan.clone(), engine.clone(), front.clone());
-                let (draining, asked) = (draining.clone(), drain.clone());
+                let (draining, asked, fleet) = (draining.clone(), drain.clone(), fleet.clone());
                 let answer = move |call: http::Call<'_>| match status::order(call) {
                     Some(status::Order::Drain) => {
                         let again = draining.swap(true, Ordering::SeqCst);
@@ -138,7 +159,8 @@
                     None => {
                         let draining = draining.load(Ordering::SeqCst);
                         let snapshot = engine::look(&engine, Snapshot::of);
-                        status::answer(call, &plan, snapshot, front.sessions(), draining)
+                        let fleet = fleet.as_ref().map(|f| f.view());
+                        status::answer(call, &plan, snapshot, front.sessions(), draining, fleet.as_ref())
                     }
                 };
                 Some(http::Server::start_with(listener, answer)?)
@@ -146,7 +168,7 @@
             None => None,
         };
         tracing::info!(%address, number = plan.number, volumes = plan.volumes.len(), settings = plan.provenance.fingerprint(), "host listens");
-        Ok(Host { plan, portal, engine, asks, links, http, draining, drains })
+        Ok(Host { plan, portal, engine, asks, links, http, draining, drains, _drain: drain, fleet })
     }
 
     /// Where iSCSI clients come.
@@ -220,16 +242,30 @@
         while !sent() && Instant::now() < until {
             std::thread::sleep(Duration::from_millis(5));
         }
+        self.portal.kill();
+        self.links.close_all();
+        if let Some(fleet) = &self.fleet {
+            // Nothing goes out any more: what this host held of the fleet's budgets is of use to the others at once.
+            fleet.leave();
+        }
         self.kill();
         idle
     }
 
+    /// What this host knows of its fleet, where it is in one.
+    pub fn fleet(&self) -> Option<pearfork_fleet::FleetView> {
+        self.fleet.as_ref().map(|f| f.view())
+    }
+
     /// Stops at once, as a killed process does: nothing more is said to anybody.
     pub fn kill(&self) {
         let _ = self.engine.try_send(Message::Stop);
         let _ = self.asks.try_send(Ask::Stop);
         self.portal.kill();
         self.links.close_all();
+        if let Some(fleet) = &self.fleet {
+            fleet.stop();
+        }
     }
 }
 
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -7,27 +7,33 @@
 use crate::engine::Message;
 use crossbeam_channel::Sender;
 use pearfork_iscsi::{Command, CommandDone, InitiatorConfig};
-use pearfork_net::{lock, spawn_small, Connection, ConnectionEvent, TapRef, Token};
+use pearfork_net::{lock, spawn_small, Clock, Connection, ConnectionEvent, TapRef, Token};
 use pearfork_scsi::{lun_field, status, Sense, SenseKey};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// An attempt as a connection knows it.
 pub(crate) struct Sent {
     id: AttemptId,
     wanted: Arc<AtomicBool>,
+    not_after: Option<Instant>,
     read_len: usize,
 }
 
 impl Token for Sent {
     fn is_wanted(&self) -> bool {
-        self.wanted.load(Ordering::SeqCst)
+        self.wanted.load(Ordering::SeqCst) && !over(self.not_after)
     }
 }
 
+/// Whether a moment has come.
+fn over(not_after: Option<Instant>) -> bool {
+    not_after.is_some_and(|at| Instant::now() >= at)
+}
+
 enum State {
     Closed,
     /// A thread connects; these wait for it.
@@ -49,6 +55,7 @@
     extension: bool,
     connect_timeout: Duration,
     engine: Sender<Message>,
+    clock: Clock,
     addresses: Mutex<HashMap<u32, SocketAddr>>,
     links: Mutex<HashMap<u32, Arc<Link>>>,
 }
@@ -60,6 +67,7 @@
         extension: bool,
         connect_timeout: Duration,
         engine: Sender<Message>,
+        clock: Clock,
     ) -> Arc<Links> {
         Arc::new(Links {
             initiator: format!("iqn.2026-12.org.pearfork:host{host}"),
@@ -67,6 +75,7 @@
             extension,
             connect_timeout,
             engine,
+            clock,
             addresses: Mutex::default(),
             links: Mutex::default(),
         })
@@ -161,6 +170,11 @@
         if !order.wanted.load(Ordering::SeqCst) {
             return;
         }
+        let not_after = order.not_after_ms.is_finite().then(|| self.clock.instant(order.not_after_ms));
+        if over(not_after) {
+            // Danger: a host that stood still between deciding and sending would send by a part that is another's now.
+            return self.not_sent(order.attempt, Ended::Moot);
+        }
         let read_len = order.media.data_in(order.block_len) as u32;
         let command = Command {
             lun: lun_field(order.volume.0 as u16),
@@ -169,7 +183,7 @@
             data: order.data,
             ext: Some(order.tag),
         };
-        let sent = Sent { id: order.attempt, wanted: order.wanted, read_len: read_len as usize };
+        let sent = Sent { id: order.attempt, wanted: order.wanted, not_after, read_len: read_len as usize };
         if let Err(sent) = connection.submit(sent, command) {
             self.never_sent(sent.id);
         }
@@ -178,7 +192,11 @@
     /// Told by way of the channel as all outcomes. The engine itself may be the caller, and must not wait for
     /// itself: a full channel is left to a thread.
     fn never_sent(&self, id: AttemptId) {
-        let message = Message::ended(id, Ended::ConnectFailed, None);
+        self.not_sent(id, Ended::ConnectFailed);
+    }
+
+    fn not_sent(&self, id: AttemptId, ended: Ended) {
+        let message = Message::ended(id, ended, None);
         if let Err(crossbeam_channel::TrySendError::Full(message)) = self.engine.try_send(message) {
             let engine = self.engine.clone();
             // Without a thread the attempt's own time-out ends it.
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -3,6 +3,7 @@
 //! [`HostPlan::load_with`] (and [`HostPlan::load`], [`HostPlan::from_toml`], where less goes over it) is the only way from
 //! text to a plan, for the host and for whatever checks files.
 
+mod fleet;
 mod matching;
 mod migrate;
 mod provenance;
@@ -15,6 +16,7 @@
 use self::tables::{ClassTable, EffectWord, File, GroupWord, PlanTable};
 use crate::units::Span;
 use crate::volumes::{Volume, VolumeId};
+use pearfork_fleet::FleetPlan;
 use pearfork_layers::{Key, LayerFault, Layers};
 use pearfork_match::Fields;
 use pearfork_scsi::{Media, MediaOp, Unit, MAX_TRANSFER_BLOCKS};
@@ -126,6 +128,8 @@
     pub volumes: Vec<Volume>,
     /// Stand-in nodes to be brought along.
     pub embedded: Option<Embedded>,
+    /// Its place among the hosts that divide budgets; none where each has an even part by the figures alone.
+    pub fleet: Option<FleetPlan>,
     /// Which class, plan and key a request gets.
     pub matching: Arc<Matching>,
     /// What the operator is to be told, though the file is taken.
@@ -401,6 +405,7 @@
             let place = self.place_of(&file, refusal.entry, refusal.key);
             self.faults.push(SettingsFault::Rule { entry, place, refusal });
         }
+        let fleet = self.fleet(&file);
         let (Some(matching), true) = (matching, self.faults.is_empty()) else {
             return Err(SettingsFaults(self.faults));
         };
@@ -424,6 +429,7 @@
             plan_names: file.plan.iter().map(|p| p.name.clone()).collect(),
             volumes,
             embedded: file.embedded,
+            fleet,
             unit: r.unit.bytes(),
             matching: Arc::new(matching),
             warnings: self.warnings,
--- a/crates/host/src/settings/tables.rs
+++ b/crates/host/src/settings/tables.rs
@@ -1,8 +1,10 @@
 //! The file as it is written: tables and keys, before anything is checked against anything else.
 
 use crate::units::{Size, Span};
+use pearfork_ledger::Times;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 #[derive(Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -21,6 +23,74 @@
     pub(super) plan: Vec<PlanTable>,
     pub(super) volume: Vec<VolumeTable>,
     pub(super) embedded: Option<Embedded>,
+    pub(super) fleet: Option<FleetTable>,
+}
+
+/// A place among the hosts that divide budgets.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct FleetTable {
+    pub(super) name: String,
+    /// Where a voter listens for the others.
+    pub(super) listen: Option<SocketAddr>,
+    /// Where a voter keeps its promises.
+    pub(super) folder: Option<PathBuf>,
+    pub(super) voters: Vec<VoterTable>,
+    /// Part of each whole that the floors of all hosts make up together.
+    #[serde(default = "default_floors")]
+    pub(super) floors: f64,
+    #[serde(default = "default_lease")]
+    pub(super) lease: Span,
+    /// By how much one host's clock may run faster than another's.
+    #[serde(default = "default_drift")]
+    pub(super) drift: f64,
+    #[serde(default = "default_ask")]
+    pub(super) ask: Span,
+    #[serde(default = "default_beat")]
+    pub(super) beat: Span,
+    #[serde(default = "default_election")]
+    pub(super) election: Span,
+    #[serde(default)]
+    pub(super) trouble: TroubleTable,
+}
+
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct VoterTable {
+    pub(super) host: u16,
+    pub(super) address: SocketAddr,
+}
+
+/// For trials alone.
+#[derive(Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub(super) struct TroubleTable {
+    pub(super) clock: Option<f64>,
+    pub(super) disk: Option<PathBuf>,
+}
+
+fn default_floors() -> f64 {
+    0.01
+}
+
+fn default_lease() -> Span {
+    Span::from_ms(Times::default().lease_ms)
+}
+
+fn default_drift() -> f64 {
+    Times::default().drift
+}
+
+fn default_ask() -> Span {
+    Span::from_ms(Times::default().ask_ms)
+}
+
+fn default_beat() -> Span {
+    Span::from_ms(Times::default().beat_ms)
+}
+
+fn default_election() -> Span {
+    Span::from_ms(Times::default().election_ms)
 }
 
 /// Stand-in nodes that a gateway brings along for trying it out; a host knows nothing of them.
--- a/crates/host/src/status.rs
+++ b/crates/host/src/status.rs
@@ -4,6 +4,8 @@
 use crate::dispatcher::Dispatcher;
 use crate::settings::HostPlan;
 use pearfork::{Condition, NodeEntry, Reason};
+use pearfork_fleet::state::{HeldLine, LinkLine};
+use pearfork_fleet::FleetView;
 use pearfork_net::http::{Answer, Call, Method};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -95,18 +97,23 @@
     snapshot: Option<Snapshot>,
     sessions: usize,
     draining: bool,
+    fleet: Option<&FleetView>,
 ) -> Answer {
     let path = call.path.split('?').next().unwrap_or(call.path);
     if call.method == Method::Post {
         return Answer::error(404, "there is /drain to POST to");
     }
+    if path == "/fleet" {
+        // Asked even where the engine stands still.
+        return fleet.map_or(Answer::error(404, "this host is in no fleet"), json);
+    }
     let Some(snapshot) = snapshot else { return Answer::error(503, "the engine does not answer") };
     match path {
         "/health" => health(&snapshot, sessions, draining),
-        "/metrics" => Answer::ok("text/plain; version=0.0.4", metrics(plan, &snapshot, sessions)),
+        "/metrics" => Answer::ok("text/plain; version=0.0.4", metrics(plan, &snapshot, sessions, fleet)),
         "/nodes" => json(&nodes(&snapshot)),
         "/volumes" => json(&volumes(plan, &snapshot)),
-        _ => Answer::error(404, "there are /health, /metrics, /nodes and /volumes"),
+        _ => Answer::error(404, "there are /health, /metrics, /nodes, /volumes and /fleet"),
     }
 }
 
@@ -168,8 +175,46 @@
     plan.volumes.iter().map(status).collect()
 }
 
+/// A family of metrics: name, kind, help, and a value for each set of labels.
+type Family<'a> = dyn FnMut(&str, &str, &str, Vec<(String, f64)>) + 'a;
+
+fn fleet_metrics(fleet: &FleetView, family: &mut Family<'_>) {
+    let one = |value: f64| vec![(String::new(), value)];
+    let holder = &fleet.holder;
+    let of = |f: fn(&HeldLine) -> f64| -> Vec<(String, f64)> {
+        holder.budgets.iter().map(|b| (format!("{{budget=\"{}\"}}", b.budget), f(b))).collect()
+    };
+    family(
+        "fleet_part",
+        "gauge",
+        "Part of a budget's whole that this host may use.",
+        of(|b| b.floor + b.lent),
+    );
+    family("fleet_demand", "gauge", "Part of a budget's whole that clients ask for here.", of(|b| b.demand));
+    let left = holder.lease_ms.unwrap_or(0.0).max(0.0) / 1_000.0;
+    family("fleet_lease_seconds", "gauge", "Time that the lease still holds.", one(left));
+    family("fleet_asks_total", "counter", "Asks of the ledger.", one(holder.asked as f64));
+    family("fleet_leases_total", "counter", "Answers with a lease.", one(holder.answered as f64));
+    let named = f64::from(u8::from(!holder.superseded));
+    family("fleet_named", "gauge", "0 where another process has this host's number.", one(named));
+    let up = |l: &LinkLine| (format!("{{voter=\"{}\"}}", l.voter), f64::from(u8::from(l.up)));
+    family("fleet_link_up", "gauge", "Links to voters.", fleet.links.iter().map(up).collect());
+    if let Some(v) = &fleet.voter {
+        let votes = f64::from(u8::from(v.trouble.is_none()));
+        family("fleet_votes", "gauge", "0 where this voter's disk keeps it from voting.", one(votes));
+        family(
+            "fleet_lends",
+            "gauge",
+            "1 where this voter leads and lends.",
+            one(f64::from(u8::from(v.lends))),
+        );
+        family("fleet_term", "counter", "Terms of leaders.", one(v.term as f64));
+        family("fleet_members", "gauge", "Processes in the book.", one(v.members.len() as f64));
+    }
+}
+
 /// The usual text format of metrics, one family after the other.
-fn metrics(plan: &HostPlan, s: &Snapshot, sessions: usize) -> String {
+fn metrics(plan: &HostPlan, s: &Snapshot, sessions: usize, fleet: Option<&FleetView>) -> String {
     let mut out = String::new();
     let mut family = |name: &str, kind: &str, help: &str, lines: Vec<(String, f64)>| {
         let _ = writeln!(out, "# HELP pearfork_{name} {help}\n# TYPE pearfork_{name} {kind}");
@@ -224,6 +269,7 @@
             ("timed_out", c.timed_out),
             ("connect_failed", c.connect_failed),
             ("reset", c.reset),
+            ("not_sent", c.moot),
             ("cancelled", c.cancelled),
         ] {
             attempts.push((format!("{{node=\"{node}\",end=\"{end}\"}}"), n as f64));
@@ -235,5 +281,8 @@
     family("further_attempts_total", "counter", "Attempts beyond a request's first.", further);
     family("commands_open", "gauge", "Commands without an answer.", vec![(String::new(), s.open as f64)]);
     family("sessions", "gauge", "Sessions of clients.", vec![(String::new(), sessions as f64)]);
+    if let Some(fleet) = fleet {
+        fleet_metrics(fleet, &mut family);
+    }
     out
 }
--- /dev/null
+++ b/crates/ledger/src/part.rs
@@ -0,0 +1,115 @@
+//! Names and amounts.
+
+use serde::{Deserialize, Serialize};
+
+/// A host's number in the settings of its fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct HostNumber(pub u16);
+
+/// One process of a host: given by the ledger when it joins, and to no other ever after.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// A part of a whole, in billionths: whole numbers, so that parts add up to what they add up to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Part(pub u64);
+
+impl Part {
+    /// All of it.
+    pub const WHOLE: Part = Part(1_000_000_000);
+    /// Nothing.
+    pub const NONE: Part = Part(0);
+
+    /// A fraction, rounded down; what is no number or below 0 is nothing, and nothing exceeds 1,000 wholes.
+    pub fn of(fraction: f64) -> Part {
+        // A cast from a float saturates, and takes NaN for 0.
+        Part((fraction.min(1_000.0) * Part::WHOLE.0 as f64) as u64)
+    }
+
+    /// As a fraction of the whole.
+    pub fn fraction(self) -> f64 {
+        self.0 as f64 / Part::WHOLE.0 as f64
+    }
+
+    /// Sum, at most what the type holds.
+    pub fn plus(self, other: Part) -> Part {
+        Part(self.0.saturating_add(other.0))
+    }
+
+    /// Difference, at least nothing.
+    pub fn minus(self, other: Part) -> Part {
+        Part(self.0.saturating_sub(other.0))
+    }
+}
+
+impl std::iter::Sum for Part {
+    fn sum<I: Iterator<Item = Part>>(parts: I) -> Part {
+        parts.fold(Part::NONE, Part::plus)
+    }
+}
+
+impl std::fmt::Display for Part {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:.3} %", self.fraction() * 100.0)
+    }
+}
+
+/// What kind of whole a budget is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Kind {
+    /// Rate and stored burst of a volume with a limit (rule 7).
+    Limit,
+    /// Units that a cold node bears from all hosts (rule 4).
+    Cold,
+    /// Further attempts of all hosts (rule 6).
+    Retry,
+    /// Connections at a node.
+    Connections,
+}
+
+impl Kind {
+    /// All of them.
+    pub const ALL: [Kind; 4] = [Kind::Limit, Kind::Cold, Kind::Retry, Kind::Connections];
+
+    /// The word with which names of its budgets begin.
+    pub fn word(self) -> &'static str {
+        match self {
+            Kind::Limit => "limit",
+            Kind::Cold => "cold",
+            Kind::Retry => "retry",
+            Kind::Connections => "connections",
+        }
+    }
+}
+
+/// Names a budget: its kind, a slash, and what it is of, as `limit/archive`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Budget(String);
+
+impl Budget {
+    /// The budget of a kind with this name.
+    pub fn new(kind: Kind, name: &str) -> Budget {
+        Budget(format!("{}/{name}", kind.word()))
+    }
+
+    /// Its kind; none where another release knows more kinds than this one. Such a budget is divided like any other.
+    pub fn kind(&self) -> Option<Kind> {
+        let word = self.0.split('/').next()?;
+        Kind::ALL.into_iter().find(|k| k.word() == word)
+    }
+
+    /// What it is of.
+    pub fn name(&self) -> &str {
+        self.0.split_once('/').map_or(&self.0, |(_, name)| name)
+    }
+}
+
+impl std::fmt::Display for Budget {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -24,6 +24,13 @@
         self.began_ms + self.began.elapsed().as_secs_f64() * 1_000.0
     }
 
+    /// A moment of the machine, on this clock.
+    pub fn ms_at(&self, at: Instant) -> f64 {
+        // What was before the clock began is long over.
+        let before = self.began.saturating_duration_since(at).as_secs_f64();
+        self.began_ms + (at.saturating_duration_since(self.began).as_secs_f64() - before) * 1_000.0
+    }
+
     /// The same as a moment to wait for.
     pub fn instant(&self, at_ms: f64) -> Instant {
         let after = ((at_ms - self.began_ms) / 1_000.0).clamp(0.0, 1e9);
