--- a/crates/trial/src/relay.rs
+++ b/crates/trial/src/relay.rs
@@ -158,8 +158,8 @@
             if self.over.load(Ordering::SeqCst) {
                 return Ok(());
             }
-            let ail = *lock(&self.sides[side].ail);
-            if ail.cut {
+            let ail = || *lock(&self.sides[side].ail);
+            if ail().cut {
                 std::thread::sleep(LOOK);
                 continue;
             }
@@ -168,13 +168,15 @@
                 to.write_all(&message)?;
             }
             let Some(message) = read_message(&mut from, &mut head, &self.over)? else { continue };
-            let dead = Instant::now() + ail.delay;
-            while Instant::now() < dead || lock(&self.sides[side].ail).cut {
+            // It may have been waited for while the link was well.
+            let due = Instant::now() + ail().delay;
+            while Instant::now() < due || ail().cut {
                 if self.over.load(Ordering::SeqCst) {
                     return Ok(());
                 }
                 std::thread::sleep(LOOK);
             }
+            let ail = ail();
             if pair.breaks.swap(false, Ordering::SeqCst) {
                 to.write_all(&message[..message.len() / 2])?;
                 return Ok(());
