Rate and store of a limit are lent apart; what was given up comes back; turns by need

Change: two budgets for each limit, the rate (least part: a usual request in a second) and the store (least part: the largest request); a line of a new version where a holder uses less than the book has and wants it again; raised from half a hundredth on; a turn lasts as long as the whole rate pays for the largest request. Stand-in clients no longer offer one request a second whatever their rate. Tests: what was given up comes back, forty hosts take turns at a limit that holds one request; both on drawn fleets.

--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -181,10 +181,10 @@
         self.events.push_back(Event::List(kind, entries));
     }
 
-    /// This host's part of a volume's limit from now on: that of one host among `hosts` until a moment, then of one
-    /// among `floor_hosts`.
-    pub fn part(&mut self, volume: u64, plan: u16, hosts: f64, floor_hosts: f64, until_ms: f64) {
-        self.events.push_back(Event::Part { volume, plan, hosts, floor_hosts, until_ms });
+    /// This host's part of a volume's limit from now on, as [`Event::Part`] has it.
+    pub fn part(&mut self, part: Event) {
+        debug_assert!(matches!(part, Event::Part { .. }));
+        self.events.push_back(part);
     }
 
     /// An attempt ended at `at` on the caller's clock. True: the request was open and this served it; the client is
--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -17,8 +17,10 @@
     pub budget: Budget,
     /// What they asked for of late, as a part of the whole.
     pub asked: Part,
-    /// The least part that holds the largest request.
+    /// The least part that a request can come of.
     pub least: Part,
+    /// How long that has to be had for it.
+    pub turn: Duration,
 }
 
 /// What a host may use of a budget from now on.
@@ -77,7 +79,9 @@
             if Instant::now() >= next {
                 next = Instant::now() + pause;
                 let demand = self.user.demand();
-                demand.iter().for_each(|d| holder.want(&d.budget, d.asked, d.least));
+                demand.iter().for_each(|d| {
+                    holder.want(&d.budget, d.asked, d.least, d.turn.as_millis().min(60_000) as u32)
+                });
                 if holder.asks() && !voters.is_empty() {
                     silent += 1;
                     if silent > SILENT {
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -22,7 +22,7 @@
 impl User for Clients {
     fn demand(&mut self) -> Vec<Demand> {
         let asked = Part::of(*self.asked.lock().unwrap());
-        vec![Demand { budget: archive(), asked, least: Part::of(0.01) }]
+        vec![Demand { budget: archive(), asked, least: Part::of(0.01), turn: Duration::ZERO }]
     }
 
     fn apply(&mut self, portions: &[Portion]) -> bool {
--- a/crates/host/src/dispatcher.rs
+++ b/crates/host/src/dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::settings::{HostPlan, Matching};
 use crate::volumes::{Part, VolumeId};
 use hdrhistogram::Histogram;
-use pearfork::{ListKind, NodeEntry, Reason, Request, Verdict};
+use pearfork::{Event, ListKind, NodeEntry, Reason, Request, Verdict};
 pub use pearfork_drive::AttemptId;
 use pearfork_drive::{Driver, Step, Told};
 use pearfork_iscsi::ext::{RepeatKey, Report, Tag};
@@ -136,8 +136,10 @@
     pub volume: VolumeId,
     /// For good.
     pub floor: f64,
-    /// On top of it, until `until_ms`.
+    /// Of the rate, on top of it, until `until_ms`.
     pub lent: f64,
+    /// The same of what may be stored.
+    pub lent_burst: f64,
     /// On the dispatcher's clock.
     pub until_ms: f64,
 }
@@ -262,9 +264,16 @@
     fn lend(&mut self, p: LentPart) {
         let Some(volume) = self.plan.volumes.get(p.volume.0 as usize) else { return };
         let hosts = |part: f64| if part > 0.0 { 1.0 / part } else { f64::INFINITY };
-        let (now, then) = (hosts(p.floor + p.lent), hosts(p.floor));
-        self.driver.part(u64::from(p.volume.0), volume.plan, now, then, p.until_ms);
-        self.lent_until.insert(p.volume, if p.lent > 0.0 { p.until_ms } else { f64::INFINITY });
+        self.driver.part(Event::Part {
+            volume: u64::from(p.volume.0),
+            plan: volume.plan,
+            hosts: hosts(p.floor + p.lent),
+            burst_hosts: hosts(p.floor + p.lent_burst),
+            floor_hosts: hosts(p.floor),
+            until_ms: p.until_ms,
+        });
+        let lent = p.lent > 0.0 || p.lent_burst > 0.0;
+        self.lent_until.insert(p.volume, if lent { p.until_ms } else { f64::INFINITY });
     }
 
     /// When something is due next.
--- a/crates/host/src/fleet.rs
+++ b/crates/host/src/fleet.rs
@@ -18,8 +18,14 @@
 #[derive(Clone, Debug)]
 struct Line {
     volume: VolumeId,
-    budget: Budget,
-    least: Part,
+    rate: Budget,
+    burst: Budget,
+    /// The part of the rate that pays for a usual request within a second.
+    least_rate: Part,
+    /// The part of the burst that holds the largest request.
+    least_burst: Part,
+    /// How long the whole rate pays for the largest request.
+    turn: Duration,
     meter: Meter,
     seen: u64,
 }
@@ -40,9 +46,12 @@
             let p = &plan.module.plans[usize::from(v.plan)];
             (p.limit > 0.0).then(|| Line {
                 volume: v.id,
-                budget: Budget::new(Kind::Limit, &v.name),
-                // Less than holds the largest request would leave that one waiting for ever.
-                least: Part::of(largest / p.burst.max(1e-9)),
+                rate: Budget::new(Kind::Limit, &v.name),
+                burst: Budget::new(Kind::Burst, &v.name),
+                // Less than that would leave a request waiting past its aim, and a host that has few waiting for ever.
+                least_rate: Part::of(plan.module.mean_units / p.limit),
+                least_burst: Part::of(largest / p.burst.max(1e-9)),
+                turn: Duration::from_secs_f64((1.25 * largest / p.limit).min(60.0)),
                 meter: Meter::new(p.limit, largest),
                 seen: 0,
             })
@@ -53,7 +62,8 @@
     /// What a host has before it hears from anybody.
     pub(crate) fn floors(&self) -> Vec<LentPart> {
         let floor = self.floor.fraction();
-        let part = |l: &Line| LentPart { volume: l.volume, floor, lent: 0.0, until_ms: f64::NEG_INFINITY };
+        let until_ms = f64::NEG_INFINITY;
+        let part = |l: &Line| LentPart { volume: l.volume, floor, lent: 0.0, lent_burst: 0.0, until_ms };
         self.lines.iter().map(part).collect()
     }
 
@@ -77,22 +87,29 @@
             let total = asked.get(l.volume.0 as usize).map_or(0, |a| a.load(Ordering::Relaxed));
             let units = total.wrapping_sub(l.seen) as f64 / 1_000.0;
             l.seen = total;
-            Demand { budget: l.budget.clone(), asked: l.meter.count(now, units), least: l.least }
+            let asked = l.meter.count(now, units);
+            [
+                Demand { budget: l.rate.clone(), asked, least: l.least_rate, turn: l.turn },
+                Demand { budget: l.burst.clone(), asked, least: l.least_burst, turn: l.turn },
+            ]
         };
-        self.limits.lines.iter_mut().map(demand).collect()
+        self.limits.lines.iter_mut().flat_map(demand).collect()
     }
 
     fn apply(&mut self, portions: &[Portion]) -> bool {
-        let part = |p: &Portion| {
-            let line = self.limits.lines.iter().find(|l| l.budget == p.budget)?;
+        let of = |budget: &Budget| portions.iter().find(|p| p.budget == *budget);
+        let part = |l: &Line| {
+            let (rate, burst) = (of(&l.rate)?, of(&l.burst)?);
             Some(LentPart {
-                volume: line.volume,
-                floor: p.floor.fraction(),
-                lent: p.lent.fraction(),
-                until_ms: self.clock.ms_at(p.until),
+                volume: l.volume,
+                floor: rate.floor.fraction(),
+                lent: rate.lent.fraction(),
+                lent_burst: burst.lent.fraction(),
+                // Both are of one lease.
+                until_ms: self.clock.ms_at(rate.until.min(burst.until)),
             })
         };
-        let parts: Vec<LentPart> = portions.iter().filter_map(part).collect();
+        let parts: Vec<LentPart> = self.limits.lines.iter().filter_map(part).collect();
         let (done, applied) = bounded(1);
         // A full queue is no reason to wait: the old parts go on until their time.
         self.engine.try_send(Message::Lent(parts, done)).is_ok() && applied.recv_timeout(APPLY_WITHIN).is_ok()
--- a/crates/ledger/src/divide.rs
+++ b/crates/ledger/src/divide.rs
@@ -11,6 +11,8 @@
     pub demand: Part,
     /// The least part that holds its largest request: less is of no use to it.
     pub least: Part,
+    /// How long it has to have its least part for a request to come of it, milliseconds.
+    pub turn_ms: f64,
     /// What it has now.
     pub held: Part,
     /// Since when it has had some, or has been waiting for some, milliseconds.
@@ -21,10 +23,10 @@
 const RESERVE: f64 = 0.01;
 /// Demand is met with so much to spare: what comes next is seldom less than what came.
 const AHEAD: f64 = 1.25;
-/// Where not all can have what holds a request, those who have it keep it for so long, milliseconds.
+/// Where not all can have what holds a request, those who have it keep it for so long at the least, milliseconds.
 const TURN_MS: f64 = 1_000.0;
-/// Parts that differ by less than this part of the whole, or this part of themselves, stay as they are.
-const STEADY: (f64, f64) = (0.002, 0.1);
+/// A part is not raised by less than this part of the whole, nor lowered by less than this part of itself.
+const STEADY: (f64, f64) = (0.005, 0.1);
 
 /// Targets in the order of the claims. They add up to no more than `lendable`; a claim without demand gets nothing.
 ///
@@ -43,7 +45,7 @@
         // Those in their turn go first, then those who have waited longest.
         let order = |i: &usize| {
             let c = &claims[*i];
-            let in_turn = c.held >= least(*i) && now - c.since_ms < TURN_MS;
+            let in_turn = c.held >= least(*i) && now - c.since_ms < c.turn_ms.max(TURN_MS);
             let fresh = c.held > Part::NONE;
             (!in_turn, !in_turn && fresh, c.since_ms)
         };
@@ -93,7 +95,11 @@
     let mut all: Part = targets.iter().copied().sum();
     for (claim, target) in claims.iter().zip(targets.iter_mut()) {
         let apart = claim.held.0.abs_diff(target.0) as f64;
-        let little = (STEADY.0 * whole.0 as f64).max(STEADY.1 * target.0 as f64);
+        // What is left idle for steadiness is lost; what is left with its holder is not.
+        let little = match *target > claim.held {
+            true => STEADY.0 * whole.0 as f64,
+            false => STEADY.1 * target.0 as f64,
+        };
         let kept = all.minus(*target).plus(claim.held);
         let useful = claim.held >= claim.least.min(whole);
         if *target > Part::NONE && useful && apart < little && kept <= whole {
@@ -110,7 +116,7 @@
 
     fn claim(who: u64, demand: f64, least: f64) -> Claim {
         let (demand, least) = (Part::of(demand), Part::of(least));
-        Claim { who: Incarnation(who), demand, least, held: Part::NONE, since_ms: who as f64 }
+        Claim { who: Incarnation(who), demand, least, turn_ms: 0.0, held: Part::NONE, since_ms: who as f64 }
     }
 
     fn fractions(claims: &[Claim]) -> Vec<f64> {
--- a/crates/ledger/src/holder.rs
+++ b/crates/ledger/src/holder.rs
@@ -19,6 +19,7 @@
 struct Line {
     demand: Part,
     least: Part,
+    turn_ms: u32,
     /// What it may use by the last grant, and what it came down to since.
     part: Part,
     at: u64,
@@ -80,10 +81,11 @@
         HolderState { incarnation: self.incarnation, until_ms: self.until, superseded: self.superseded }
     }
 
-    /// What is asked of a budget by this host's clients: as a part of the whole, and the least part that is of use.
-    pub fn want(&mut self, budget: &Budget, demand: Part, least: Part) {
+    /// What is asked of a budget by this host's clients: as a part of the whole, the least part that is of use, and for
+    /// how long it has to be had for that, milliseconds.
+    pub fn want(&mut self, budget: &Budget, demand: Part, least: Part, turn_ms: u32) {
         let line = self.lines.entry(budget.clone()).or_default();
-        (line.demand, line.least) = (demand, least);
+        (line.demand, line.least, line.turn_ms) = (demand, least, turn_ms);
     }
 
     /// What may be used of a budget beyond the floor, and until when.
@@ -141,7 +143,7 @@
         let want = |(budget, l): (&Budget, &Line)| {
             // What was confirmed under the present version, or nothing said: under version 0 the book has nothing.
             let (using, at) = l.confirmed.filter(|c| c.1 == l.at).unwrap_or((l.part, 0));
-            Want { budget: budget.clone(), demand: l.demand, least: l.least, using, at }
+            Want { budget: budget.clone(), demand: l.demand, least: l.least, turn_ms: l.turn_ms, using, at }
         };
         Ask {
             host: self.host,
--- a/crates/ledger/src/lender.rs
+++ b/crates/ledger/src/lender.rs
@@ -140,18 +140,12 @@
             }
             let since_ms = *account.since.entry(budget.clone()).or_insert(now);
             let (demand, least) = want.map_or((Part::NONE, Part::NONE), |w| (w.demand, w.least));
-            claims.push(Claim { who: *who, demand, least, held, since_ms });
+            let turn_ms = want.map_or(0.0, |w| f64::from(w.turn_ms));
+            claims.push(Claim { who: *who, demand, least, turn_ms, held, since_ms });
         }
         let targets = divide(book.lendable(), &claims, now);
+        let mut raised = BTreeSet::new();
         let mut free = book.lendable().minus(book.lent(budget));
-        for (claim, target) in claims.iter().zip(&targets) {
-            let (lent, using) = (book.held(claim.who, budget), self.using(claim.who, budget, book));
-            let down = using.max(*target);
-            if down < lent.part {
-                changes.push(lend(claim.who, budget, down, lent.at));
-                self.note_turn(now, claim, budget, down);
-            }
-        }
         // Those who lack most in proportion come first; what others still hold follows when they have come down.
         let lacks = |i: &usize| claims[*i].held.0 as f64 / targets[*i].0.max(1) as f64;
         let mut up: Vec<usize> = (0..claims.len()).filter(|i| targets[*i] > claims[*i].held).collect();
@@ -164,6 +158,17 @@
                 free = free.minus(part.minus(lent.part));
                 changes.push(lend(claim.who, budget, part, lent.at));
                 self.note_turn(now, claim, budget, part);
+                raised.insert(claim.who);
+            }
+        }
+        for (claim, target) in claims.iter().zip(&targets).filter(|(c, _)| !raised.contains(&c.who)) {
+            let (lent, using) = (book.held(claim.who, budget), self.using(claim.who, budget, book));
+            // What it came down from may be of use to it again by now. Under the version that it has it can't go up; a
+            // line of a new version, with no more in it than before, lets it.
+            let part = using.max(*target).min(lent.part);
+            if using < lent.part {
+                changes.push(lend(claim.who, budget, part, lent.at));
+                self.note_turn(now, claim, budget, part);
             }
         }
         self.targets.insert(budget.clone(), claims.iter().map(|c| c.who).zip(targets).collect());
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -45,6 +45,9 @@
     pub demand: Part,
     /// The least part that is of use: what holds its largest request.
     pub least: Part,
+    /// How long it has to have that for a request to come of it, milliseconds.
+    #[serde(default)]
+    pub turn_ms: u32,
     /// It uses no more than this, on top of its floor, until a grant of a later version lets it.
     pub using: Part,
     /// Version of the grant that `using` is under; 0 where it never had one.
--- a/crates/ledger/src/part.rs
+++ b/crates/ledger/src/part.rs
@@ -60,8 +60,11 @@
 /// What kind of whole a budget is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
-    /// Rate and stored burst of a volume with a limit (rule 7).
+    /// Rate of a volume with a limit (rule 7).
     Limit,
+    /// What such a volume's store holds (rule 7). Apart from the rate: a host that asks now and then needs room for its
+    /// largest request, and hardly any of the rate.
+    Burst,
     /// Units that a cold node bears from all hosts (rule 4).
     Cold,
     /// Further attempts of all hosts (rule 6).
@@ -72,12 +75,13 @@
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Kind; 4] = [Kind::Limit, Kind::Cold, Kind::Retry, Kind::Connections];
+    pub const ALL: [Kind; 5] = [Kind::Limit, Kind::Burst, Kind::Cold, Kind::Retry, Kind::Connections];
 
     /// The word with which names of its budgets begin.
     pub fn word(self) -> &'static str {
         match self {
             Kind::Limit => "limit",
+            Kind::Burst => "burst",
             Kind::Cold => "cold",
             Kind::Retry => "retry",
             Kind::Connections => "connections",
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -293,11 +293,11 @@
 fn moved() -> Fleet {
     let mut fleet = Fleet::new();
     fleet.calm(6);
-    fleet.holders[0].want(&budget(), Part::of(1.0), Part::of(0.01));
+    fleet.holders[0].want(&budget(), Part::of(1.0), Part::of(0.01), 0);
     fleet.calm(6);
     assert!(fleet.in_use() > Part::of(0.7), "the search begins with a lease: {}", fleet.in_use());
-    fleet.holders[0].want(&budget(), Part::NONE, Part::of(0.01));
-    fleet.holders[1].want(&budget(), Part::of(1.0), Part::of(0.01));
+    fleet.holders[0].want(&budget(), Part::NONE, Part::of(0.01), 0);
+    fleet.holders[1].want(&budget(), Part::of(1.0), Part::of(0.01), 0);
     fleet
 }
 
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -81,6 +81,8 @@
     leader: usize,
     silent: u32,
     pub demand: BTreeMap<Budget, f64>,
+    /// The least part that is of use to it.
+    pub least: f64,
 }
 
 struct Seat {
@@ -220,6 +222,7 @@
             leader: host % self.seats.len(),
             silent: 0,
             demand: BTreeMap::new(),
+            least: 0.001,
         };
         self.processes.insert(id, process);
         self.at(self.now, What::HolderDue { process: id });
@@ -358,7 +361,7 @@
         }
         let (host, to) = (p.host, p.leader);
         for (budget, demand) in &p.demand {
-            p.holder.want(budget, Part::of(*demand), Part::of(0.001));
+            p.holder.want(budget, Part::of(*demand), Part::of(p.least), 0);
         }
         p.silent += 1;
         if p.silent > 2 {
--- a/crates/ledger/tests/simulated.rs
+++ b/crates/ledger/tests/simulated.rs
@@ -2,7 +2,7 @@
 
 mod sim;
 
-use pearfork_ledger::Part;
+use pearfork_ledger::{Budget, Kind, Part};
 use sim::{archive, Draw, World, BAD};
 
 /// A share that counts as all there is: the reserve and what is not worth a change stay behind.
@@ -150,6 +150,45 @@
     }
 }
 
+/// Told down for another, and confirmed; then the other's clients are gone. Under the version that it has it can't go up.
+#[test]
+fn what_was_given_up_for_another_comes_back_when_that_one_is_gone() {
+    let (mut world, processes) = fleet(31, 8, 3);
+    world.want(processes[5], &archive(), 1.5);
+    world.run(3_000.0);
+    for pause in [40.0, 90.0, 150.0, 250.0, 400.0, 700.0] {
+        world.want(processes[6], &archive(), 0.3);
+        world.run(pause);
+        world.want(processes[6], &archive(), 0.0);
+        world.run(1_500.0);
+        let has = world.usable(processes[5], &archive()).fraction();
+        assert!(has > 0.95, "after {pause} ms it is left with {has}");
+    }
+}
+
+/// A limit of a unit a second, a request of two thirds of its store: each of forty hosts has its turn, and in it both
+/// the rate and the room.
+#[test]
+fn forty_hosts_take_turns_at_a_limit_that_holds_one_request() {
+    let (mut world, processes) = fleet(29, 40, 3);
+    let room = Budget::new(Kind::Burst, "archive");
+    for p in &processes {
+        world.want(*p, &archive(), 0.5);
+        world.want(*p, &room, 0.5);
+        world.processes.get_mut(p).unwrap().least = 0.66;
+    }
+    let mut had: std::collections::BTreeSet<u64> = std::collections::BTreeSet::new();
+    for _ in 0..1_200 {
+        world.run(100.0);
+        had.extend(
+            processes
+                .iter()
+                .filter(|p| [archive(), room.clone()].iter().all(|b| world.usable(**p, b).fraction() > 0.6)),
+        );
+    }
+    assert_eq!(had.len(), 40, "those who never had both starve");
+}
+
 /// One drawn bad stretch; the invariant is asked at every step.
 fn drawn(seed: u64) -> World {
     let mut draw = Draw(seed.wrapping_mul(77) | 1);
--- a/crates/stand/src/client.rs
+++ b/crates/stand/src/client.rs
@@ -229,8 +229,12 @@
             due.into_iter().for_each(|ask| self.send(&connection, ask));
             while next <= Instant::now() {
                 let surge = self.surge.load(Ordering::SeqCst) as f64 / 1_000.0;
-                let gap = -(1.0 - draw(&mut draws)).ln() / (self.spec.rate * surge).max(0.01);
+                let gap = -(1.0 - draw(&mut draws)).ln() / (self.spec.rate * surge).max(0.001);
                 next += Duration::from_secs_f64(gap.min(1.0));
+                // A surge is seen within a second: a longer gap is drawn anew then, which changes nothing in its length.
+                if gap > 1.0 {
+                    continue;
+                }
                 if let Some(ask) = self.draw_ask(&mut draws) {
                     self.send(&connection, ask);
                     if draw(&mut draws) < self.spec.aborts {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -369,18 +369,20 @@
         /// The request.
         id: u32,
     },
-    /// From now on this host's part of a volume's limit is this one, whatever requests say of its hosts. Parts of all
-    /// hosts together must never exceed the whole.
+    /// From now on this host's parts of a volume's limit are these, whatever requests say of its hosts. Parts of all
+    /// hosts together must never exceed the whole, neither of the rate nor of what may be stored.
     Part {
         /// The volume.
         volume: u64,
         /// Its plan, by position.
         plan: u16,
-        /// Its part is that of one host among so many; infinite for none.
+        /// Its part of the rate is that of one host among so many; infinite for none.
         hosts: f64,
-        /// The same from `until_ms` on.
+        /// The same of what may be stored.
+        burst_hosts: f64,
+        /// The same of both from `until_ms` on.
         floor_hosts: f64,
-        /// Until when `hosts` holds.
+        /// Until when `hosts` and `burst_hosts` hold.
         until_ms: f64,
     },
     /// Another host sent a message.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -244,8 +244,8 @@
                     }
                 }
             }
-            Event::Part { volume, plan, hosts, floor_hosts, until_ms } => {
-                let share = Share { hosts, floor_hosts, until_ms, used: LENT_PART };
+            Event::Part { volume, plan, hosts, burst_hosts, floor_hosts, until_ms } => {
+                let share = Share { hosts, burst_hosts, floor_hosts, until_ms, used: LENT_PART };
                 let (v, plan) = (self.books.volumes.get_mut(&volume), self.settings.plans.get(plan as usize));
                 // Guard, limits: what a part stored is kept only as far as the new part's bucket holds it.
                 if let (Some(v), Some(p), Some(old)) = (v, plan, self.books.lent.insert(volume, share)) {
@@ -345,7 +345,7 @@
         match self.books.volumes.get(&r.q.volume) {
             Some(v) if plan.limit > 0.0 => {
                 let short = (v.owed - v.filled(now, plan, share)).max(0.0);
-                1_000.0 * short * share.hosts_at(now) / (share.used * plan.limit)
+                1_000.0 * short * share.hosts_at(now).0 / (share.used * plan.limit)
             }
             _ => 0.0,
         }
@@ -1042,8 +1042,8 @@
     /// Guard, limits: this host's part of the volume's token bucket. Danger: what was lent ends at its time,
     /// wherever the host stood still then; what it stored goes with it.
     fn filled(&self, now: f64, plan: &Plan, share: Share) -> f64 {
-        share.stretches(self.tokens_at, now).into_iter().fold(self.tokens, |tokens, (hosts, ms)| {
-            (tokens + share.used * plan.limit / hosts * ms / 1_000.0).min(plan.burst / hosts)
+        share.stretches(self.tokens_at, now).into_iter().fold(self.tokens, |tokens, (hosts, burst, ms)| {
+            (tokens + share.used * plan.limit / hosts * ms / 1_000.0).min(plan.burst / burst)
         })
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -210,10 +210,12 @@
     pub(crate) may_have_run: Option<(f64, u16, u16)>,
 }
 
-/// This host's part of a volume's limit: over how many hosts it would be an even one, up to a moment and after it.
+/// This host's part of a volume's limit: over how many hosts it would be an even one, up to a moment and after it; of
+/// the rate, and of what may be stored.
 #[derive(Clone, Copy)]
 pub(crate) struct Share {
     pub(crate) hosts: f64,
+    pub(crate) burst_hosts: f64,
     pub(crate) floor_hosts: f64,
     pub(crate) until_ms: f64,
     /// What of it is used; the rest covers clocks and rounding.
@@ -222,21 +224,23 @@
 
 impl Share {
     pub(crate) fn for_good(hosts: f64, used: f64) -> Self {
-        Share { hosts, floor_hosts: hosts, until_ms: f64::INFINITY, used }
+        Share { hosts, burst_hosts: hosts, floor_hosts: hosts, until_ms: f64::INFINITY, used }
     }
 
-    pub(crate) fn hosts_at(&self, now: f64) -> f64 {
+    /// Hosts for the rate, and for what may be stored.
+    pub(crate) fn hosts_at(&self, now: f64) -> (f64, f64) {
         if now < self.until_ms {
-            self.hosts
+            (self.hosts, self.burst_hosts)
         } else {
-            self.floor_hosts
+            (self.floor_hosts, self.floor_hosts)
         }
     }
 
-    /// The time between two moments as it lies before and after the change: hosts, milliseconds.
-    pub(crate) fn stretches(&self, from: f64, to: f64) -> [(f64, f64); 2] {
+    /// The time between two moments as it lies before and after the change: hosts, hosts, milliseconds.
+    pub(crate) fn stretches(&self, from: f64, to: f64) -> [(f64, f64, f64); 2] {
         let over = self.until_ms.max(from);
-        [(self.hosts_at(from), (to.min(over) - from).max(0.0)), (self.hosts_at(to), (to - over).max(0.0))]
+        let (before, after) = (self.hosts_at(from), self.hosts_at(to));
+        [(before.0, before.1, (to.min(over) - from).max(0.0)), (after.0, after.1, (to - over).max(0.0))]
     }
 }
 
--- a/tests/parts.rs
+++ b/tests/parts.rs
@@ -15,7 +15,8 @@
 
 fn part(part: f64, floor: f64, until_ms: f64) -> Event {
     let hosts = |p: f64| if p > 0.0 { 1.0 / p } else { f64::INFINITY };
-    Event::Part { volume: 1, plan: 0, hosts: hosts(part), floor_hosts: hosts(floor), until_ms }
+    let (of_rate, floor_hosts) = (hosts(part), hosts(floor));
+    Event::Part { volume: 1, plan: 0, hosts: of_rate, burst_hosts: of_rate, floor_hosts, until_ms }
 }
 
 /// Requests at a steady pace, each answered at once; units sent.
