--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -393,7 +393,9 @@
         if let Err(e) = module.check() {
             self.fault("module", e.to_string());
         }
-        for refusal in pearfork_terms::check(&module, &class_names) {
+        // Hosts that divide a limit have no even parts of it, and a check of their own.
+        let even = |r: &pearfork_terms::Refusal| file.fleet.is_none() || r.key != "burst";
+        for refusal in pearfork_terms::check(&module, &class_names).into_iter().filter(even) {
             let entry = match refusal.entry {
                 pearfork_terms::Entry::Class(i) if i < file.class.len() => {
                     format!("class `{}`", class_names[i])
--- a/crates/host/src/settings/fleet.rs
+++ b/crates/host/src/settings/fleet.rs
@@ -50,6 +50,11 @@
                     p.burst, f.floors, file.rules.max_units
                 );
                 self.fault(format!("plan `{}`", p.name), what);
+            } else if f.floors > 0.0 && p.burst * f.floors / f64::from(file.host.hosts.max(1)) < 1.0 {
+                self.warnings.push(format!(
+                    "plan `{}`: a host's floor of the burst is under one unit; while no voter leads nothing of it goes",
+                    p.name
+                ));
             }
         }
         (self.faults.len() == before).then(|| FleetPlan {
