--- a/crates/day/src/expect.rs
+++ b/crates/day/src/expect.rs
@@ -39,7 +39,8 @@
         let units: f64 =
             first.values().filter(|(us, v, _)| *v == id && within.contains(us)).map(|(.., u)| u).sum();
         let span_s = (e.to.ms() - e.from.ms()).max(1.0) / 1_000.0;
-        let came = units / span_s / limit.max(1e-9);
+        // A sum of nothing is -0.0.
+        let came = (units / span_s / limit.max(1e-9)).max(0.0);
         let wanted = (e.at_least, e.at_most.unwrap_or(f64::INFINITY));
         Expected {
             volume: e.volume.clone(),
--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::hub::{Asker, ForHolder, ForVoter, HubHandle, Order};
 use crate::plan::FleetPlan;
-use crate::state::{fraction, HeldLine, HolderView, Shared};
+use crate::state::{HeldLine, HolderView, Shared};
 use crate::time::LeaseClock;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use pearfork_ledger::{Answer, Budget, Holder, HostNumber, Message, Part, Refusal, Said};
@@ -182,12 +182,12 @@
 
     fn show(&self, holder: &Holder, demand: &[Demand], asks: Option<&HostNumber>, asked: u64, answered: u64) {
         let (state, now) = (holder.state(), self.clock.now_ms());
-        let floor = if state.superseded { 0.0 } else { fraction(self.plan.floor()) };
+        let floor = if state.superseded { 0.0 } else { self.plan.floor().fraction() };
         let line = |d: &Demand| HeldLine {
             budget: d.budget.to_string(),
             floor,
-            lent: if now < state.until_ms { fraction(holder.held(&d.budget).part) } else { 0.0 },
-            demand: fraction(d.asked),
+            lent: if now < state.until_ms { holder.held(&d.budget).part.fraction() } else { 0.0 },
+            demand: d.asked.fraction(),
         };
         self.shared.holder(HolderView {
             incarnation: state.incarnation.map(|i| i.0),
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::hub::{Asker, LinkState};
 use crate::plan::FleetPlan;
-use pearfork_ledger::{HostNumber, Part, Voter};
+use pearfork_ledger::{HostNumber, Voter};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -185,8 +185,3 @@
         self.lock().links = links;
     }
 }
-
-/// A part of the whole, for a line.
-pub(crate) fn fraction(part: Part) -> f64 {
-    part.fraction()
-}
