The ledger turns away the ask that was refused, and answers once after leading

Read over: a refused ask was looked up by its process alone, so that an earlier ask of the same process could be dropped in its place and lose its answer (a lease was never given by it); it is found by its number now. lead() answered what was confirmed, which its only caller does right after it; and answers of refusal were put together in two places beside refuse().

--- a/crates/ledger/src/voter.rs
+++ b/crates/ledger/src/voter.rs
@@ -227,13 +227,13 @@
             match admit(&self.book, &p.ask, found) {
                 Admitted::Yes(who) => {
                     if !l.lender.ask(now, who, &p.ask) {
-                        refused.push((p.ask.nonce, None));
+                        refused.push((p.ask.nonce, p.ask.seq, None));
                     }
                 }
                 Admitted::Join => {
                     joins.push(Change::Join { host: p.ask.host, nonce: p.ask.nonce });
                 }
-                Admitted::No(refusal) => refused.push((p.ask.nonce, Some(refusal))),
+                Admitted::No(refusal) => refused.push((p.ask.nonce, p.ask.seq, Some(refusal))),
             }
         }
         let mut changes = joins;
@@ -246,18 +246,17 @@
         let beat = self.raft.beat(now);
         let fresh = l.pending.iter_mut().filter(|p| p.beat == u64::MAX);
         fresh.for_each(|p| (p.beat, p.index) = (beat, if proposes { l.proposed } else { 0 }));
-        for (nonce, refusal) in refused {
-            if let Some(at) = l.pending.iter().position(|p| p.ask.nonce == nonce) {
-                let p = l.pending.swap_remove(at);
-                if let Some(refusal) = refusal {
-                    let said = Said::Refused(refusal);
-                    self.answers.push((p.token, Answer { nonce, seq: p.ask.seq, said }));
-                }
+        let mut turned_away = Vec::new();
+        for (nonce, seq, refusal) in refused {
+            // Danger: a process may have several asks here; the one that was refused goes, and no other.
+            if let Some(at) = l.pending.iter().position(|p| (p.ask.nonce, p.ask.seq) == (nonce, seq)) {
+                turned_away.push((l.pending.swap_remove(at), refusal));
             }
         }
-        if self.raft.confirmed() >= beat {
-            // A voter alone needs nobody's word.
-            self.answer_confirmed(now);
+        for (p, refusal) in turned_away {
+            if let Some(refusal) = refusal {
+                self.refuse(p.token, &p.ask, refusal);
+            }
         }
     }
 
