--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -14,6 +14,23 @@
 pub use judge::{judge, judge_notes, JudgeError, Judged};
 pub use play::{play, DayError, DayResult, During};
 
+use pearfork_cli::SettingsArguments;
+use pearfork_host::settings::HostPlan;
+use std::path::Path;
+
 /// A short bad day, and the settings of its hosts: what the demo plays.
 pub const DEMO: (&str, &str) =
     (include_str!("../days/bad-day.toml"), include_str!("../days/bad-day-hosts.toml"));
+
+/// A day's text and the plan of its hosts, as a command line names them. What the operator is to be told of the settings goes
+/// to standard error.
+///
+/// # Errors
+/// A file that can't be read, or settings that are refused, in words.
+pub fn asked(day: &Path, settings: &SettingsArguments) -> Result<(String, HostPlan), String> {
+    let text = std::fs::read_to_string(day).map_err(|e| format!("{}: {e}", day.display()))?;
+    let plan = HostPlan::load_with(&settings.config, &settings.over())
+        .map_err(|e| format!("the settings are refused\n{e}"))?;
+    plan.warnings.iter().for_each(|w| eprintln!("{w}"));
+    Ok((text, plan))
+}
--- a/crates/day/src/main.rs
+++ b/crates/day/src/main.rs
@@ -5,7 +5,7 @@
 use pearfork_day::crew::InProcess;
 use pearfork_day::script::Day;
 use pearfork_day::summary::Summary;
-use pearfork_day::{play, DEMO};
+use pearfork_day::{asked, play, DEMO};
 use pearfork_host::settings::HostPlan;
 use serde::Serialize;
 use std::path::{Path, PathBuf};
@@ -61,22 +61,16 @@
 
 fn work(arguments: Arguments) -> Result<Exit, String> {
     match &arguments.command {
-        Command::Play { day, settings, record } => asked(day, settings)
-            .and_then(|(name, text, plan)| run(&name, &text, &plan, record.as_deref(), &arguments.common)),
+        Command::Play { day, settings, record } => {
+            let (text, plan) = asked(day, settings)?;
+            run(&day.display().to_string(), &text, &plan, record.as_deref(), &arguments.common)
+        }
         Command::Demo { record } => HostPlan::from_toml(DEMO.1)
             .map_err(|e| format!("settings:\n{e}"))
             .and_then(|plan| run("demo", DEMO.0, &plan, record.as_deref(), &arguments.common)),
     }
 }
 
-fn asked(day: &Path, settings: &SettingsArguments) -> Result<(String, String, HostPlan), String> {
-    let text = std::fs::read_to_string(day).map_err(|e| format!("{}: {e}", day.display()))?;
-    let plan = HostPlan::load_with(&settings.config, &settings.over())
-        .map_err(|e| format!("the settings are refused\n{e}"))?;
-    plan.warnings.iter().for_each(|w| eprintln!("{w}"));
-    Ok((day.display().to_string(), text, plan))
-}
-
 fn run(
     name: &str,
     day: &str,
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -2,14 +2,14 @@
 
 use clap::{Parser, Subcommand};
 use pearfork_cli::{Common, Exit, SettingsArguments};
-use pearfork_day::play;
 use pearfork_day::script::Day;
 use pearfork_day::summary::Summary;
+use pearfork_day::{asked, play};
 use pearfork_host::settings::HostPlan;
 use pearfork_trial::{draw, shrink, Processes, Program};
 use serde::Serialize;
 use std::collections::BTreeMap;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -95,9 +95,10 @@
 fn work(a: Arguments) -> Result<Exit, String> {
     match &a.command {
         Command::Play { day, settings } => {
-            let (text, plan, settings) = asked(day, settings)?;
+            let (text, plan) = asked(day, settings)?;
+            let settings = plan.provenance.resolved();
             let script = Day::from_toml(&text).map_err(|e| format!("{}: {e}", day.display()))?;
-            let right = one(&a, &day.display().to_string(), &script, &plan, &settings, true)?;
+            let right = one(&a, &day.display().to_string(), &script, &plan, settings, true)?;
             Ok(if right { Exit::Fine } else { Exit::No })
         }
         Command::Demo => {
@@ -107,7 +108,8 @@
             Ok(if right { Exit::Fine } else { Exit::No })
         }
         Command::Search { day, settings, seed, plays, troubles } => {
-            let (text, plan, settings) = asked(day, settings)?;
+            let (text, plan) = asked(day, settings)?;
+            let settings = plan.provenance.resolved();
             let mut script = Day::from_toml(&text).map_err(|e| format!("{}: {e}", day.display()))?;
             let voters = plan.fleet.as_ref().map_or(1, |f| f.voters.len() as u16);
             script.expect.clear();
@@ -115,7 +117,7 @@
             for seed in *seed..seed.saturating_add(*plays) {
                 script.day.seed = seed;
                 script.event = draw(seed, script.day.hosts, voters, script.day.length, *troubles);
-                if one(&a, &format!("seed {seed}"), &script, &plan, &settings, false)? {
+                if one(&a, &format!("seed {seed}"), &script, &plan, settings, false)? {
                     continue;
                 }
                 end = Exit::No;
@@ -123,7 +125,7 @@
                 let least = shrink(script.event.clone(), |events| {
                     smaller.event = events.to_vec();
                     // One that holds once may break the next time: it is left out only where it breaks without.
-                    one(&a, "smaller", &smaller, &plan, &settings, false).is_ok_and(|right| !right)
+                    one(&a, "smaller", &smaller, &plan, settings, false).is_ok_and(|right| !right)
                 });
                 let words: Vec<String> = least.iter().map(|e| format!("{e:?}")).collect();
                 a.common.output.put(&words, &format!("seed {seed} breaks by\n  {}\n", words.join("\n  ")));
@@ -133,14 +135,6 @@
     }
 }
 
-fn asked(day: &Path, settings: &SettingsArguments) -> Result<(String, HostPlan, String), String> {
-    let text = std::fs::read_to_string(day).map_err(|e| format!("{}: {e}", day.display()))?;
-    let plan = HostPlan::load_with(&settings.config, &settings.over())
-        .map_err(|e| format!("the settings are refused\n{e}"))?;
-    let resolved = plan.provenance.resolved().to_owned();
-    Ok((text, plan, resolved))
-}
-
 fn one(
     a: &Arguments,
     name: &str,
