--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,14 +7,14 @@
 mod clock;
 mod connection;
 pub mod http;
-mod outbox;
 mod poll;
 mod portal;
 mod stream;
+mod write_buffer;
 
 pub use clock::Clock;
 pub use connection::{ConnectError, Connection, ConnectionEvent, Token};
-pub use outbox::{long_queue, shut_listener, Flusher, Outbox, Waiting};
 pub use poll::{begin_connect, Poller, Ready, Want};
 pub use portal::{Portal, PortalConfig, Service, Session, SessionId};
 pub use stream::{lock, spawn_small, Direction, Tap, TapRef};
+pub use write_buffer::{long_queue, shut_listener, Flusher, Waiting, WriteBuffer};
--- a/crates/net/src/outbox.rs
+++ b/crates/net/src/write_buffer.rs
@@ -30,16 +30,16 @@
 }
 
 /// The writing side of a socket.
-pub struct Outbox {
+pub struct WriteBuffer {
     stream: TcpStream,
     kept: Mutex<VecDeque<Bytes>>,
     flusher: Flusher,
 }
 
-impl Outbox {
+impl WriteBuffer {
     /// Over a connected stream.
-    pub fn new(stream: TcpStream, flusher: &Flusher) -> Arc<Outbox> {
-        Arc::new(Outbox { stream, kept: Mutex::default(), flusher: flusher.clone() })
+    pub fn new(stream: TcpStream, flusher: &Flusher) -> Arc<WriteBuffer> {
+        Arc::new(WriteBuffer { stream, kept: Mutex::default(), flusher: flusher.clone() })
     }
 
     /// The stream, to be read by one thread.
@@ -121,7 +121,7 @@
 /// The thread that puts on what sockets did not take at once.
 #[derive(Clone)]
 pub struct Flusher {
-    late: Sender<Weak<Outbox>>,
+    late: Sender<Weak<WriteBuffer>>,
 }
 
 impl Flusher {
@@ -135,15 +135,15 @@
         Ok(Flusher { late })
     }
 
-    fn watch(&self, outbox: &Arc<Outbox>) {
-        if self.late.try_send(Arc::downgrade(outbox)).is_err() {
-            outbox.shut();
+    fn watch(&self, write_buffer: &Arc<WriteBuffer>) {
+        if self.late.try_send(Arc::downgrade(write_buffer)).is_err() {
+            write_buffer.shut();
         }
     }
 }
 
-fn flush(came: &Receiver<Weak<Outbox>>) {
-    let mut late: Vec<Weak<Outbox>> = Vec::new();
+fn flush(came: &Receiver<Weak<WriteBuffer>>) {
+    let mut late: Vec<Weak<WriteBuffer>> = Vec::new();
     loop {
         if late.is_empty() {
             match came.recv() {
@@ -157,11 +157,11 @@
             Err(RecvTimeoutError::Disconnected) => return,
         }
         late.retain(|weak| {
-            let Some(outbox) = weak.upgrade() else { return false };
-            let mut kept = lock(&outbox.kept);
-            if outbox.offer(&mut kept).is_err() {
+            let Some(write_buffer) = weak.upgrade() else { return false };
+            let mut kept = lock(&write_buffer.kept);
+            if write_buffer.offer(&mut kept).is_err() {
                 kept.clear();
-                outbox.shut();
+                write_buffer.shut();
             }
             !kept.is_empty()
         });
--- a/crates/platform/src/door.rs
+++ b/crates/platform/src/clients.rs
@@ -32,10 +32,10 @@
 }
 
 /// Names a connection.
-pub type GuestId = u64;
+pub type ClientId = u64;
 
 #[derive(Clone, Copy, Debug)]
-struct Guest {
+struct Entry {
     since: f64,
     /// When its last command was answered, or it was last heard; `None` where it has said nothing whole.
     last: Option<f64>,
@@ -55,20 +55,20 @@
 
 /// The client connections of a host.
 #[derive(Debug)]
-pub struct Door {
+pub struct ClientTable {
     room: usize,
-    guests: BTreeMap<GuestId, Guest>,
+    clients: BTreeMap<ClientId, Entry>,
 }
 
-impl Door {
+impl ClientTable {
     /// Room for so many.
-    pub fn new(room: usize) -> Door {
-        Door { room: room.max(1), guests: BTreeMap::new() }
+    pub fn new(room: usize) -> ClientTable {
+        ClientTable { room: room.max(1), clients: BTreeMap::new() }
     }
 
     /// Connections that are held.
     pub fn held(&self) -> usize {
-        self.guests.len()
+        self.clients.len()
     }
 
     /// Room for so many.
@@ -78,48 +78,48 @@
 
     /// A connection came. Where there is no room, one has to go: one that has said nothing, the longest silent first;
     /// then an idle one, the longest idle first; otherwise the newcomer itself, of which nothing was taken yet.
-    pub fn arrived(&mut self, now: f64, id: GuestId) -> Option<GuestId> {
-        self.guests.insert(id, Guest { since: now, last: None, open: 0, partial: None, faults: 0 });
-        if self.guests.len() <= self.room {
+    pub fn arrived(&mut self, now: f64, id: ClientId) -> Option<ClientId> {
+        self.clients.insert(id, Entry { since: now, last: None, open: 0, partial: None, faults: 0 });
+        if self.clients.len() <= self.room {
             return None;
         }
-        let oldest = |pick: &dyn Fn(&Guest) -> Option<f64>| {
-            let times = self.guests.iter().filter(|(other, _)| **other != id);
+        let oldest = |pick: &dyn Fn(&Entry) -> Option<f64>| {
+            let times = self.clients.iter().filter(|(other, _)| **other != id);
             let times = times.filter_map(|(other, g)| pick(g).map(|t| (t, *other)));
             times.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, other)| other)
         };
-        let silent = |g: &Guest| (g.last.is_none() && g.open == 0).then_some(g.since);
+        let silent = |g: &Entry| (g.last.is_none() && g.open == 0).then_some(g.since);
         let idle =
-            |g: &Guest| g.last.filter(|last| g.open == 0 && g.partial.is_none() && now - last >= IDLE_MS);
+            |g: &Entry| g.last.filter(|last| g.open == 0 && g.partial.is_none() && now - last >= IDLE_MS);
         let victim = oldest(&silent).or_else(|| oldest(&idle)).unwrap_or(id);
-        self.guests.remove(&victim);
+        self.clients.remove(&victim);
         Some(victim)
     }
 
     /// A whole command came. False: the connection was given up, and the command is not taken.
-    pub fn began(&mut self, now: f64, id: GuestId) -> bool {
-        let Some(g) = self.guests.get_mut(&id) else { return false };
+    pub fn began(&mut self, now: f64, id: ClientId) -> bool {
+        let Some(g) = self.clients.get_mut(&id) else { return false };
         (g.open, g.last, g.partial) = (g.open + 1, Some(now), None);
         true
     }
 
     /// One has its answer.
-    pub fn answered(&mut self, now: f64, id: GuestId) {
-        if let Some(g) = self.guests.get_mut(&id) {
+    pub fn answered(&mut self, now: f64, id: ClientId) {
+        if let Some(g) = self.clients.get_mut(&id) {
             (g.open, g.last) = (g.open.saturating_sub(1), Some(now));
         }
     }
 
     /// A command has begun and its end has not come.
-    pub fn partial(&mut self, now: f64, id: GuestId) {
-        if let Some(g) = self.guests.get_mut(&id) {
+    pub fn partial(&mut self, now: f64, id: ClientId) {
+        if let Some(g) = self.clients.get_mut(&id) {
             g.partial.get_or_insert(now);
         }
     }
 
     /// A command made no sense; the error is its answer.
-    pub fn fault(&mut self, id: GuestId) -> AfterFault {
-        let Some(g) = self.guests.get_mut(&id) else { return AfterFault::Close };
+    pub fn fault(&mut self, id: ClientId) -> AfterFault {
+        let Some(g) = self.clients.get_mut(&id) else { return AfterFault::Close };
         g.faults += 1;
         if g.faults >= FAULTS {
             return AfterFault::Close;
@@ -128,13 +128,13 @@
     }
 
     /// It is gone.
-    pub fn left(&mut self, id: GuestId) {
-        self.guests.remove(&id);
+    pub fn left(&mut self, id: ClientId) {
+        self.clients.remove(&id);
     }
 
     /// Those whose time is up.
-    pub fn overdue(&self, now: f64) -> Vec<GuestId> {
-        let over = |g: &Guest| {
+    pub fn overdue(&self, now: f64) -> Vec<ClientId> {
+        let over = |g: &Entry| {
             let silent = g.last.is_none() && now - g.since >= SILENT_MS;
             g.open == 0 && (silent || g.partial.is_some_and(|p| now - p >= PARTIAL_MS))
         };
@@ -142,11 +142,11 @@
     }
 
     /// Those with nothing open, when the host leaves.
-    pub fn idle(&self) -> Vec<GuestId> {
+    pub fn idle(&self) -> Vec<ClientId> {
         self.those(|g| g.open == 0)
     }
 
-    fn those(&self, pick: impl Fn(&Guest) -> bool) -> Vec<GuestId> {
-        self.guests.iter().filter(|(_, g)| pick(g)).map(|(id, _)| *id).collect()
+    fn those(&self, pick: impl Fn(&Entry) -> bool) -> Vec<ClientId> {
+        self.clients.iter().filter(|(_, g)| pick(g)).map(|(id, _)| *id).collect()
     }
 }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,6 @@
 //! The file that the platform starts a host with: JSON, its names the platform's.
 
-use crate::roster::{parse_value, ListFault, Listing};
+use crate::nodes::{parse_value, ListFault, Listing};
 use serde_json::Value;
 use std::net::SocketAddr;
 
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/nodes.rs
@@ -113,7 +113,7 @@
 
 /// The numbers of nodes and sites.
 #[derive(Debug, Default)]
-pub struct Roster {
+pub struct NodeTable {
     numbers: HashMap<String, Known>,
     /// Where each number is reached. Asked for each connection: a look through all names would cost more than the connection.
     dials: HashMap<u32, SocketAddr>,
@@ -130,7 +130,7 @@
     listed: bool,
 }
 
-impl Roster {
+impl NodeTable {
     /// Takes a list; what the module is told of it, and what it means for connections.
     ///
     /// Danger: nodes come under new names for ever. Names that are gone are forgotten beyond a bound, oldest first; a
--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -1,8 +1,8 @@
 //! Which client connections stay, and which connection to a node carries an attempt.
 
 use pearfork_drive::AttemptId;
+use pearfork_platform::clients::{client_room, node_room, AfterFault, ClientTable};
 use pearfork_platform::config::Links;
-use pearfork_platform::door::{client_room, node_room, AfterFault, Door};
 use pearfork_platform::pool::{Do, Pool};
 
 const LINKS: Links = Links { streams: 2, idle_ms: 30_000.0, connect_ms: 250.0 };
@@ -169,53 +169,53 @@
 /// Danger: a crowd that only connects takes the places of those that ask.
 #[test]
 fn the_longest_silent_goes_first_then_the_longest_idle_and_nobody_with_a_request() {
-    let mut door = Door::new(3);
-    assert_eq!([door.arrived(0.0, 1), door.arrived(1.0, 2), door.arrived(2.0, 3)], [None; 3]);
-    assert!(door.began(3.0, 1) && door.began(4.0, 2));
-    assert_eq!(door.arrived(5.0, 4), Some(3), "the silent one");
-    assert_eq!(door.arrived(6.0, 5), Some(4));
-    assert!(door.began(7.0, 5));
-    assert_eq!(door.arrived(8.0, 6), Some(6), "all have requests open: the newcomer");
-    door.answered(10.0, 1);
-    door.answered(11.0, 2);
-    assert_eq!(door.arrived(12.0, 7), Some(7), "idle, but not for long enough");
-    assert_eq!(door.arrived(5_000.0, 8), Some(1));
-    assert!(!door.began(5_001.0, 1), "what was given up takes no more commands");
-    assert_eq!(door.held(), 3);
+    let mut table = ClientTable::new(3);
+    assert_eq!([table.arrived(0.0, 1), table.arrived(1.0, 2), table.arrived(2.0, 3)], [None; 3]);
+    assert!(table.began(3.0, 1) && table.began(4.0, 2));
+    assert_eq!(table.arrived(5.0, 4), Some(3), "the silent one");
+    assert_eq!(table.arrived(6.0, 5), Some(4));
+    assert!(table.began(7.0, 5));
+    assert_eq!(table.arrived(8.0, 6), Some(6), "all have requests open: the newcomer");
+    table.answered(10.0, 1);
+    table.answered(11.0, 2);
+    assert_eq!(table.arrived(12.0, 7), Some(7), "idle, but not for long enough");
+    assert_eq!(table.arrived(5_000.0, 8), Some(1));
+    assert!(!table.began(5_001.0, 1), "what was given up takes no more commands");
+    assert_eq!(table.held(), 3);
 }
 
 #[test]
 fn silence_and_halves_end_and_a_quiet_client_may_stay() {
-    let mut door = Door::new(10);
+    let mut table = ClientTable::new(10);
     for id in [1, 2, 3] {
-        door.arrived(0.0, id);
+        table.arrived(0.0, id);
     }
-    door.began(10.0, 2);
-    door.answered(20.0, 2);
-    door.began(10.0, 3);
-    door.answered(20.0, 3);
-    door.partial(30.0, 3);
-    assert!(door.overdue(1_000.0).is_empty());
-    assert_eq!(door.overdue(2_500.0), [1, 3]);
-    door.left(1);
-    door.left(3);
-    assert!(door.overdue(60_000.0).is_empty(), "it asked once, and may hold its connection");
-    assert_eq!(door.idle(), [2]);
+    table.began(10.0, 2);
+    table.answered(20.0, 2);
+    table.began(10.0, 3);
+    table.answered(20.0, 3);
+    table.partial(30.0, 3);
+    assert!(table.overdue(1_000.0).is_empty());
+    assert_eq!(table.overdue(2_500.0), [1, 3]);
+    table.left(1);
+    table.left(3);
+    assert!(table.overdue(60_000.0).is_empty(), "it asked once, and may hold its connection");
+    assert_eq!(table.idle(), [2]);
 }
 
 /// Danger: one that sends nonsense as fast as it is told so takes the core from those that are served.
 #[test]
 fn nonsense_is_read_ever_more_slowly_and_then_not_at_all() {
-    let mut door = Door::new(10);
-    door.arrived(0.0, 1);
+    let mut table = ClientTable::new(10);
+    table.arrived(0.0, 1);
     let mut last = 0;
     let mut pauses = 0;
-    while let AfterFault::Pause(ms) = door.fault(1) {
+    while let AfterFault::Pause(ms) = table.fault(1) {
         assert!(ms > last && ms < 2_000, "{ms} after {last}");
         (last, pauses) = (ms, pauses + 1);
     }
     assert!((2..20).contains(&pauses));
-    assert_eq!(door.fault(99), AfterFault::Close);
+    assert_eq!(table.fault(99), AfterFault::Close);
 }
 
 /// Danger: a machine drops idle connections without a word, long before the stated time; each request after a pause
--- a/crates/platform/tests/protocol.rs
+++ b/crates/platform/tests/protocol.rs
@@ -4,8 +4,8 @@
 use pearfork::{Condition, ListKind, Verdict};
 use pearfork_platform::answer;
 use pearfork_platform::config::{ClassWord, Config, Vocabulary};
+use pearfork_platform::nodes::{self, NodeTable};
 use pearfork_platform::request::{self, Parsed, RequestFault};
-use pearfork_platform::roster::{self, Roster};
 use pearfork_resp::{Replies, Reply};
 use proptest::prelude::*;
 
@@ -146,7 +146,7 @@
     assert_eq!(answer::read(Reply::Array(None)).verdict, Verdict::Error);
 }
 
-fn list(seq: u64, whole: bool, lines: &[(&str, &str, &str, u64)]) -> roster::Listing {
+fn list(seq: u64, whole: bool, lines: &[(&str, &str, &str, u64)]) -> nodes::Listing {
     let lines: Vec<String> = lines
         .iter()
         .map(|(host, dial, health, born)| {
@@ -154,48 +154,48 @@
         })
         .collect();
     let text = format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, lines.join(","));
-    roster::parse(text.as_bytes()).unwrap()
+    nodes::parse(text.as_bytes()).unwrap()
 }
 
 #[test]
 fn nodes_keep_their_numbers_through_changes_and_whole_lists() {
-    let mut roster = Roster::default();
+    let mut node_table = NodeTable::default();
     let (a, b) = (("s-a", "127.0.0.1:1", "SERVING", 0), ("s-b", "127.0.0.1:2", "SERVING", 5));
     let first = list(1, true, &[a, b]);
-    assert_eq!(Roster::kind(&first), ListKind::Full);
-    let (entries, changed) = roster.take(&first);
+    assert_eq!(NodeTable::kind(&first), ListKind::Full);
+    let (entries, changed) = node_table.take(&first);
     let (na, nb) = (entries[0].node, entries[1].node);
     assert_ne!(na, nb);
     assert!(changed.left.is_empty());
-    let dial = |roster: &Roster, node| roster.dial(node).map(|d| d.to_string());
-    assert_eq!([na, nb].map(|n| dial(&roster, n).unwrap()), ["127.0.0.1:1", "127.0.0.1:2"]);
-    let (entries, _) = roster.take(&list(2, false, &[("s-b", "127.0.0.1:2", "DRAINING", 5)]));
+    let dial = |node_table: &NodeTable, node| node_table.dial(node).map(|d| d.to_string());
+    assert_eq!([na, nb].map(|n| dial(&node_table, n).unwrap()), ["127.0.0.1:1", "127.0.0.1:2"]);
+    let (entries, _) = node_table.take(&list(2, false, &[("s-b", "127.0.0.1:2", "DRAINING", 5)]));
     assert_eq!((entries[0].node, entries[0].condition), (nb, Condition::Draining));
     // Missing from a whole list: gone. Back again: the number that it had.
-    let (_, changed) = roster.take(&list(3, true, &[a]));
+    let (_, changed) = node_table.take(&list(3, true, &[a]));
     assert_eq!(changed.left, [nb]);
-    assert_eq!(roster.take(&list(4, false, &[b])).0[0].node, nb);
+    assert_eq!(node_table.take(&list(4, false, &[b])).0[0].node, nb);
     // Started anew elsewhere: what is connected leads nowhere.
-    let (_, changed) = roster.take(&list(5, false, &[("s-a", "127.0.0.1:9", "SERVING", 70)]));
+    let (_, changed) = node_table.take(&list(5, false, &[("s-a", "127.0.0.1:9", "SERVING", 70)]));
     assert_eq!(changed.left, [na]);
     // Danger: a change of one line that has the others' addresses forgotten makes their nodes unreachable.
-    assert_eq!([na, nb].map(|n| dial(&roster, n).unwrap()), ["127.0.0.1:9", "127.0.0.1:2"]);
-    let (entries, changed) = roster.take(&list(6, false, &[("s-a", "127.0.0.1:9", "DELETED", 70)]));
+    assert_eq!([na, nb].map(|n| dial(&node_table, n).unwrap()), ["127.0.0.1:9", "127.0.0.1:2"]);
+    let (entries, changed) = node_table.take(&list(6, false, &[("s-a", "127.0.0.1:9", "DELETED", 70)]));
     assert_eq!((entries[0].condition, changed.left), (Condition::Gone, vec![na]));
 }
 
 /// Danger: a day on which every node is replaced for ever under new names would fill memory.
 #[test]
 fn names_of_nodes_that_are_gone_are_forgotten_beyond_a_bound() {
-    let mut roster = Roster::default();
+    let mut node_table = NodeTable::default();
     let mut numbers = std::collections::HashSet::new();
     for i in 0..4_000 {
         let name = format!("s-{i}");
         let come = list(2 * i, false, &[(&name, "127.0.0.1:1", "SERVING", 1)]);
-        assert!(numbers.insert(roster.take(&come).0[0].node), "a number given twice");
-        roster.take(&list(2 * i + 1, false, &[(&name, "127.0.0.1:1", "DELETED", 1)]));
+        assert!(numbers.insert(node_table.take(&come).0[0].node), "a number given twice");
+        node_table.take(&list(2 * i + 1, false, &[(&name, "127.0.0.1:1", "DELETED", 1)]));
     }
-    assert!(roster.held() <= 1_100, "{}", roster.held());
+    assert!(node_table.held() <= 1_100, "{}", node_table.held());
 }
 
 /// Danger: a release replaces every node of a large fleet, and one that is taken back lists the old names again: a node
@@ -213,12 +213,12 @@
         list(seq, true, &lines)
     };
     let numbers = |entries: Vec<pearfork::NodeEntry>| entries.iter().map(|e| e.node).collect::<Vec<u32>>();
-    let mut roster = Roster::default();
-    let first = numbers(roster.take(&whole(1, &lines(&old))).0);
-    let (_, changed) = roster.take(&whole(2, &lines(&new)));
+    let mut node_table = NodeTable::default();
+    let first = numbers(node_table.take(&whole(1, &lines(&old))).0);
+    let (_, changed) = node_table.take(&whole(2, &lines(&new)));
     assert_eq!(changed.left.len(), 1_100);
-    assert_eq!(numbers(roster.take(&whole(3, &lines(&old))).0), first);
-    let dials = first.iter().filter(|n| roster.dial(**n).is_some()).count();
+    assert_eq!(numbers(node_table.take(&whole(3, &lines(&old))).0), first);
+    let dials = first.iter().filter(|n| node_table.dial(**n).is_some()).count();
     assert_eq!(dials, 1_100);
 }
 
@@ -226,7 +226,7 @@
 fn a_list_that_makes_no_sense_names_line_and_field() {
     let bad = |from: &str, to: &str| {
         let text = r#"{"seq":1,"whole":true,"hosts":[{"host":"s","dial":"127.0.0.1:1","site":"a","block":3,"health":"SERVING","born_ms":0}]}"#;
-        roster::parse(text.replace(from, to).as_bytes()).unwrap_err().to_string()
+        nodes::parse(text.replace(from, to).as_bytes()).unwrap_err().to_string()
     };
     assert!(bad("SERVING", "FINE").contains("hosts[0].health"));
     assert!(bad("127.0.0.1:1", "here").contains("hosts[0].dial"));
@@ -273,7 +273,7 @@
             words[3] = format!("{READ},{text}").into();
             let _ = request::parse(&words[..4], &vocabulary());
         }
-        let _ = roster::parse(text.as_bytes());
+        let _ = nodes::parse(text.as_bytes());
         let _ = Config::parse(text.as_bytes());
         let mut replies = Replies::new(answer::REPLY);
         replies.buffer().extend_from_slice(&bytes);
--- a/crates/serving/src/client.rs
+++ b/crates/serving/src/client.rs
@@ -1,8 +1,8 @@
 //! One client connection: answers go out in the order of its commands.
 
 use bytes::Bytes;
-use pearfork_net::{lock, Outbox, Poller, Waiting};
-use pearfork_platform::door::GuestId;
+use pearfork_net::{lock, Poller, Waiting, WriteBuffer};
+use pearfork_platform::clients::ClientId;
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 
@@ -10,34 +10,34 @@
 const MOST_OPEN: usize = 32;
 
 /// What connections tell the thread that reads them.
-pub(crate) struct Desk {
+pub(crate) struct Mailbox {
     pub(crate) poller: Poller,
-    told: Mutex<Vec<GuestId>>,
+    told: Mutex<Vec<ClientId>>,
 }
 
-impl Desk {
-    pub(crate) fn new(poller: Poller) -> Desk {
-        Desk { poller, told: Mutex::default() }
+impl Mailbox {
+    pub(crate) fn new(poller: Poller) -> Mailbox {
+        Mailbox { poller, told: Mutex::default() }
     }
 
     /// A connection is over, or has room for commands again.
-    fn tell(&self, id: GuestId) {
+    fn tell(&self, id: ClientId) {
         lock(&self.told).push(id);
         self.poller.wake();
     }
 
     /// Those that told something since the last call.
-    pub(crate) fn take(&self) -> Vec<GuestId> {
+    pub(crate) fn take(&self) -> Vec<ClientId> {
         std::mem::take(&mut *lock(&self.told))
     }
 }
 
 /// One connection.
 pub(crate) struct Client {
-    pub(crate) id: GuestId,
-    pub(crate) outbox: Arc<Outbox>,
+    pub(crate) id: ClientId,
+    pub(crate) write_buffer: Arc<WriteBuffer>,
     slots: Mutex<Slots>,
-    desk: Arc<Desk>,
+    mailbox: Arc<Mailbox>,
 }
 
 /// Answers in the order of their commands.
@@ -54,11 +54,11 @@
 }
 
 impl Client {
-    pub(crate) fn new(id: GuestId, outbox: Arc<Outbox>, desk: Arc<Desk>) -> Client {
-        Client { id, outbox, slots: Mutex::default(), desk }
+    pub(crate) fn new(id: ClientId, write_buffer: Arc<WriteBuffer>, mailbox: Arc<Mailbox>) -> Client {
+        Client { id, write_buffer, slots: Mutex::default(), mailbox }
     }
 
-    /// Whether one more command may be taken; if not, the desk is told when it may.
+    /// Whether one more command may be taken; if not, the mailbox is told when it may.
     pub(crate) fn has_room(&self) -> bool {
         let mut slots = lock(&self.slots);
         slots.wanted = slots.answers.len() >= MOST_OPEN;
@@ -82,7 +82,7 @@
         while matches!(slots.answers.front(), Some(Some(_))) {
             if let Some(Some(bytes)) = slots.answers.pop_front() {
                 slots.first += 1;
-                slots.over |= self.outbox.put(bytes).is_err();
+                slots.over |= self.write_buffer.put(bytes).is_err();
             }
         }
         let ends = slots.over || (slots.last && slots.answers.is_empty());
@@ -92,7 +92,7 @@
         if ends {
             self.shut();
         } else if room {
-            self.desk.tell(self.id);
+            self.mailbox.tell(self.id);
         }
     }
 
@@ -109,17 +109,17 @@
 
     /// Whether nothing of a request waits to be read, nor of an answer to be written.
     pub(crate) fn is_quiet(&self) -> bool {
-        self.outbox.waiting() != Waiting::Bytes && self.outbox.kept() == 0
+        self.write_buffer.waiting() != Waiting::Bytes && self.write_buffer.kept() == 0
     }
 
     pub(crate) fn is_over(&self) -> bool {
         lock(&self.slots).over
     }
 
-    /// Ends it; the desk is told.
+    /// Ends it; the mailbox is told.
     pub(crate) fn shut(&self) {
         lock(&self.slots).over = true;
-        self.outbox.shut();
-        self.desk.tell(self.id);
+        self.write_buffer.shut();
+        self.mailbox.tell(self.id);
     }
 }
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -9,10 +9,10 @@
 use pearfork_drive::{AttemptId, Driver, Step, Told};
 use pearfork_net::{lock, Clock};
 use pearfork_platform::answer::Answer;
-use pearfork_platform::door::{Door, GuestId};
+use pearfork_platform::clients::{ClientId, ClientTable};
+use pearfork_platform::nodes::{Listing, NodeTable};
 use pearfork_platform::pool::{Do, LinkId, Pool};
 use pearfork_platform::request::Asked;
-use pearfork_platform::roster::{Listing, Roster};
 use pearfork_resp::write;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex};
@@ -23,7 +23,7 @@
     /// A request was read.
     Asked { client: Arc<Client>, slot: u64, asked: Box<Asked>, at: f64 },
     /// A client connection is over.
-    ClientGone(GuestId),
+    ClientGone(ClientId),
     /// Something that made no sense was answered with an error.
     Fault,
     /// A connection to a node came up.
@@ -62,19 +62,19 @@
 pub(crate) struct Engine {
     pub(crate) driver: Driver,
     pub(crate) pool: Pool,
-    pub(crate) roster: Roster,
+    pub(crate) node_table: NodeTable,
     pub(crate) clock: Clock,
-    pub(crate) door: Arc<Mutex<Door>>,
+    pub(crate) table: Arc<Mutex<ClientTable>>,
     pub(crate) nodes: Arc<Nodes>,
     /// How long a connection may take to come up, milliseconds.
     pub(crate) connect_ms: f64,
-    books: Books,
+    work: Work,
 }
 
 #[derive(Default)]
-struct Books {
+struct Work {
     open: HashMap<u32, Open>,
-    by_client: BTreeSet<(GuestId, u32)>,
+    by_client: BTreeSet<(ClientId, u32)>,
     /// Clients' ids of open requests.
     ids: HashSet<Bytes>,
     /// Until when attempts that are out are waited for.
@@ -94,12 +94,12 @@
         driver: Driver,
         pool: Pool,
         clock: Clock,
-        door: Arc<Mutex<Door>>,
+        table: Arc<Mutex<ClientTable>>,
         nodes: Arc<Nodes>,
         connect_ms: f64,
     ) -> Engine {
-        let (roster, books) = (Roster::default(), Books::default());
-        Engine { driver, pool, roster, clock, door, nodes, connect_ms, books }
+        let (node_table, work) = (NodeTable::default(), Work::default());
+        Engine { driver, pool, node_table, clock, table, nodes, connect_ms, work }
     }
 
     /// The list as the host last had it.
@@ -112,7 +112,7 @@
     pub(crate) fn run(mut self, messages: &Receiver<Message>) {
         let (mut sweep, mut tell) = (self.clock.now_ms() + SWEEP_MS, self.clock.now_ms() + TELL_MS);
         loop {
-            let begun = self.books.begun.front().map(|(at, _)| *at);
+            let begun = self.work.begun.front().map(|(at, _)| *at);
             let due = self.driver.next_due().into_iter().chain(begun).fold(sweep, f64::min);
             let first = match messages.recv_deadline(self.clock.instant(due)) {
                 Ok(m) => Some(m),
@@ -127,31 +127,31 @@
                 self.settle();
             }
             let now = self.clock.now_ms();
-            let mut steps = std::mem::take(&mut self.books.steps);
+            let mut steps = std::mem::take(&mut self.work.steps);
             self.driver.ring(now, &mut steps);
-            self.books.steps = steps;
+            self.work.steps = steps;
             self.too_long(now);
             if now >= sweep {
                 sweep = now + SWEEP_MS;
-                self.pool.sweep(now, &mut self.books.todo);
+                self.pool.sweep(now, &mut self.work.todo);
             }
             self.settle();
             if now >= tell {
                 tell = now + TELL_MS;
-                let (guests, links) = (lock(&self.door).held(), self.pool.held());
-                let line = self.books.tally.line();
-                tracing::info!(guests, links, open = self.driver.open(), out = self.driver.out(), "{line}");
+                let (clients, links) = (lock(&self.table).held(), self.pool.held());
+                let line = self.work.tally.line();
+                tracing::info!(clients, links, open = self.driver.open(), out = self.driver.out(), "{line}");
             }
         }
     }
 
     /// Gives up connections that do not come up.
     fn too_long(&mut self, now: f64) {
-        while let Some((_, link)) = self.books.begun.pop_front_if(|(at, _)| now >= *at) {
+        while let Some((_, link)) = self.work.begun.pop_front_if(|(at, _)| now >= *at) {
             if self.pool.is_coming(link) {
                 tracing::debug!(link, "no connection in time");
                 self.nodes.close(link);
-                self.pool.not_opened(link, &mut self.books.todo);
+                self.pool.not_opened(link, &mut self.work.todo);
             }
         }
     }
@@ -160,21 +160,21 @@
         let now = self.clock.now_ms();
         match message {
             Message::Asked { client, slot, asked, at } => self.asked(now, client, slot, asked, at),
-            Message::ClientGone(guest) => self.gone(guest),
-            Message::Fault => self.books.tally.faults += 1,
+            Message::ClientGone(client) => self.gone(client),
+            Message::Fault => self.work.tally.faults += 1,
             Message::Up(id, link) => {
-                self.books.links.insert(id, link);
-                self.pool.opened(now, id, &mut self.books.todo);
+                self.work.links.insert(id, link);
+                self.pool.opened(now, id, &mut self.work.todo);
             }
-            Message::NotUp(id) => self.pool.not_opened(id, &mut self.books.todo),
+            Message::NotUp(id) => self.pool.not_opened(id, &mut self.work.todo),
             Message::Answered { link, answer, at } => {
-                if let Some(attempt) = self.pool.answered(now, link, &mut self.books.todo) {
+                if let Some(attempt) = self.pool.answered(now, link, &mut self.work.todo) {
                     self.ended(at, attempt, answer);
                 }
             }
             Message::Over { link, unsent } => {
-                self.books.links.remove(&link);
-                let lost = self.pool.closed(link, &mut self.books.todo);
+                self.work.links.remove(&link);
+                let lost = self.pool.closed(link, &mut self.work.todo);
                 let last = lost.len().saturating_sub(1);
                 for (i, attempt) in lost.into_iter().enumerate() {
                     let never = unsent && i == last;
@@ -182,73 +182,73 @@
                     self.ended(now, attempt, Answer { verdict, value: None, told: Told::default() });
                 }
             }
-            Message::List(list) => self.list(&list, Roster::kind(&list)),
-            Message::Leave(last) => self.books.last = Some(now + last.as_secs_f64() * 1_000.0),
+            Message::List(list) => self.list(&list, NodeTable::kind(&list)),
+            Message::Leave(last) => self.work.last = Some(now + last.as_secs_f64() * 1_000.0),
             Message::Open(to) => drop(to.try_send(self.driver.open())),
             Message::Stop => {}
         }
     }
 
     fn asked(&mut self, now: f64, client: Arc<Client>, slot: u64, asked: Box<Asked>, at: f64) {
-        self.books.tally.asked += 1;
-        self.books.tally.slowest_turn = self.books.tally.slowest_turn.max(now - at);
+        self.work.tally.asked += 1;
+        self.work.tally.slowest_turn = self.work.tally.slowest_turn.max(now - at);
         // Danger: two requests under one id are one to a node that drops repeats, and the answer of one would be
         // the other's.
-        if !self.books.ids.insert(asked.id.clone()) {
-            self.books.tally.faults += 1;
+        if !self.work.ids.insert(asked.id.clone()) {
+            self.work.tally.faults += 1;
             self.reply(&client, slot, write::bytes(|out| write::error(out, "ERR id is in use")));
             return;
         }
         let id = self.driver.allot();
         let until = at + asked.wait_ms;
-        self.driver.request(asked.request(id, self.books.last.map_or(until, |last| until.min(last))));
-        self.books.by_client.insert((client.id, id));
-        self.books.open.insert(id, Open { client, slot, asked, at });
+        self.driver.request(asked.request(id, self.work.last.map_or(until, |last| until.min(last))));
+        self.work.by_client.insert((client.id, id));
+        self.work.open.insert(id, Open { client, slot, asked, at });
     }
 
-    fn gone(&mut self, guest: GuestId) {
-        let of_it = (guest, 0)..=(guest, u32::MAX);
-        let ids: Vec<u32> = self.books.by_client.range(of_it).map(|(_, id)| *id).collect();
+    fn gone(&mut self, client: ClientId) {
+        let of_it = (client, 0)..=(client, u32::MAX);
+        let ids: Vec<u32> = self.work.by_client.range(of_it).map(|(_, id)| *id).collect();
         for id in ids {
             self.driver.abandon(id);
-            if let Some(open) = self.books.forget(id) {
+            if let Some(open) = self.work.forget(id) {
                 let age_ms = self.clock.now_ms() - open.at;
                 tracing::debug!(request = id, age_ms, of_ms = open.asked.wait_ms, "client gone");
             }
-            self.books.tally.gone += 1;
+            self.work.tally.gone += 1;
         }
     }
 
     /// An attempt ended by a node's word, or with its connection.
     fn ended(&mut self, at: f64, attempt: AttemptId, answer: Answer) {
-        self.books.until.remove(&attempt);
+        self.work.until.remove(&attempt);
         if !self.driver.is_out(attempt) {
             return;
         }
-        self.books.tally.ended(answer.verdict);
+        self.work.tally.ended(answer.verdict);
         let value = answer.value.unwrap_or_default();
         if self.driver.ended(at, attempt, answer.verdict, answer.told) {
-            self.books.tally.served += 1;
+            self.work.tally.served += 1;
             self.finish(attempt.request, write::bytes(|out| write::bulk(out, &value)));
         }
     }
 
     /// The one final answer to a request.
     fn finish(&mut self, id: u32, bytes: Bytes) {
-        if let Some(open) = self.books.forget(id) {
+        if let Some(open) = self.work.forget(id) {
             self.reply(&open.client, open.slot, bytes);
         }
     }
 
     fn reply(&mut self, client: &Client, slot: u64, bytes: Bytes) {
         client.answer(slot, bytes);
-        lock(&self.door).answered(self.clock.now_ms(), client.id);
+        lock(&self.table).answered(self.clock.now_ms(), client.id);
     }
 
     fn list(&mut self, list: &Listing, kind: ListKind) {
-        let (entries, changed) = self.roster.take(list);
+        let (entries, changed) = self.node_table.take(list);
         for node in changed.left {
-            self.pool.close_idle(node, &mut self.books.todo);
+            self.pool.close_idle(node, &mut self.work.todo);
         }
         self.driver.list(kind, entries);
     }
@@ -256,15 +256,15 @@
     /// Carries out all that is to be done, until nothing is.
     fn settle(&mut self) {
         loop {
-            let mut steps = std::mem::take(&mut self.books.steps);
+            let mut steps = std::mem::take(&mut self.work.steps);
             self.driver.drive(self.clock.now_ms(), &mut steps);
-            let mut todo: VecDeque<Do> = std::mem::take(&mut self.books.todo).into();
+            let mut todo: VecDeque<Do> = std::mem::take(&mut self.work.todo).into();
             if steps.is_empty() && todo.is_empty() {
-                self.books.steps = steps;
+                self.work.steps = steps;
                 return;
             }
             steps.drain(..).for_each(|step| self.step(step));
-            self.books.steps = steps;
+            self.work.steps = steps;
             while let Some(one) = todo.pop_front() {
                 self.carry_out(one);
             }
@@ -275,13 +275,13 @@
         let now = self.clock.now_ms();
         match step {
             Step::Send { attempt, node, until_ms } => {
-                self.books.tally.sent += 1;
-                self.books.until.insert(attempt, until_ms);
-                self.pool.send(now, node, attempt, &mut self.books.todo);
+                self.work.tally.sent += 1;
+                self.work.until.insert(attempt, until_ms);
+                self.pool.send(now, node, attempt, &mut self.work.todo);
             }
             Step::Withdrawn { attempt, node, verdict } => {
-                self.books.tally.ended(verdict);
-                self.books.until.remove(&attempt);
+                self.work.tally.ended(verdict);
+                self.work.until.remove(&attempt);
                 tracing::debug!(
                     request = attempt.request,
                     number = attempt.number,
@@ -289,19 +289,19 @@
                     ?verdict,
                     "given up"
                 );
-                self.pool.withdrawn(node, attempt, &mut self.books.todo);
+                self.pool.withdrawn(node, attempt, &mut self.work.todo);
             }
             Step::Refused { id, retry_after_ms, reason } => {
-                *self.books.tally.refused.entry(reason).or_insert(0) += 1;
+                *self.work.tally.refused.entry(reason).or_insert(0) += 1;
                 let wait = retry_after_ms.ceil() as u64;
                 let words = if wait > 0 { format!("BUSY {wait}") } else { "BUSY".to_owned() };
                 self.finish(id, write::bytes(|out| write::error(out, &words)));
             }
             Step::Failed { id, reason } => {
-                *self.books.tally.failed.entry(reason).or_insert(0) += 1;
+                *self.work.tally.failed.entry(reason).or_insert(0) += 1;
                 self.finish(id, write::bytes(|out| write::error(out, &format!("ERR failed {reason}"))));
             }
-            Step::CloseIdle(node) => self.pool.close_idle(node, &mut self.books.todo),
+            Step::CloseIdle(node) => self.pool.close_idle(node, &mut self.work.todo),
             // The list is followed without being asked.
             Step::Watch(_) | Step::ReadList => {}
             Step::Log(text) => tracing::info!(target: "pearfork::module", "{text}"),
@@ -312,32 +312,32 @@
         let now = self.clock.now_ms();
         match one {
             Do::Open(link, node) => {
-                self.books.tally.opened += 1;
-                let dial = self.roster.dial(node);
+                self.work.tally.opened += 1;
+                let dial = self.node_table.dial(node);
                 if dial.is_some_and(|dial| self.nodes.open(link, &dial)) {
-                    self.books.begun.push_back((now + self.connect_ms, link));
+                    self.work.begun.push_back((now + self.connect_ms, link));
                 } else {
-                    self.pool.not_opened(link, &mut self.books.todo);
+                    self.pool.not_opened(link, &mut self.work.todo);
                 }
             }
             Do::Write(link, attempt) => {
-                let until = self.books.until.get(&attempt).copied().unwrap_or(now);
-                let command = self.books.open.get(&attempt.request).map(|o| o.asked.command(until - now));
-                let wrote = match (self.books.links.get(&link), command) {
+                let until = self.work.until.get(&attempt).copied().unwrap_or(now);
+                let command = self.work.open.get(&attempt.request).map(|o| o.asked.command(until - now));
+                let wrote = match (self.work.links.get(&link), command) {
                     (Some(link), Some(command)) => link.send(command).is_ok(),
                     // Its client has left before anything went out for it.
                     (_, None) => {
-                        self.pool.unsend(now, link, attempt, &mut self.books.todo);
+                        self.pool.unsend(now, link, attempt, &mut self.work.todo);
                         return self.never_sent(now, attempt);
                     }
                     (None, _) => false,
                 };
                 if !wrote {
-                    self.pool.unfit(now, link, attempt, &mut self.books.todo);
+                    self.pool.unfit(now, link, attempt, &mut self.work.todo);
                 }
             }
             Do::Close(link) => {
-                self.books.links.remove(&link);
+                self.work.links.remove(&link);
                 self.nodes.close(link);
             }
             Do::NeverSent(attempt) => self.never_sent(now, attempt),
@@ -353,8 +353,8 @@
     }
 }
 
-impl Books {
-    /// Takes a request off the books.
+impl Work {
+    /// Takes a request off the work.
     fn forget(&mut self, id: u32) -> Option<Open> {
         let open = self.open.remove(&id)?;
         self.by_client.remove(&(open.client.id, id));
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -1,12 +1,12 @@
 //! The one thread that takes client connections and reads them.
 
-use crate::client::{Client, Desk};
+use crate::client::{Client, Mailbox};
 use crate::engine::Message;
 use bytes::Bytes;
 use crossbeam_channel::Sender;
-use pearfork_net::{lock, long_queue, Clock, Flusher, Outbox, Ready, Want};
+use pearfork_net::{lock, long_queue, Clock, Flusher, Ready, Want, WriteBuffer};
+use pearfork_platform::clients::{AfterFault, ClientId, ClientTable};
 use pearfork_platform::config::Vocabulary;
-use pearfork_platform::door::{AfterFault, Door, GuestId};
 use pearfork_platform::request::{self, Parsed};
 use pearfork_resp::{write, Commands};
 use std::collections::HashMap;
@@ -60,31 +60,42 @@
 
 /// Reads all client connections.
 pub(crate) struct Front {
-    pub(crate) desk: Arc<Desk>,
-    pub(crate) door: Arc<Mutex<Door>>,
+    pub(crate) mailbox: Arc<Mailbox>,
+    pub(crate) table: Arc<Mutex<ClientTable>>,
     pub(crate) vocabulary: Vocabulary,
     pub(crate) engine: Sender<Message>,
     pub(crate) clock: Clock,
     pub(crate) flusher: Flusher,
     pub(crate) leaving: Arc<Leaving>,
-    guests: HashMap<GuestId, Reading>,
-    next: GuestId,
+    clients: HashMap<ClientId, Reading>,
+    next: ClientId,
     /// Until when no connection is taken.
     pause: Option<f64>,
 }
 
 impl Front {
     pub(crate) fn new(
-        desk: Arc<Desk>,
-        door: Arc<Mutex<Door>>,
+        mailbox: Arc<Mailbox>,
+        table: Arc<Mutex<ClientTable>>,
         vocabulary: Vocabulary,
         engine: Sender<Message>,
         clock: Clock,
         flusher: Flusher,
         leaving: Arc<Leaving>,
     ) -> Front {
-        let guests = HashMap::new();
-        Front { desk, door, vocabulary, engine, clock, flusher, leaving, guests, next: LISTENER, pause: None }
+        let clients = HashMap::new();
+        Front {
+            mailbox,
+            table,
+            vocabulary,
+            engine,
+            clock,
+            flusher,
+            leaving,
+            clients,
+            next: LISTENER,
+            pause: None,
+        }
     }
 
     /// Watches the listener.
@@ -94,7 +105,7 @@
     pub(crate) fn open(&self, listener: &TcpListener) -> io::Result<()> {
         long_queue(listener, QUEUE)?;
         listener.set_nonblocking(true)?;
-        self.desk.poller.add(listener, LISTENER, Want::Read)
+        self.mailbox.poller.add(listener, LISTENER, Want::Read)
     }
 
     /// Runs until told to stop.
@@ -104,12 +115,12 @@
         let mut sweep = self.clock.now_ms() + SWEEP_MS;
         let mut open = true;
         while !self.leaving.over.load(Ordering::SeqCst) {
-            let pauses = self.guests.values().filter_map(|r| match r.stage {
+            let pauses = self.clients.values().filter_map(|r| match r.stage {
                 Stage::Paused(until) => Some(until),
                 _ => None,
             });
             let due = pauses.chain(self.pause).fold(sweep, f64::min);
-            if let Err(why) = self.desk.poller.wait(&mut ready, Some(self.clock.instant(due))) {
+            if let Err(why) = self.mailbox.poller.wait(&mut ready, Some(self.clock.instant(due))) {
                 tracing::error!(%why, "connections can't be waited for");
                 return;
             }
@@ -119,8 +130,8 @@
                     _ => self.ready(*one, &mut piece),
                 }
             }
-            for id in self.desk.take() {
-                match self.guests.get(&id).map(|r| (r.client.is_over(), r.stage)) {
+            for id in self.mailbox.take() {
+                match self.clients.get(&id).map(|r| (r.client.is_over(), r.stage)) {
                     Some((true, _)) => self.gone(id),
                     Some((false, Stage::Full)) => self.work(id),
                     _ => {}
@@ -130,7 +141,7 @@
             self.resume(now, listener);
             if self.leaving.begun.load(Ordering::SeqCst) && std::mem::take(&mut open) {
                 self.accept(listener);
-                self.desk.poller.remove(listener);
+                self.mailbox.poller.remove(listener);
                 pearfork_net::shut_listener(listener);
             }
             let closing = self.leaving.closing.load(Ordering::SeqCst);
@@ -145,31 +156,31 @@
     /// Goes on with what was paused.
     fn resume(&mut self, now: f64, listener: &TcpListener) {
         let over = |stage| matches!(stage, Stage::Paused(until) if now >= until);
-        let those = self.guests.iter().filter(|(_, r)| over(r.stage)).map(|(id, _)| *id);
-        for id in those.collect::<Vec<GuestId>>() {
+        let those = self.clients.iter().filter(|(_, r)| over(r.stage)).map(|(id, _)| *id);
+        for id in those.collect::<Vec<ClientId>>() {
             self.work(id);
         }
         if self.pause.is_some_and(|until| now >= until) {
             self.pause = None;
-            let _ = self.desk.poller.change(listener, LISTENER, Want::Read);
+            let _ = self.mailbox.poller.change(listener, LISTENER, Want::Read);
         }
     }
 
-    /// Closes those that the door names and of which nothing more is on its way.
+    /// Closes those that the table names and of which nothing more is on its way.
     ///
     /// Danger: a request that crosses the closing was taken by this machine; its client would lose it. This thread
-    /// alone reads and closes, so none can be between the socket and the door.
+    /// alone reads and closes, so none can be between the socket and the table.
     fn sweep(&mut self, now: f64, closing: bool) {
         let those = {
-            let door = lock(&self.door);
+            let table = lock(&self.table);
             if closing {
-                door.idle()
+                table.idle()
             } else {
-                door.overdue(now)
+                table.overdue(now)
             }
         };
         for id in those {
-            if self.guests.get(&id).is_none_or(|r| r.client.is_quiet()) {
+            if self.clients.get(&id).is_none_or(|r| r.client.is_quiet()) {
                 self.gone(id);
             }
         }
@@ -184,7 +195,7 @@
                 // Danger: with no descriptor left the listener stays ready, and this thread would turn without end.
                 Err(_) => {
                     self.pause = Some(self.clock.now_ms() + NO_DESCRIPTOR_MS);
-                    let _ = self.desk.poller.change(listener, LISTENER, Want::Nothing);
+                    let _ = self.mailbox.poller.change(listener, LISTENER, Want::Nothing);
                     return;
                 }
             }
@@ -194,41 +205,41 @@
     fn welcome(&mut self, stream: TcpStream) {
         self.next += 1;
         let id = self.next;
-        match lock(&self.door).arrived(self.clock.now_ms(), id) {
+        match lock(&self.table).arrived(self.clock.now_ms(), id) {
             Some(newcomer) if newcomer == id => return,
-            Some(victim) => self.guests.get(&victim).iter().for_each(|r| r.client.shut()),
+            Some(victim) => self.clients.get(&victim).iter().for_each(|r| r.client.shut()),
             None => {}
         }
         let _ = stream.set_nodelay(true);
-        let client = Arc::new(Client::new(id, Outbox::new(stream, &self.flusher), self.desk.clone()));
-        if self.desk.poller.add(client.outbox.stream(), id, Want::Read).is_err() {
-            lock(&self.door).left(id);
+        let client = Arc::new(Client::new(id, WriteBuffer::new(stream, &self.flusher), self.mailbox.clone()));
+        if self.mailbox.poller.add(client.write_buffer.stream(), id, Want::Read).is_err() {
+            lock(&self.table).left(id);
             return;
         }
         let commands = Commands::new(request::COMMAND);
-        self.guests.insert(id, Reading { client, commands, stage: Stage::Reads });
+        self.clients.insert(id, Reading { client, commands, stage: Stage::Reads });
     }
 
     /// A connection is over.
-    fn gone(&mut self, id: GuestId) {
-        lock(&self.door).left(id);
-        let Some(reading) = self.guests.remove(&id) else { return };
-        self.desk.poller.remove(reading.client.outbox.stream());
-        reading.client.outbox.shut();
+    fn gone(&mut self, id: ClientId) {
+        lock(&self.table).left(id);
+        let Some(reading) = self.clients.remove(&id) else { return };
+        self.mailbox.poller.remove(reading.client.write_buffer.stream());
+        reading.client.write_buffer.shut();
         let _ = self.engine.send(Message::ClientGone(id));
     }
 
     /// Something came on a connection, or it broke.
     fn ready(&mut self, ready: Ready, piece: &mut [u8]) {
         let id = ready.token;
-        let Some(reading) = self.guests.get_mut(&id) else { return };
+        let Some(reading) = self.clients.get_mut(&id) else { return };
         if reading.stage != Stage::Reads {
             if ready.broken {
                 self.gone(id);
             }
             return;
         }
-        match reading.client.outbox.read_now(piece) {
+        match reading.client.write_buffer.read_now(piece) {
             Ok(None) => {}
             Ok(Some(0)) | Err(_) => self.gone(id),
             Ok(Some(n)) => {
@@ -239,17 +250,17 @@
     }
 
     /// Takes what came on a connection, as far as it may go.
-    fn work(&mut self, id: GuestId) {
-        let Some(reading) = self.guests.get_mut(&id) else { return };
+    fn work(&mut self, id: ClientId) {
+        let Some(reading) = self.clients.get_mut(&id) else { return };
         let before = reading.stage;
-        let Some(stage) = reading.take(&self.door, &self.vocabulary, &self.engine, self.clock) else {
+        let Some(stage) = reading.take(&self.table, &self.vocabulary, &self.engine, self.clock) else {
             return self.gone(id);
         };
         reading.stage = stage;
         let reads = |stage| stage == Stage::Reads;
         if reads(before) != reads(stage) {
             let want = if reads(stage) { Want::Read } else { Want::Nothing };
-            let _ = self.desk.poller.change(reading.client.outbox.stream(), id, want);
+            let _ = self.mailbox.poller.change(reading.client.write_buffer.stream(), id, want);
         }
     }
 }
@@ -258,7 +269,7 @@
     /// Takes whole commands; `None` where the connection is of no further use.
     fn take(
         &mut self,
-        door: &Mutex<Door>,
+        table: &Mutex<ClientTable>,
         vocabulary: &Vocabulary,
         engine: &Sender<Message>,
         clock: Clock,
@@ -269,7 +280,7 @@
                 Ok(Some(words)) => words,
                 Ok(None) => {
                     if self.commands.is_within() {
-                        lock(door).partial(clock.now_ms(), client.id);
+                        lock(table).partial(clock.now_ms(), client.id);
                     }
                     return Some(Stage::Reads);
                 }
@@ -282,7 +293,7 @@
                 }
             };
             let at = clock.now_ms();
-            if !lock(door).began(at, client.id) {
+            if !lock(table).began(at, client.id) {
                 return None;
             }
             let slot = client.reserve();
@@ -292,14 +303,14 @@
                 }
                 Ok(Parsed::Ping) => {
                     client.answer(slot, write::bytes(|out| write::simple(out, "PONG")));
-                    lock(door).answered(at, client.id);
+                    lock(table).answered(at, client.id);
                 }
                 Err(fault) => {
                     client.answer(slot, error(&fault.to_string()));
                     let after = {
-                        let mut door = lock(door);
-                        door.answered(at, client.id);
-                        door.fault(client.id)
+                        let mut table = lock(table);
+                        table.answered(at, client.id);
+                        table.fault(client.id)
                     };
                     let _ = engine.send(Message::Fault);
                     match after {
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -5,7 +5,7 @@
 use crossbeam_channel::Sender;
 use pearfork::Verdict;
 use pearfork_drive::Told;
-use pearfork_net::{begin_connect, lock, Clock, Flusher, Outbox, Poller, Waiting, Want};
+use pearfork_net::{begin_connect, lock, Clock, Flusher, Poller, Waiting, Want, WriteBuffer};
 use pearfork_platform::answer::{self, Answer};
 use pearfork_platform::pool::LinkId;
 use pearfork_resp::Replies;
@@ -19,7 +19,7 @@
 
 /// A connection.
 pub(crate) struct Link {
-    outbox: Arc<Outbox>,
+    write_buffer: Arc<WriteBuffer>,
     state: Mutex<State>,
     clock: Clock,
 }
@@ -49,7 +49,7 @@
     /// this lock alone, so that none can be on the way between the socket and this look.
     pub(crate) fn send(&self, command: Bytes) -> Result<(), Unfit> {
         let mut state = lock(&self.state);
-        if state.over || (state.out == 0 && self.outbox.waiting() != Waiting::Nothing) {
+        if state.over || (state.out == 0 && self.write_buffer.waiting() != Waiting::Nothing) {
             state.over = true;
             return Err(Unfit);
         }
@@ -58,14 +58,14 @@
         }
         state.out += 1;
         // A write that fails is a lost connection, which its reader tells.
-        let _ = self.outbox.put(command);
+        let _ = self.write_buffer.put(command);
         Ok(())
     }
 
     /// Reads what came: the answers in it, and whether the connection is of further use.
     fn read(&self, piece: &mut [u8], told: &mut Vec<Answer>) -> bool {
         let mut state = lock(&self.state);
-        match self.outbox.read_now(piece) {
+        match self.write_buffer.read_now(piece) {
             Ok(None) => return true,
             Ok(Some(0)) | Err(_) => {
                 state.over = true;
@@ -139,10 +139,10 @@
             free_since: 0.0,
             rested_ms: 0.0,
         };
-        let outbox = Outbox::new(stream, &self.flusher);
-        let link = Arc::new(Link { outbox, state: Mutex::new(state), clock: self.clock });
+        let write_buffer = WriteBuffer::new(stream, &self.flusher);
+        let link = Arc::new(Link { write_buffer, state: Mutex::new(state), clock: self.clock });
         let mut links = lock(&self.links);
-        if self.poller.add(link.outbox.stream(), id, Want::Write).is_err() {
+        if self.poller.add(link.write_buffer.stream(), id, Want::Write).is_err() {
             return false;
         }
         links.insert(id, link);
@@ -153,9 +153,9 @@
     pub(crate) fn close(&self, id: LinkId) {
         let link = lock(&self.links).remove(&id);
         if let Some(link) = link {
-            self.poller.remove(link.outbox.stream());
+            self.poller.remove(link.write_buffer.stream());
             lock(&link.state).over = true;
-            link.outbox.shut();
+            link.write_buffer.shut();
         }
     }
 
@@ -195,7 +195,7 @@
 
     /// A connection came up, or failed.
     fn came(&self, id: LinkId, link: &Arc<Link>) {
-        let stream = link.outbox.stream();
+        let stream = link.write_buffer.stream();
         let failed = match stream.take_error() {
             Ok(None) => self.poller.change(stream, id, Want::Read).err(),
             Ok(Some(e)) | Err(e) => Some(e),
@@ -215,7 +215,7 @@
 
     /// A connection is over by the node's doing.
     fn over(&self, id: LinkId, link: &Link) {
-        let unsent = link.outbox.kept() > 0;
+        let unsent = link.write_buffer.kept() > 0;
         {
             let state = lock(&link.state);
             if state.out > 0 {
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -1,6 +1,6 @@
 //! A host put together.
 
-use crate::client::Desk;
+use crate::client::Mailbox;
 use crate::engine::{Engine, Message};
 use crate::front::{Front, Leaving};
 use crate::links::Nodes;
@@ -8,8 +8,8 @@
 use crossbeam_channel::{bounded, Sender};
 use pearfork_drive::Driver;
 use pearfork_net::{lock, spawn_small, Clock, Flusher, Poller};
+use pearfork_platform::clients::{client_room, node_room, ClientTable};
 use pearfork_platform::config::Config;
-use pearfork_platform::door::{client_room, node_room, Door};
 use pearfork_platform::pool::Pool;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -69,8 +69,8 @@
 pub struct Serving {
     listener: Arc<TcpListener>,
     engine: Sender<Message>,
-    desk: Arc<Desk>,
-    door: Arc<Mutex<Door>>,
+    mailbox: Arc<Mailbox>,
+    table: Arc<Mutex<ClientTable>>,
     discovery: Arc<Mutex<SocketAddr>>,
     leaving: Arc<Leaving>,
     longest: Duration,
@@ -88,12 +88,12 @@
         let clock = Clock::start();
         let flusher = Flusher::start()?;
         let (engine, messages) = bounded(ENGINE_QUEUE);
-        let door = Arc::new(Mutex::new(Door::new(client_room(config.limits.sockets))));
+        let table = Arc::new(Mutex::new(ClientTable::new(client_room(config.limits.sockets))));
         let pool = Pool::new(config.links, node_room(config.limits.sockets));
         let nodes = Arc::new(Nodes::new(engine.clone(), clock, flusher.clone(), Poller::new()?));
         let reads = nodes.clone();
         spawn_small("nodes", move || reads.run())?;
-        let mut running = Engine::new(driver, pool, clock, door.clone(), nodes, config.links.connect_ms);
+        let mut running = Engine::new(driver, pool, clock, table.clone(), nodes, config.links.connect_ms);
         running.known(&config.known);
         spawn_small("engine", move || running.run(&messages))?;
         let discovery = Arc::new(Mutex::new(config.discovery));
@@ -102,10 +102,10 @@
         let listener =
             TcpListener::bind(address).map_err(|source| ServingError::Listen { address, source })?;
         let listener = Arc::new(listener);
-        let (desk, leaving) = (Arc::new(Desk::new(Poller::new()?)), Arc::new(Leaving::default()));
+        let (mailbox, leaving) = (Arc::new(Mailbox::new(Poller::new()?)), Arc::new(Leaving::default()));
         let front = Front::new(
-            desk.clone(),
-            door.clone(),
+            mailbox.clone(),
+            table.clone(),
             config.words,
             engine.clone(),
             clock,
@@ -117,7 +117,7 @@
         spawn_small("clients", move || front.run(&accepting))?;
         tracing::info!(name = config.name, %address, "host listens");
         let longest = Duration::from_secs_f64(longest / 1_000.0);
-        Ok(Serving { listener, engine, desk, door, discovery, leaving, longest })
+        Ok(Serving { listener, engine, mailbox, table, discovery, leaving, longest })
     }
 
     /// Where clients come.
@@ -140,13 +140,13 @@
         }
         std::thread::sleep(STILL_OPEN);
         self.leaving.begun.store(true, Ordering::SeqCst);
-        self.desk.poller.wake();
+        self.mailbox.poller.wake();
         std::thread::sleep(departure.closing.saturating_sub(began.elapsed()));
         self.leaving.closing.store(true, Ordering::SeqCst);
-        self.desk.poller.wake();
+        self.mailbox.poller.wake();
         let until = began + self.longest + ENDED;
         loop {
-            let held = lock(&self.door).held();
+            let held = lock(&self.table).held();
             let (to, from) = bounded(1);
             let asked = self.engine.send(Message::Open(to)).is_ok();
             let open = if asked { from.recv_timeout(Duration::from_secs(1)).unwrap_or(1) } else { 0 };
@@ -165,7 +165,7 @@
     fn drop(&mut self) {
         self.leaving.begun.store(true, Ordering::SeqCst);
         self.leaving.over.store(true, Ordering::SeqCst);
-        self.desk.poller.wake();
+        self.mailbox.poller.wake();
         let _ = self.engine.try_send(Message::Stop);
     }
 }
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -3,7 +3,7 @@
 use crate::engine::Message;
 use crossbeam_channel::Sender;
 use pearfork_net::{http, lock};
-use pearfork_platform::roster;
+use pearfork_platform::nodes;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -49,7 +49,7 @@
     }
 }
 
-fn call(address: SocketAddr, seq: Option<u64>) -> Result<roster::Listing, String> {
+fn call(address: SocketAddr, seq: Option<u64>) -> Result<nodes::Listing, String> {
     let path = match seq {
         None => "/discovery/hosts".to_owned(),
         Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={}", WAIT.as_millis()),
@@ -59,5 +59,5 @@
     if status != 200 {
         return Err(format!("{address}: status {status}"));
     }
-    roster::parse(&body).map_err(|e| format!("{address}: {e}"))
+    nodes::parse(&body).map_err(|e| format!("{address}: {e}"))
 }
--- a/fuzz/fuzz_targets/resp.rs
+++ b/fuzz/fuzz_targets/resp.rs
@@ -2,7 +2,7 @@
 #![no_main]
 
 use libfuzzer_sys::fuzz_target;
-use pearfork_platform::{answer, config::Vocabulary, request, roster};
+use pearfork_platform::{answer, config::Vocabulary, request, node_table};
 use pearfork_resp::{Commands, Replies};
 
 fuzz_target!(|bytes: &[u8]| {
@@ -32,5 +32,5 @@
         (all, reader.next_reply().err())
     };
     assert_eq!(replies(&[bytes]), replies(&[&bytes[..cut], &bytes[cut..]]));
-    let _ = roster::parse(bytes);
+    let _ = nodes::parse(bytes);
 });
