HTTP calls: a time for the whole call, bodies in chunks or to an orderly end, a reset is no end

Seen by reading: crates/net/src/http.rs read to the end of the connection with a time-out for each read, so a body that trickles held its caller for ever, a whole answer was held up by a connection that stays open, and an answer without a length was refused. The term is that such an answer is taken at an orderly end and that a reset is none. Now a reader without I/O (response.rs) and one deadline from connect to last byte.

--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -1,17 +1,21 @@
 //! As much HTTP/1.1 as health, metrics, the node list and control need: GET and POST without a body, one request a
 //! connection, loopback.
 
+mod response;
+
+pub use response::{Response, ResponseFault, ResponseReader};
+
 use crate::stream::spawn_small;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Most bytes of a request's head.
 const MAX_HEAD: usize = 8 * 1024;
-/// Most bytes of an answer that a client takes.
-const MAX_BODY: usize = 16 << 20;
+/// Bytes that a caller reads at once.
+const PIECE: usize = 16 * 1024;
 /// Most requests in work at once; long polls of many hosts count.
 const MAX_OPEN: usize = 1024;
 
@@ -77,7 +81,7 @@
         /// From where.
         address: SocketAddr,
         /// What is wrong with it.
-        what: String,
+        what: ResponseFault,
     },
 }
 
@@ -201,25 +205,51 @@
 /// GETs a path; status and body.
 ///
 /// # Errors
-/// No whole answer within `within`.
-pub fn get(address: SocketAddr, path: &str, within: Duration) -> Result<(u16, Vec<u8>), CallError> {
-    call(address, Call { method: Method::Get, path }, within)
+/// No whole answer within `within`, from the first packet to the last byte.
+pub fn get(address: SocketAddr, path: &str, within: Duration) -> Result<Response, CallError> {
+    get_while(address, path, within, |_| true)
+}
+
+/// The same; `goes_on` is given the connection once it is up, may keep a handle of it to end the call from elsewhere,
+/// and says whether the call goes on.
+///
+/// # Errors
+/// As [`get`].
+pub fn get_while(
+    address: SocketAddr,
+    path: &str,
+    within: Duration,
+    goes_on: impl FnOnce(&TcpStream) -> bool,
+) -> Result<Response, CallError> {
+    call(address, Call { method: Method::Get, path }, within, goes_on)
 }
 
 /// POSTs to a path, without a body; status and body of the answer.
 ///
 /// # Errors
-/// No whole answer within `within`.
-pub fn post(address: SocketAddr, path: &str, within: Duration) -> Result<(u16, Vec<u8>), CallError> {
-    call(address, Call { method: Method::Post, path }, within)
+/// As [`get`].
+pub fn post(address: SocketAddr, path: &str, within: Duration) -> Result<Response, CallError> {
+    call(address, Call { method: Method::Post, path }, within, |_| true)
 }
 
-fn call(address: SocketAddr, call: Call<'_>, within: Duration) -> Result<(u16, Vec<u8>), CallError> {
+/// Danger: a time-out for each read lets a body that trickles hold its caller for ever; the time is the whole call's.
+fn call(
+    address: SocketAddr,
+    call: Call<'_>,
+    within: Duration,
+    goes_on: impl FnOnce(&TcpStream) -> bool,
+) -> Result<Response, CallError> {
     let socket = |source| CallError::Socket { address, source };
-    let nonsense = |what: &str| CallError::Answer { address, what: what.to_owned() };
+    let end = Instant::now() + within;
+    let left = || match end.saturating_duration_since(Instant::now()) {
+        Duration::ZERO => Err(socket(io::ErrorKind::TimedOut.into())),
+        left => Ok(left),
+    };
     let mut stream = TcpStream::connect_timeout(&address, within).map_err(socket)?;
-    stream.set_read_timeout(Some(within)).map_err(socket)?;
-    stream.set_write_timeout(Some(within)).map_err(socket)?;
+    if !goes_on(&stream) {
+        return Err(socket(io::ErrorKind::Interrupted.into()));
+    }
+    stream.set_write_timeout(Some(left()?)).map_err(socket)?;
     let (verb, more) = match call.method {
         Method::Get => ("GET", String::new()),
         Method::Post => ("POST", format!("{CTL_HEADER}: 1\r\nContent-Length: 0\r\n")),
@@ -227,24 +257,22 @@
     let path = call.path;
     let request = format!("{verb} {path} HTTP/1.1\r\nHost: {address}\r\n{more}Connection: close\r\n\r\n");
     stream.write_all(request.as_bytes()).map_err(socket)?;
-    let mut all = Vec::new();
-    stream.take(MAX_BODY as u64).read_to_end(&mut all).map_err(socket)?;
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut response = httparse::Response::new(&mut headers);
-    let head = match response.parse(&all) {
-        Ok(httparse::Status::Complete(n)) => n,
-        Ok(httparse::Status::Partial) => return Err(nonsense("it ends within its head")),
-        Err(e) => return Err(nonsense(&e.to_string())),
+    let mut reader = ResponseReader::default();
+    let mut piece = vec![0; PIECE];
+    let read = loop {
+        stream.set_read_timeout(Some(left()?)).map_err(socket)?;
+        match stream.read(&mut piece) {
+            Ok(0) => break reader.end(),
+            Ok(n) => match reader.take(&piece[..n]) {
+                Ok(None) => {}
+                Ok(Some(whole)) => break Ok(whole),
+                Err(fault) => break Err(fault),
+            },
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(socket(e)),
+        }
     };
-    let status = response.code.unwrap_or(0);
-    let told = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case("content-length"));
-    let told =
-        told.and_then(|h| std::str::from_utf8(h.value).ok()).and_then(|v| v.trim().parse::<usize>().ok());
-    let body = all.split_off(head);
-    if told != Some(body.len()) {
-        return Err(nonsense("it ends before its stated length"));
-    }
-    Ok((status, body))
+    read.map_err(|what| CallError::Answer { address, what })
 }
 
 /// The value of a key in a path's query, as it stands.
