--- a/adapter/src/tests.rs
+++ b/adapter/src/tests.rs
@@ -69,7 +69,10 @@
 #[test]
 fn printed_actions_are_written() {
     let mut reply = Reply::new(12);
-    reply.action(3, &Action::Send { id: 0x5d3a_91c4, node: 0x0312_4a07, within_ms: 80.0 });
+    reply.action(
+        3,
+        &Action::Send { id: 0x5d3a_91c4, node: 0x0312_4a07, within_ms: 80.0, by_ms: f64::INFINITY },
+    );
     reply.action(3, &Action::SetTimer { at_ms: 8912.25, label: 77 });
     reply.action(5, &Action::Log("two servers known".to_owned()));
     reply.action(3, &Action::Tell { to: None, bytes: b"hi 7".to_vec() });
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -277,7 +277,8 @@
 
     pub fn action(&mut self, who: u16, action: &Action) {
         match action {
-            Action::Send { id, node, within_ms } => {
+            // On this wire an attempt goes out in the round in which it is issued: never after its last moment.
+            Action::Send { id, node, within_ms, .. } => {
                 let parts = [&id.to_le_bytes()[..], &node.to_le_bytes(), &within_ms.to_le_bytes()];
                 self.record(1000, who, &parts);
             }
--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -51,6 +51,8 @@
         node: u32,
         /// On the caller's clock.
         until_ms: f64,
+        /// What is not written whole by then is not to be written, and never ran; infinite for no such moment.
+        by_ms: f64,
     },
     /// An attempt is no longer waited for: cancelled, or its time is up.
     Withdrawn {
@@ -209,6 +211,12 @@
         self.flights.get(&id).map(|f| f.node)
     }
 
+    /// The attempts of a request that are still waited for, in order of issue.
+    pub fn out_of(&self, request: u32) -> Vec<AttemptId> {
+        let all = (0..self.most_attempts).map(|number| AttemptId { request, number });
+        all.filter(|id| self.is_out(*id)).collect()
+    }
+
     /// Requests without an answer.
     pub fn open(&self) -> usize {
         self.requests.len()
@@ -270,7 +278,7 @@
 
     fn carry_out(&mut self, now: f64, action: Action, out: &mut Vec<Step>) {
         match action {
-            Action::Send { id, node, within_ms } => {
+            Action::Send { id, node, within_ms, by_ms } => {
                 let Some(live) = self.requests.get_mut(&id) else { return };
                 let attempt = AttemptId { request: id, number: live.attempts };
                 live.attempts = live.attempts.saturating_add(1);
@@ -278,7 +286,7 @@
                     if within_ms > 0.0 { live.valid_until.min(now + within_ms) } else { live.valid_until };
                 self.flights.insert(attempt, Flight { node, sent: now });
                 self.set_timer(until_ms, Due::TimeOut(attempt));
-                out.push(Step::Send { attempt, node, until_ms });
+                out.push(Step::Send { attempt, node, until_ms, by_ms });
             }
             Action::Refuse { id, retry_after_ms, reason } => {
                 if self.requests.remove(&id).is_some() {
--- a/crates/drive/tests/driver.rs
+++ b/crates/drive/tests/driver.rs
@@ -64,7 +64,8 @@
     });
     let mut steps = Vec::new();
     driver.drive(now, &mut steps);
-    let [Step::Send { attempt, node: 7, until_ms }] = steps[..] else { panic!("{steps:?}") };
+    let [Step::Send { attempt, node: 7, until_ms, by_ms }] = steps[..] else { panic!("{steps:?}") };
+    assert_eq!(by_ms, f64::INFINITY, "a first attempt has no last moment of its own");
     assert_eq!(until_ms, now + 1000.0);
     attempt
 }
--- a/crates/fleet/src/hub.rs
+++ b/crates/fleet/src/hub.rs
@@ -217,7 +217,7 @@
                 tracing::error!("the fleet's sockets can't be waited for any more");
                 return;
             }
-            for Ready { token, broken } in ready.drain(..) {
+            for Ready { token, broken, .. } in ready.drain(..) {
                 if token == LISTENER {
                     self.accept();
                 } else {
--- a/crates/host/src/dispatcher.rs
+++ b/crates/host/src/dispatcher.rs
@@ -416,7 +416,7 @@
 
     fn carry_out(&mut self, now: f64, step: Step, out: &mut Vec<Effect>) {
         match step {
-            Step::Send { attempt, node, .. } => self.send(attempt, node, out),
+            Step::Send { attempt, node, by_ms, .. } => self.send(attempt, node, by_ms, out),
             Step::Withdrawn { attempt, node, verdict } => {
                 self.unwanted(attempt);
                 out.push(Effect::Abort(node, attempt));
@@ -437,7 +437,7 @@
         }
     }
 
-    fn send(&mut self, attempt: AttemptId, node: u32, out: &mut Vec<Effect>) {
+    fn send(&mut self, attempt: AttemptId, node: u32, by_ms: f64, out: &mut Vec<Effect>) {
         let Some(live) = self.requests.get(&attempt.request) else { return };
         let wanted = Arc::new(AtomicBool::new(true));
         let block_len = self.plan.volumes[live.volume.0 as usize].unit.block_len;
@@ -457,7 +457,7 @@
             // Its units are drawn at its first sending; a further attempt draws none.
             not_after_ms: match self.lent_until.get(&live.volume) {
                 Some(until) if attempt.number == 0 => *until,
-                _ => f64::INFINITY,
+                _ => by_ms,
             },
         };
         self.wanted.insert(attempt, wanted);
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -16,10 +16,10 @@
 /// Events taken in one wait.
 const AT_ONCE: usize = 64;
 
-/// What a socket is watched for; that it broke is told in any case.
+/// What a socket is watched for; that it broke, or that its other end sends no more, is told in any case.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Want {
-    /// That it broke.
+    /// That it broke or ended.
     Nothing,
     /// Something to read, or its end.
     Read,
@@ -30,8 +30,9 @@
 impl Want {
     fn flags(self) -> epoll::EventFlags {
         match self {
-            Want::Nothing => epoll::EventFlags::empty(),
-            Want::Read => epoll::EventFlags::IN,
+            // Danger: without RDHUP an orderly end is behind what nobody reads, and its client seems to wait.
+            Want::Nothing => epoll::EventFlags::RDHUP,
+            Want::Read => epoll::EventFlags::IN | epoll::EventFlags::RDHUP,
             Want::Write => epoll::EventFlags::OUT,
         }
     }
@@ -44,6 +45,8 @@
     pub token: u64,
     /// Both directions are over, or it has an error.
     pub broken: bool,
+    /// The other end sends no more, whether or not what it sent has been read.
+    pub ended: bool,
 }
 
 /// A set of watched sockets. What is true of a socket is told at each wait for as long as it is true.
@@ -114,7 +117,8 @@
                 let _ = rustix::io::read(&self.waker, &mut [0u8; 8]);
             } else {
                 let broken = flags.intersects(epoll::EventFlags::ERR | epoll::EventFlags::HUP);
-                ready.push(Ready { token, broken });
+                let ended = broken || flags.contains(epoll::EventFlags::RDHUP);
+                ready.push(Ready { token, broken, ended });
             }
         }
         Ok(())
--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -32,10 +32,27 @@
 /// The writing side of a socket.
 pub struct WriteBuffer {
     stream: TcpStream,
-    kept: Mutex<VecDeque<Bytes>>,
+    kept: Mutex<Kept>,
     flusher: Flusher,
 }
 
+/// What the system has not taken yet.
+#[derive(Default)]
+struct Kept {
+    /// One for each call of `put`, the first perhaps begun.
+    runs: VecDeque<Bytes>,
+    /// Part of the first of them went out.
+    begun: bool,
+    /// Nothing more goes out.
+    lost: bool,
+}
+
+impl Kept {
+    fn bytes(&self) -> usize {
+        self.runs.iter().map(Bytes::len).sum()
+    }
+}
+
 impl WriteBuffer {
     /// Over a connected stream.
     pub fn new(stream: TcpStream, flusher: &Flusher) -> Arc<WriteBuffer> {
@@ -53,11 +70,15 @@
     /// The socket is lost, or too much waits for it; it is shut.
     pub fn put(self: &Arc<Self>, bytes: Bytes) -> io::Result<()> {
         let mut kept = lock(&self.kept);
-        let late = !kept.is_empty();
-        kept.push_back(bytes);
+        if kept.lost {
+            return Err(io::ErrorKind::NotConnected.into());
+        }
+        let late = !kept.runs.is_empty();
+        kept.runs.push_back(bytes);
         let sent = if late { Ok(()) } else { self.offer(&mut kept) };
-        let waits = !kept.is_empty();
-        let most = kept.iter().map(Bytes::len).sum::<usize>() > MOST_KEPT;
+        let waits = !kept.runs.is_empty();
+        let most = kept.bytes() > MOST_KEPT;
+        kept.lost |= most || sent.is_err();
         drop(kept);
         if most || sent.is_err() {
             self.shut();
@@ -71,19 +92,49 @@
 
     /// Bytes that the system has not taken yet.
     pub fn kept(&self) -> usize {
-        lock(&self.kept).iter().map(Bytes::len).sum()
+        lock(&self.kept).bytes()
+    }
+
+    /// Runs of which the last byte has not been taken by the system.
+    pub fn unsent(&self) -> usize {
+        lock(&self.kept).runs.len()
     }
 
-    fn offer(&self, kept: &mut VecDeque<Bytes>) -> io::Result<()> {
-        while let Some(first) = kept.front_mut() {
+    /// Takes back the run that was put before `behind` others, if no byte of it has gone out.
+    pub fn take_back(&self, behind: usize) -> bool {
+        let mut kept = lock(&self.kept);
+        let Some(at) = kept.runs.len().checked_sub(behind + 1) else { return false };
+        if at == 0 && kept.begun {
+            return false;
+        }
+        kept.runs.remove(at).is_some()
+    }
+
+    /// Ends both directions for good; the number of runs whose last byte has not gone out and never will.
+    ///
+    /// Danger: told from a count alone, the rest of a command may still be put on behind it, and what was said never to
+    /// have run runs.
+    pub fn abort(&self) -> usize {
+        let mut kept = lock(&self.kept);
+        kept.lost = true;
+        self.shut();
+        std::mem::take(&mut kept.runs).len()
+    }
+
+    fn offer(&self, kept: &mut Kept) -> io::Result<()> {
+        while let Some(first) = kept.runs.front_mut() {
             match rustix::net::send(&self.stream, first, SendFlags::DONTWAIT | SendFlags::NOSIGNAL) {
-                Ok(n) => first.advance(n),
+                Ok(n) => {
+                    first.advance(n);
+                    kept.begun |= n > 0;
+                }
                 Err(rustix::io::Errno::AGAIN) => return Ok(()),
                 Err(rustix::io::Errno::INTR) => {}
                 Err(e) => return Err(e.into()),
             }
-            if first.is_empty() {
-                kept.pop_front();
+            if kept.runs.front().is_some_and(Bytes::is_empty) {
+                kept.runs.pop_front();
+                kept.begun = false;
             }
         }
         Ok(())
@@ -112,6 +163,11 @@
         }
     }
 
+    /// Ends the sending side: whoever reads at the other end sees an end behind the last byte.
+    pub fn end_sending(&self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
     /// Ends both directions; whoever reads is woken.
     pub fn shut(&self) {
         let _ = self.stream.shutdown(Shutdown::Both);
@@ -159,11 +215,15 @@
         late.retain(|weak| {
             let Some(write_buffer) = weak.upgrade() else { return false };
             let mut kept = lock(&write_buffer.kept);
+            if kept.lost {
+                return false;
+            }
             if write_buffer.offer(&mut kept).is_err() {
-                kept.clear();
+                // What is left stays: whoever closes it asks how much never went out.
+                kept.lost = true;
                 write_buffer.shut();
             }
-            !kept.is_empty()
+            !kept.lost && !kept.runs.is_empty()
         });
     }
 }
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -42,6 +42,8 @@
     open: u32,
     partial: Option<f64>,
     faults: u32,
+    /// The host ends it: since when.
+    ending: Option<f64>,
 }
 
 /// What follows a command that makes no sense.
@@ -53,7 +55,12 @@
     Close,
 }
 
-/// The client connections of a host.
+/// Part of the room that connections may take which the host ends, and which linger for what may still arrive.
+const LINGER_PART: usize = 8;
+/// A connection that has just come is not closed as idle: its first command is on its way.
+const GREETING_MS: f64 = 100.0;
+
+/// The client connections of a host, those included that it ends.
 #[derive(Debug)]
 pub struct ClientTable {
     room: usize,
@@ -77,29 +84,64 @@
     }
 
     /// A connection came. Where there is no room, one has to go: one that has said nothing, the longest silent first;
-    /// then an idle one, the longest idle first; otherwise the newcomer itself, of which nothing was taken yet.
+    /// then an idle one, the longest idle first; otherwise the newcomer itself, of which nothing was taken yet. It is
+    /// still held where there is room for it to end in order; where there is none, the one that has been ending longest
+    /// goes before all others, and none is held that was told.
     pub fn arrived(&mut self, now: f64, id: ClientId) -> Option<ClientId> {
-        self.clients.insert(id, Entry { since: now, last: None, open: 0, partial: None, faults: 0 });
-        if self.clients.len() <= self.room {
+        let entry = Entry { since: now, last: None, open: 0, partial: None, faults: 0, ending: None };
+        self.clients.insert(id, entry);
+        let ending = self.clients.values().filter(|c| c.ending.is_some()).count();
+        if self.clients.len() > self.room {
+            let victim = self.oldest(id, |c| c.ending).or_else(|| self.dispensable(now, id)).unwrap_or(id);
+            self.clients.remove(&victim);
+            return Some(victim);
+        }
+        if self.clients.len() - ending <= self.room - self.room / LINGER_PART {
             return None;
         }
-        let oldest = |pick: &dyn Fn(&Entry) -> Option<f64>| {
-            let times = self.clients.iter().filter(|(other, _)| **other != id);
-            let times = times.filter_map(|(other, g)| pick(g).map(|t| (t, *other)));
-            times.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, other)| other)
-        };
-        let silent = |g: &Entry| (g.last.is_none() && g.open == 0).then_some(g.since);
-        let idle =
-            |g: &Entry| g.last.filter(|last| g.open == 0 && g.partial.is_none() && now - last >= IDLE_MS);
-        let victim = oldest(&silent).or_else(|| oldest(&idle)).unwrap_or(id);
-        self.clients.remove(&victim);
+        let victim = self.dispensable(now, id)?;
+        self.ending(now, victim);
         Some(victim)
     }
 
+    /// Whether a newcomer would find room, be it in another's place.
+    ///
+    /// Danger: one that is taken and turned away has written its request by then, and is answered by a reset. One that is
+    /// not taken yet waits in the system's queue, for less than the time of a request.
+    pub fn has_room(&self, now: f64) -> bool {
+        let any_ending = || self.clients.values().any(|c| c.ending.is_some());
+        self.clients.len() < self.room || any_ending() || self.dispensable(now, ClientId::MAX).is_some()
+    }
+
+    fn oldest(&self, but: ClientId, pick: impl Fn(&Entry) -> Option<f64>) -> Option<ClientId> {
+        let times = self.clients.iter().filter(|(other, _)| **other != but);
+        let times = times.filter_map(|(other, c)| pick(c).map(|t| (t, *other)));
+        times.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, other)| other)
+    }
+
+    fn dispensable(&self, now: f64, but: ClientId) -> Option<ClientId> {
+        let rests = |c: &Entry| c.open == 0 && c.ending.is_none();
+        let silent = |c: &Entry| (c.last.is_none() && rests(c)).then_some(c.since);
+        let idle = |c: &Entry| c.last.filter(|last| rests(c) && c.partial.is_none() && now - last >= IDLE_MS);
+        self.oldest(but, silent).or_else(|| self.oldest(but, idle))
+    }
+
+    /// The host ends one: it takes no more commands, and is held until it is gone.
+    pub fn ending(&mut self, now: f64, id: ClientId) {
+        if let Some(c) = self.clients.get_mut(&id) {
+            c.ending.get_or_insert(now);
+        }
+    }
+
+    /// Whether one is held.
+    pub fn holds(&self, id: ClientId) -> bool {
+        self.clients.contains_key(&id)
+    }
+
     /// A whole command came. False: the connection was given up, and the command is not taken.
     pub fn began(&mut self, now: f64, id: ClientId) -> bool {
-        let Some(g) = self.clients.get_mut(&id) else { return false };
-        (g.open, g.last, g.partial) = (g.open + 1, Some(now), None);
+        let Some(c) = self.clients.get_mut(&id).filter(|c| c.ending.is_none()) else { return false };
+        (c.open, c.last, c.partial) = (c.open + 1, Some(now), None);
         true
     }
 
@@ -134,19 +176,28 @@
 
     /// Those whose time is up.
     pub fn overdue(&self, now: f64) -> Vec<ClientId> {
-        let over = |g: &Entry| {
-            let silent = g.last.is_none() && now - g.since >= SILENT_MS;
-            g.open == 0 && (silent || g.partial.is_some_and(|p| now - p >= PARTIAL_MS))
+        let over = |c: &Entry| {
+            let silent = c.last.is_none() && now - c.since >= SILENT_MS;
+            c.open == 0 && (silent || c.partial.is_some_and(|p| now - p >= PARTIAL_MS))
         };
         self.those(over)
     }
 
     /// Those with nothing open, when the host leaves.
     pub fn idle(&self) -> Vec<ClientId> {
-        self.those(|g| g.open == 0)
+        self.those(|c| c.open == 0)
+    }
+
+    /// Those of them of which nothing is to be expected: no half of a command came, and they did not just arrive.
+    pub fn resting(&self, now: f64) -> Vec<ClientId> {
+        self.those(|c| {
+            let heard = c.last.is_some() || now - c.since >= GREETING_MS;
+            c.open == 0 && c.partial.is_none() && heard
+        })
     }
 
     fn those(&self, pick: impl Fn(&Entry) -> bool) -> Vec<ClientId> {
-        self.clients.iter().filter(|(_, g)| pick(g)).map(|(id, _)| *id).collect()
+        let those = self.clients.iter().filter(|(_, c)| c.ending.is_none() && pick(c));
+        those.map(|(id, _)| *id).collect()
     }
 }
--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -109,6 +109,8 @@
 pub struct Changed {
     /// Nodes that are gone, or started anew: connections to what they were lead nowhere.
     pub left: Vec<u32>,
+    /// Nodes that drain: they take nothing new.
+    pub draining: Vec<u32>,
 }
 
 /// The numbers of nodes and sites.
@@ -158,6 +160,9 @@
                 }
                 known.born_ms = line.born_ms;
             }
+            if line.condition == Condition::Draining {
+                changed.draining.push(number);
+            }
             if line.condition == Condition::Gone {
                 self.retire(&line.name, &mut changed);
             } else if !known.listed {
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -223,20 +223,44 @@
     }
 
     /// A connection that was to be written on is of no use, and nothing of the attempt went out: it goes elsewhere.
-    pub fn unfit(&mut self, now: f64, link: LinkId, attempt: AttemptId, out: &mut Vec<Do>) {
-        let Some(l) = self.links.get_mut(&link) else { return };
-        let node = l.node;
-        l.out.retain(|a| *a != Some(attempt));
+    ///
+    /// Danger: the connection may be gone from here already; the attempt is in nobody's hands then but the caller's.
+    pub fn unfit(&mut self, now: f64, link: LinkId, node: u32, attempt: AttemptId, out: &mut Vec<Do>) {
         self.at.remove(&attempt);
-        if l.out.is_empty() {
-            self.links.remove(&link);
-            out.push(Do::Close(link));
-        } else {
-            l.state = State::Spent;
+        if let Some(l) = self.links.get_mut(&link) {
+            l.out.retain(|a| *a != Some(attempt));
+            if l.out.is_empty() {
+                self.links.remove(&link);
+                out.push(Do::Close(link));
+            } else {
+                l.state = State::Spent;
+            }
         }
         self.send(now, node, attempt, out);
     }
 
+    /// The connection on which an attempt was written or is about to be, and how many stand behind it there.
+    pub fn place_of(&self, attempt: AttemptId) -> Option<(LinkId, usize)> {
+        let link = *self.at.get(&attempt)?;
+        let out = &self.links.get(&link)?.out;
+        let at = out.iter().position(|a| *a == Some(attempt))?;
+        Some((link, out.len() - 1 - at))
+    }
+
+    /// What was written last on a connection: so many commands, those that nobody waits for included.
+    pub fn last_written(&self, link: LinkId, commands: usize) -> Vec<AttemptId> {
+        let out = self.links.get(&link).map(|l| &l.out);
+        out.into_iter().flat_map(|o| o.iter().rev().take(commands)).copied().flatten().collect()
+    }
+
+    /// A node is not what it was when attempts were put up for it: those that still wait for a connection are never sent.
+    ///
+    /// Danger: a connection may come up late. What waited for it would go out on a decision that nobody would take now: to
+    /// a node that drains, that was replaced, or that started cold.
+    pub fn recall(&mut self, node: u32, out: &mut Vec<Do>) {
+        out.extend(self.waiting.remove(&node).into_iter().flatten().map(Do::NeverSent));
+    }
+
     /// An attempt that was to be written is not to be written at all.
     pub fn unsend(&mut self, now: f64, link: LinkId, attempt: AttemptId, out: &mut Vec<Do>) {
         self.at.remove(&attempt);
@@ -248,6 +272,11 @@
         }
     }
 
+    /// Whether a connection carries one attempt at the most that anybody waits for.
+    pub fn is_alone(&self, link: LinkId) -> bool {
+        self.links.get(&link).is_none_or(|l| l.out.iter().flatten().count() <= 1)
+    }
+
     /// A connection is over: what was out on it, in order.
     pub fn closed(&mut self, link: LinkId, out: &mut Vec<Do>) -> Vec<AttemptId> {
         let Some(l) = self.links.remove(&link) else { return Vec::new() };
--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -137,7 +137,7 @@
     let mut out = Vec::new();
     pool.answered(1.0, 0, &mut out);
     assert_eq!(send(&mut pool, 9.0, 2), [Do::Write(0, attempt(2))]);
-    pool.unfit(9.0, 0, attempt(2), &mut out);
+    pool.unfit(9.0, 0, 1, attempt(2), &mut out);
     assert_eq!(out, [Do::Close(0), Do::Open(1, 1)]);
 }
 
--- a/crates/serving/src/client.rs
+++ b/crates/serving/src/client.rs
@@ -4,6 +4,7 @@
 use pearfork_net::{lock, Poller, Waiting, WriteBuffer};
 use pearfork_platform::clients::ClientId;
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Commands of one connection without an answer; beyond it no more is read from it.
@@ -20,7 +21,7 @@
         Mailbox { poller, told: Mutex::default() }
     }
 
-    /// A connection is over, or has room for commands again.
+    /// A connection has something that its reader waits for.
     fn tell(&self, id: ClientId) {
         lock(&self.told).push(id);
         self.poller.wake();
@@ -37,6 +38,7 @@
     pub(crate) id: ClientId,
     pub(crate) write_buffer: Arc<WriteBuffer>,
     slots: Mutex<Slots>,
+    gone: AtomicBool,
     mailbox: Arc<Mailbox>,
 }
 
@@ -47,22 +49,21 @@
     first: u64,
     answers: VecDeque<Option<Bytes>>,
     /// The reader waits for room.
-    wanted: bool,
-    /// Over once the last of them has gone out.
-    last: bool,
-    over: bool,
+    wants_room: bool,
+    /// The reader waits for the last answer.
+    wants_end: bool,
 }
 
 impl Client {
     pub(crate) fn new(id: ClientId, write_buffer: Arc<WriteBuffer>, mailbox: Arc<Mailbox>) -> Client {
-        Client { id, write_buffer, slots: Mutex::default(), mailbox }
+        Client { id, write_buffer, slots: Mutex::default(), gone: AtomicBool::new(false), mailbox }
     }
 
     /// Whether one more command may be taken; if not, the mailbox is told when it may.
     pub(crate) fn has_room(&self) -> bool {
         let mut slots = lock(&self.slots);
-        slots.wanted = slots.answers.len() >= MOST_OPEN;
-        !slots.wanted
+        slots.wants_room = slots.answers.len() >= MOST_OPEN;
+        !slots.wants_room
     }
 
     /// A place for the answer to a command.
@@ -82,44 +83,41 @@
         while matches!(slots.answers.front(), Some(Some(_))) {
             if let Some(Some(bytes)) = slots.answers.pop_front() {
                 slots.first += 1;
-                slots.over |= self.write_buffer.put(bytes).is_err();
+                // A connection that takes nothing is shut, which its reader sees.
+                let _ = self.write_buffer.put(bytes);
             }
         }
-        let ends = slots.over || (slots.last && slots.answers.is_empty());
-        let room = slots.wanted && slots.answers.len() < MOST_OPEN;
-        slots.wanted &= !room;
+        let ended = slots.wants_end && slots.answers.is_empty();
+        let room = slots.wants_room && slots.answers.len() < MOST_OPEN;
+        slots.wants_room &= !room;
         drop(slots);
-        if ends {
-            self.shut();
-        } else if room {
+        if ended || room {
             self.mailbox.tell(self.id);
         }
     }
 
-    /// Shut behind the last answer.
-    pub(crate) fn finish(&self) {
-        let mut slots = lock(&self.slots);
-        slots.last = true;
-        let ends = slots.answers.is_empty();
-        drop(slots);
-        if ends {
-            self.shut();
-        }
+    /// No command is taken any more; the mailbox is told once all have their answers.
+    pub(crate) fn ending(&self) {
+        lock(&self.slots).wants_end = true;
+    }
+
+    /// Whether an answer is owed.
+    pub(crate) fn owes(&self) -> bool {
+        !lock(&self.slots).answers.is_empty()
     }
 
-    /// Whether nothing of a request waits to be read, nor of an answer to be written.
-    pub(crate) fn is_quiet(&self) -> bool {
-        self.write_buffer.waiting() != Waiting::Bytes && self.write_buffer.kept() == 0
+    /// Whether bytes wait to be read.
+    pub(crate) fn has_unread(&self) -> bool {
+        self.write_buffer.waiting() == Waiting::Bytes
     }
 
-    pub(crate) fn is_over(&self) -> bool {
-        lock(&self.slots).over
+    /// The client is gone. Told at once and past all queues: what the engine has not looked at yet is not begun.
+    pub(crate) fn left(&self) {
+        self.gone.store(true, Ordering::SeqCst);
+        self.write_buffer.abort();
     }
 
-    /// Ends it; the mailbox is told.
-    pub(crate) fn shut(&self) {
-        lock(&self.slots).over = true;
-        self.write_buffer.shut();
-        self.mailbox.tell(self.id);
+    pub(crate) fn is_gone(&self) -> bool {
+        self.gone.load(Ordering::SeqCst)
     }
 }
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -32,11 +32,11 @@
     NotUp(LinkId),
     /// An answer came on one.
     Answered { link: LinkId, answer: Answer, at: f64 },
-    /// One is over; `unsent`: bytes of its last command never went out.
-    Over { link: LinkId, unsent: bool },
+    /// One is over; of the last `unsent` commands on it the last byte never went out.
+    Over { link: LinkId, unsent: usize },
     /// The node list, or a change of it.
     List(Listing),
-    /// The host leaves: what comes from now on has its answer within this time, whatever its client would wait.
+    /// The host leaves: all has its answer within this time, whatever its client would wait.
     Leave(Duration),
     /// How many requests are open, for a host that leaves.
     Open(Sender<usize>),
@@ -77,8 +77,8 @@
     by_client: BTreeSet<(ClientId, u32)>,
     /// Clients' ids of open requests.
     ids: HashSet<Bytes>,
-    /// Until when attempts that are out are waited for.
-    until: HashMap<AttemptId, f64>,
+    /// Until when attempts that are out are waited for, and by when they have to be written.
+    until: HashMap<AttemptId, (f64, f64)>,
     links: HashMap<LinkId, Arc<Link>>,
     /// Connections that were begun, and when the time of each is up: in order, since all are given the same.
     begun: VecDeque<(f64, LinkId)>,
@@ -113,7 +113,8 @@
         let (mut sweep, mut tell) = (self.clock.now_ms() + SWEEP_MS, self.clock.now_ms() + TELL_MS);
         loop {
             let begun = self.work.begun.front().map(|(at, _)| *at);
-            let due = self.driver.next_due().into_iter().chain(begun).fold(sweep, f64::min);
+            let last = self.work.last.filter(|_| !self.work.open.is_empty());
+            let due = self.driver.next_due().into_iter().chain(begun).chain(last).fold(sweep, f64::min);
             let first = match messages.recv_deadline(self.clock.instant(due)) {
                 Ok(m) => Some(m),
                 Err(RecvTimeoutError::Timeout) => None,
@@ -130,7 +131,11 @@
             let mut steps = std::mem::take(&mut self.work.steps);
             self.driver.ring(now, &mut steps);
             self.work.steps = steps;
+            self.settle();
             self.too_long(now);
+            if self.is_last(now) {
+                self.answer_all();
+            }
             if now >= sweep {
                 sweep = now + SWEEP_MS;
                 self.pool.sweep(now, &mut self.work.todo);
@@ -174,12 +179,12 @@
             }
             Message::Over { link, unsent } => {
                 self.work.links.remove(&link);
-                let lost = self.pool.closed(link, &mut self.work.todo);
-                let last = lost.len().saturating_sub(1);
-                for (i, attempt) in lost.into_iter().enumerate() {
-                    let never = unsent && i == last;
-                    let verdict = if never { Verdict::ConnectFailed } else { Verdict::Reset };
-                    self.ended(now, attempt, Answer { verdict, value: None, told: Told::default() });
+                // Danger: what was written whole may have run, though a later command never went out.
+                let never = self.pool.last_written(link, unsent);
+                for attempt in self.pool.closed(link, &mut self.work.todo) {
+                    let verdict =
+                        if never.contains(&attempt) { Verdict::ConnectFailed } else { Verdict::Reset };
+                    self.lost(now, attempt, verdict);
                 }
             }
             Message::List(list) => self.list(&list, NodeTable::kind(&list)),
@@ -190,8 +195,17 @@
     }
 
     fn asked(&mut self, now: f64, client: Arc<Client>, slot: u64, asked: Box<Asked>, at: f64) {
+        // Danger: its client left while it waited for its turn here; begun now, it would be sent for nobody.
+        if client.is_gone() {
+            self.work.tally.gone += 1;
+            return;
+        }
         self.work.tally.asked += 1;
         self.work.tally.slowest_turn = self.work.tally.slowest_turn.max(now - at);
+        // What comes when all has to be answered is turned away, and was never sent.
+        if self.is_last(now) {
+            return self.reply(&client, slot, write::bytes(|out| write::error(out, "BUSY")));
+        }
         // Danger: two requests under one id are one to a node that drops repeats, and the answer of one would be
         // the other's.
         if !self.work.ids.insert(asked.id.clone()) {
@@ -211,6 +225,7 @@
         let ids: Vec<u32> = self.work.by_client.range(of_it).map(|(_, id)| *id).collect();
         for id in ids {
             self.driver.abandon(id);
+            self.take_back(id);
             if let Some(open) = self.work.forget(id) {
                 let age_ms = self.clock.now_ms() - open.at;
                 tracing::debug!(request = id, age_ms, of_ms = open.asked.wait_ms, "client gone");
@@ -219,6 +234,55 @@
         }
     }
 
+    /// A request that nobody waits for any more: what has not gone out for it does not go out.
+    fn take_back(&mut self, id: u32) {
+        for attempt in self.driver.out_of(id) {
+            let Some(node) = self.driver.node_of(attempt) else { continue };
+            let place = self.pool.place_of(attempt);
+            let link = place.and_then(|(link, behind)| Some((self.work.links.get(&link)?, behind)));
+            let unsent = link.is_none_or(|(link, behind)| link.is_unsent(behind));
+            if unsent && self.unwanted(attempt, node) {
+                self.lost(self.clock.now_ms(), attempt, Verdict::Moot);
+            }
+        }
+    }
+
+    /// An attempt is not waited for any more: it is taken back where nothing of it has gone out behind others, and where it
+    /// stands alone its connection is closed. False: it goes on, and its answer is nobody's.
+    fn unwanted(&mut self, attempt: AttemptId, node: u32) -> bool {
+        if let Some((link, behind)) = self.pool.place_of(attempt).filter(|(l, _)| !self.pool.is_alone(*l)) {
+            if self.work.links.get(&link).is_some_and(|l| l.take_back(behind)) {
+                self.pool.unsend(self.clock.now_ms(), link, attempt, &mut self.work.todo);
+                return true;
+            }
+            self.pool.withdrawn(node, attempt, &mut self.work.todo);
+            return false;
+        }
+        self.pool.withdrawn(node, attempt, &mut self.work.todo);
+        true
+    }
+
+    /// Whether a host that leaves has come to its last answers.
+    fn is_last(&self, now: f64) -> bool {
+        self.work.last.is_some_and(|last| now >= last)
+    }
+
+    /// The final answer to all that is open, in a host that leaves.
+    ///
+    /// Danger: a client may wait for longer than the platform lets a host live on.
+    fn answer_all(&mut self) {
+        for id in self.work.open.keys().copied().collect::<Vec<u32>>() {
+            self.driver.abandon(id);
+            self.take_back(id);
+            self.finish(id, write::bytes(|out| write::error(out, "ERR failed leaving")));
+        }
+    }
+
+    /// An attempt ended without a node's word.
+    fn lost(&mut self, at: f64, attempt: AttemptId, verdict: Verdict) {
+        self.ended(at, attempt, Answer { verdict, value: None, told: Told::default() });
+    }
+
     /// An attempt ended by a node's word, or with its connection.
     fn ended(&mut self, at: f64, attempt: AttemptId, answer: Answer) {
         self.work.until.remove(&attempt);
@@ -248,24 +312,40 @@
     fn list(&mut self, list: &Listing, kind: ListKind) {
         let (entries, changed) = self.node_table.take(list);
         for node in changed.left {
+            self.pool.recall(node, &mut self.work.todo);
             self.pool.close_idle(node, &mut self.work.todo);
         }
+        for node in changed.draining {
+            self.pool.recall(node, &mut self.work.todo);
+        }
         self.driver.list(kind, entries);
     }
 
     /// Carries out all that is to be done, until nothing is.
     fn settle(&mut self) {
         loop {
+            self.work_off();
             let mut steps = std::mem::take(&mut self.work.steps);
             self.driver.drive(self.clock.now_ms(), &mut steps);
-            let mut todo: VecDeque<Do> = std::mem::take(&mut self.work.todo).into();
-            if steps.is_empty() && todo.is_empty() {
+            if steps.is_empty() {
                 self.work.steps = steps;
                 return;
             }
-            steps.drain(..).for_each(|step| self.step(step));
+            for step in steps.drain(..) {
+                self.step(step);
+                self.work_off();
+            }
             self.work.steps = steps;
-            while let Some(one) = todo.pop_front() {
+        }
+    }
+
+    /// Carries out what the pool said, in its order.
+    ///
+    /// Danger: what is said is true of the pool as it is. Left over while the pool is told more, a command would be written
+    /// for an attempt that was withdrawn meanwhile, or behind one that is not there.
+    fn work_off(&mut self) {
+        while !self.work.todo.is_empty() {
+            for one in std::mem::take(&mut self.work.todo) {
                 self.carry_out(one);
             }
         }
@@ -274,9 +354,9 @@
     fn step(&mut self, step: Step) {
         let now = self.clock.now_ms();
         match step {
-            Step::Send { attempt, node, until_ms } => {
+            Step::Send { attempt, node, until_ms, by_ms } => {
                 self.work.tally.sent += 1;
-                self.work.until.insert(attempt, until_ms);
+                self.work.until.insert(attempt, (until_ms, by_ms));
                 self.pool.send(now, node, attempt, &mut self.work.todo);
             }
             Step::Withdrawn { attempt, node, verdict } => {
@@ -289,7 +369,7 @@
                     ?verdict,
                     "given up"
                 );
-                self.pool.withdrawn(node, attempt, &mut self.work.todo);
+                self.unwanted(attempt, node);
             }
             Step::Refused { id, retry_after_ms, reason } => {
                 *self.work.tally.refused.entry(reason).or_insert(0) += 1;
@@ -320,36 +400,30 @@
                     self.pool.not_opened(link, &mut self.work.todo);
                 }
             }
-            Do::Write(link, attempt) => {
-                let until = self.work.until.get(&attempt).copied().unwrap_or(now);
-                let command = self.work.open.get(&attempt.request).map(|o| o.asked.command(until - now));
-                let wrote = match (self.work.links.get(&link), command) {
-                    (Some(link), Some(command)) => link.send(command).is_ok(),
-                    // Its client has left before anything went out for it.
-                    (_, None) => {
-                        self.pool.unsend(now, link, attempt, &mut self.work.todo);
-                        return self.never_sent(now, attempt);
-                    }
-                    (None, _) => false,
-                };
-                if !wrote {
-                    self.pool.unfit(now, link, attempt, &mut self.work.todo);
-                }
-            }
+            Do::Write(link, attempt) => self.write(now, link, attempt),
             Do::Close(link) => {
                 self.work.links.remove(&link);
                 self.nodes.close(link);
             }
-            Do::NeverSent(attempt) => self.never_sent(now, attempt),
+            Do::NeverSent(attempt) => self.lost(now, attempt, Verdict::ConnectFailed),
         }
     }
 
-    fn never_sent(&mut self, now: f64, attempt: AttemptId) {
-        self.ended(
-            now,
-            attempt,
-            Answer { verdict: Verdict::ConnectFailed, value: None, told: Told::default() },
-        );
+    /// The moment at which an attempt goes out, however long it waited for its connection: whatever stands against it by
+    /// now stands against it here. Nodes that changed were looked at when the list came.
+    fn write(&mut self, now: f64, link: LinkId, attempt: AttemptId) {
+        let open = self.work.open.get(&attempt.request).filter(|o| !o.client.is_gone());
+        let times = self.work.until.get(&attempt).filter(|(_, by)| now < *by);
+        let (Some(open), Some((until, _)), Some(node)) = (open, times, self.driver.node_of(attempt)) else {
+            let verdict = if open.is_some() { Verdict::ConnectFailed } else { Verdict::Moot };
+            self.pool.unsend(now, link, attempt, &mut self.work.todo);
+            return self.lost(now, attempt, verdict);
+        };
+        let command = open.asked.command(until - now);
+        let wrote = self.work.links.get(&link).is_some_and(|link| link.send(command).is_ok());
+        if !wrote {
+            self.pool.unfit(now, link, node, attempt, &mut self.work.todo);
+        }
     }
 }
 
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -7,9 +7,10 @@
 use pearfork_net::{lock, long_queue, Clock, Flusher, Ready, Want, WriteBuffer};
 use pearfork_platform::clients::{AfterFault, ClientId, ClientTable};
 use pearfork_platform::config::Vocabulary;
+use pearfork_platform::life::{Effect, Event, Life, State};
 use pearfork_platform::request::{self, Parsed};
 use pearfork_resp::{write, Commands};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -26,16 +27,23 @@
 /// How often idle and silent connections are looked at, and how often while the host leaves.
 const SWEEP_MS: f64 = 200.0;
 const LEAVING_MS: f64 = 10.0;
-/// How long none is taken after the system gave no descriptor.
-const NO_DESCRIPTOR_MS: f64 = 5.0;
+/// How often a write buffer is looked at whose connection ends once it is empty.
+const FLUSH_LOOK_MS: f64 = 5.0;
+/// How long what arrives behind an end of ours is read, and how long where the host leaves: a client that saw the end
+/// closes by itself.
+const LINGER_MS: f64 = 500.0;
+const LEAVING_LINGER_MS: f64 = 120.0;
+/// How long none is taken where the system gives no descriptor, or where no connection may go for another.
+const NO_ROOM_MS: f64 = 5.0;
 
-/// How far a host that leaves has come.
+/// How far a host that leaves has come. Connections are taken up to its end: what the system took in its name is owed
+/// an answer.
 #[derive(Debug, Default)]
 pub(crate) struct Leaving {
-    /// No connection is taken any more.
-    pub(crate) begun: AtomicBool,
-    /// Those with nothing open are closed.
+    /// Those that rest are closed.
     pub(crate) closing: AtomicBool,
+    /// All with nothing open are closed.
+    pub(crate) last: AtomicBool,
     /// The thread is to end.
     pub(crate) over: AtomicBool,
 }
@@ -44,18 +52,19 @@
 struct Reading {
     client: Arc<Client>,
     commands: Commands,
-    stage: Stage,
+    life: Life,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Stage {
-    Reads,
-    /// It has as many commands open as it may.
+/// How far the commands of a connection were taken.
+enum Taken {
+    /// All that came.
+    All,
+    /// As many are open as may be.
     Full,
-    /// What made no sense is followed by a pause.
-    Paused(f64),
-    /// Nothing more is read; it ends behind its last answer.
-    Ends,
+    /// One made no sense.
+    Pause(f64),
+    /// Nothing more is taken from it.
+    End,
 }
 
 /// Reads all client connections.
@@ -68,6 +77,8 @@
     pub(crate) flusher: Flusher,
     pub(crate) leaving: Arc<Leaving>,
     clients: HashMap<ClientId, Reading>,
+    /// Those that have to be looked at though nothing comes on them.
+    timed: BTreeSet<ClientId>,
     next: ClientId,
     /// Until when no connection is taken.
     pause: Option<f64>,
@@ -83,7 +94,8 @@
         flusher: Flusher,
         leaving: Arc<Leaving>,
     ) -> Front {
-        let clients = HashMap::new();
+        let (clients, timed) = (HashMap::new(), BTreeSet::new());
+        let next = LISTENER;
         Front {
             mailbox,
             table,
@@ -93,7 +105,8 @@
             flusher,
             leaving,
             clients,
-            next: LISTENER,
+            timed,
+            next,
             pause: None,
         }
     }
@@ -113,13 +126,8 @@
         let mut ready = Vec::new();
         let mut piece = vec![0u8; PIECE];
         let mut sweep = self.clock.now_ms() + SWEEP_MS;
-        let mut open = true;
         while !self.leaving.over.load(Ordering::SeqCst) {
-            let pauses = self.clients.values().filter_map(|r| match r.stage {
-                Stage::Paused(until) => Some(until),
-                _ => None,
-            });
-            let due = pauses.chain(self.pause).fold(sweep, f64::min);
+            let due = self.due(sweep);
             if let Err(why) = self.mailbox.poller.wait(&mut ready, Some(self.clock.instant(due))) {
                 tracing::error!(%why, "connections can't be waited for");
                 return;
@@ -131,19 +139,14 @@
                 }
             }
             for id in self.mailbox.take() {
-                match self.clients.get(&id).map(|r| (r.client.is_over(), r.stage)) {
-                    Some((true, _)) => self.gone(id),
-                    Some((false, Stage::Full)) => self.work(id),
-                    _ => {}
+                if self.clients.get(&id).is_some_and(|r| r.life.state() == State::Full) {
+                    self.on(id, Event::Room);
+                    self.work(id);
                 }
+                self.advance(id);
             }
             let now = self.clock.now_ms();
-            self.resume(now, listener);
-            if self.leaving.begun.load(Ordering::SeqCst) && std::mem::take(&mut open) {
-                self.accept(listener);
-                self.mailbox.poller.remove(listener);
-                pearfork_net::shut_listener(listener);
-            }
+            self.look(now, listener);
             let closing = self.leaving.closing.load(Ordering::SeqCst);
             if now >= sweep || (closing && sweep > now + LEAVING_MS) {
                 sweep = now + if closing { LEAVING_MS } else { SWEEP_MS };
@@ -153,12 +156,28 @@
         pearfork_net::shut_listener(listener);
     }
 
-    /// Goes on with what was paused.
-    fn resume(&mut self, now: f64, listener: &TcpListener) {
-        let over = |stage| matches!(stage, Stage::Paused(until) if now >= until);
-        let those = self.clients.iter().filter(|(_, r)| over(r.stage)).map(|(id, _)| *id);
-        for id in those.collect::<Vec<ClientId>>() {
-            self.work(id);
+    /// When something has to be looked at though nothing comes.
+    fn due(&self, sweep: f64) -> f64 {
+        let timed =
+            self.timed.iter().filter_map(|id| self.clients.get(id)).filter_map(|r| match r.life.state() {
+                State::Flushing(_) => Some(self.clock.now_ms() + FLUSH_LOOK_MS),
+                _ => r.life.due(),
+            });
+        timed.chain(self.pause).fold(sweep, f64::min)
+    }
+
+    /// Goes on with what waited for its time.
+    fn look(&mut self, now: f64, listener: &TcpListener) {
+        for id in self.timed.iter().copied().collect::<Vec<ClientId>>() {
+            let paused = |front: &Front| {
+                front.clients.get(&id).is_some_and(|r| matches!(r.life.state(), State::Paused(_)))
+            };
+            let before = paused(self);
+            self.on(id, Event::Tick);
+            if before && !paused(self) {
+                self.work(id);
+            }
+            self.advance(id);
         }
         if self.pause.is_some_and(|until| now >= until) {
             self.pause = None;
@@ -166,82 +185,146 @@
         }
     }
 
-    /// Closes those that the table names and of which nothing more is on its way.
-    ///
-    /// Danger: a request that crosses the closing was taken by this machine; its client would lose it. This thread
-    /// alone reads and closes, so none can be between the socket and the table.
+    /// Ends those that the table names. What came and was not read yet is read first.
     fn sweep(&mut self, now: f64, closing: bool) {
         let those = {
             let table = lock(&self.table);
-            if closing {
-                table.idle()
-            } else {
-                table.overdue(now)
+            match (closing, self.leaving.last.load(Ordering::SeqCst)) {
+                (false, _) => table.overdue(now),
+                (true, false) => table.resting(now),
+                (true, true) => table.idle(),
             }
         };
         for id in those {
-            if self.clients.get(&id).is_none_or(|r| r.client.is_quiet()) {
-                self.gone(id);
+            if self.clients.get(&id).is_some_and(|r| !r.client.has_unread()) {
+                self.end(id);
             }
         }
     }
 
     fn accept(&mut self, listener: &TcpListener) {
         for _ in 0..AT_ONCE {
+            // Danger: with no descriptor left the listener stays ready, and this thread would turn without end.
+            if !lock(&self.table).has_room(self.clock.now_ms()) {
+                return self.pause(listener);
+            }
             match listener.accept() {
                 Ok((stream, _)) => self.welcome(stream),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                // Danger: with no descriptor left the listener stays ready, and this thread would turn without end.
-                Err(_) => {
-                    self.pause = Some(self.clock.now_ms() + NO_DESCRIPTOR_MS);
-                    let _ = self.mailbox.poller.change(listener, LISTENER, Want::Nothing);
-                    return;
-                }
+                Err(_) => return self.pause(listener),
             }
         }
     }
 
+    /// Takes no connection for a moment.
+    fn pause(&mut self, listener: &TcpListener) {
+        self.pause = Some(self.clock.now_ms() + NO_ROOM_MS);
+        let _ = self.mailbox.poller.change(listener, LISTENER, Want::Nothing);
+    }
+
     fn welcome(&mut self, stream: TcpStream) {
         self.next += 1;
-        let id = self.next;
-        match lock(&self.table).arrived(self.clock.now_ms(), id) {
+        let (id, now) = (self.next, self.clock.now_ms());
+        let (victim, held) = {
+            let mut table = lock(&self.table);
+            let victim = table.arrived(now, id);
+            (victim, victim.is_some_and(|v| table.holds(v)))
+        };
+        match victim {
             Some(newcomer) if newcomer == id => return,
-            Some(victim) => self.clients.get(&victim).iter().for_each(|r| r.client.shut()),
+            Some(victim) if held => self.end(victim),
+            Some(victim) => self.on(victim, Event::Evicted),
             None => {}
         }
+        // Danger: small writes that the system holds back go with a connection that is reset.
         let _ = stream.set_nodelay(true);
-        let client = Arc::new(Client::new(id, WriteBuffer::new(stream, &self.flusher), self.mailbox.clone()));
+        let write_buffer = WriteBuffer::new(stream, &self.flusher);
+        let client = Arc::new(Client::new(id, write_buffer, self.mailbox.clone()));
         if self.mailbox.poller.add(client.write_buffer.stream(), id, Want::Read).is_err() {
             lock(&self.table).left(id);
             return;
         }
         let commands = Commands::new(request::COMMAND);
-        self.clients.insert(id, Reading { client, commands, stage: Stage::Reads });
+        self.clients.insert(id, Reading { client, commands, life: Life::default() });
+    }
+
+    /// The host ends a connection: what was taken is answered, then it lingers for what crosses the end.
+    fn end(&mut self, id: ClientId) {
+        let now = self.clock.now_ms();
+        lock(&self.table).ending(now, id);
+        if let Some(r) = self.clients.get(&id) {
+            r.client.ending();
+        }
+        self.on(id, Event::End);
+        self.advance(id);
+    }
+
+    /// Takes the end of a connection as far as it has come.
+    fn advance(&mut self, id: ClientId) {
+        while let Some(r) = self.clients.get(&id) {
+            match r.life.state() {
+                State::Ending if !r.client.owes() => self.on(id, Event::Answered),
+                State::Flushing(_) if r.client.write_buffer.kept() == 0 => self.on(id, Event::Flushed),
+                _ => return,
+            }
+        }
+    }
+
+    /// Something happened to a connection.
+    fn on(&mut self, id: ClientId, event: Event) {
+        let now = self.clock.now_ms();
+        let leaving = self.leaving.closing.load(Ordering::SeqCst);
+        let linger = if leaving { LEAVING_LINGER_MS } else { LINGER_MS };
+        let Some(r) = self.clients.get_mut(&id) else { return };
+        let before = r.life;
+        let effect = r.life.on(now, linger, event);
+        match effect {
+            Effect::None => {}
+            Effect::EndSending => r.client.write_buffer.end_sending(),
+            Effect::Close => return self.closed(id),
+        }
+        let life = r.life;
+        if before.reads() != life.reads() {
+            let want = if life.reads() { Want::Read } else { Want::Nothing };
+            let _ = self.mailbox.poller.change(r.client.write_buffer.stream(), id, want);
+        }
+        if life.is_ending() || life.due().is_some() {
+            self.timed.insert(id);
+        } else {
+            self.timed.remove(&id);
+        }
     }
 
     /// A connection is over.
-    fn gone(&mut self, id: ClientId) {
+    fn closed(&mut self, id: ClientId) {
         lock(&self.table).left(id);
+        self.timed.remove(&id);
         let Some(reading) = self.clients.remove(&id) else { return };
         self.mailbox.poller.remove(reading.client.write_buffer.stream());
-        reading.client.write_buffer.shut();
-        let _ = self.engine.send(Message::ClientGone(id));
+        let owes = reading.client.owes();
+        reading.client.left();
+        if owes {
+            let _ = self.engine.send(Message::ClientGone(id));
+        }
     }
 
-    /// Something came on a connection, or it broke.
+    /// Something came on a connection, or it ended.
     fn ready(&mut self, ready: Ready, piece: &mut [u8]) {
         let id = ready.token;
         let Some(reading) = self.clients.get_mut(&id) else { return };
-        if reading.stage != Stage::Reads {
-            if ready.broken {
-                self.gone(id);
+        if !reading.life.reads() {
+            // Danger: an end behind what is not read. Its client has left, and what waits for it would still be sent.
+            if ready.ended {
+                self.on(id, Event::Gone);
             }
             return;
         }
         match reading.client.write_buffer.read_now(piece) {
             Ok(None) => {}
-            Ok(Some(0)) | Err(_) => self.gone(id),
+            Ok(Some(0)) | Err(_) => self.on(id, Event::Gone),
+            // Danger: a request that crosses our end is sent once more by its client; taken here, it would run twice.
+            Ok(Some(n)) if reading.life.is_ending() => self.on(id, Event::Discarded(n)),
             Ok(Some(n)) => {
                 reading.commands.buffer().extend_from_slice(&piece[..n]);
                 self.work(id);
@@ -251,29 +334,25 @@
 
     /// Takes what came on a connection, as far as it may go.
     fn work(&mut self, id: ClientId) {
-        let Some(reading) = self.clients.get_mut(&id) else { return };
-        let before = reading.stage;
-        let Some(stage) = reading.take(&self.table, &self.vocabulary, &self.engine, self.clock) else {
-            return self.gone(id);
-        };
-        reading.stage = stage;
-        let reads = |stage| stage == Stage::Reads;
-        if reads(before) != reads(stage) {
-            let want = if reads(stage) { Want::Read } else { Want::Nothing };
-            let _ = self.mailbox.poller.change(reading.client.write_buffer.stream(), id, want);
+        let Some(reading) = self.clients.get_mut(&id).filter(|r| r.life.takes_commands()) else { return };
+        match reading.take(&self.table, &self.vocabulary, &self.engine, self.clock) {
+            Taken::All => {}
+            Taken::Full => self.on(id, Event::Full),
+            Taken::Pause(until) => self.on(id, Event::Pause(until)),
+            Taken::End => self.end(id),
         }
     }
 }
 
 impl Reading {
-    /// Takes whole commands; `None` where the connection is of no further use.
+    /// Takes whole commands.
     fn take(
         &mut self,
         table: &Mutex<ClientTable>,
         vocabulary: &Vocabulary,
         engine: &Sender<Message>,
         clock: Clock,
-    ) -> Option<Stage> {
+    ) -> Taken {
         let client = &self.client;
         while client.has_room() {
             let words = match self.commands.next_command() {
@@ -282,24 +361,26 @@
                     if self.commands.is_within() {
                         lock(table).partial(clock.now_ms(), client.id);
                     }
-                    return Some(Stage::Reads);
+                    return Taken::All;
                 }
                 Err(fault) => {
                     // The frame is lost: the error is the last that this connection hears.
                     client.answer(client.reserve(), error(&format!("Protocol error: {fault}")));
-                    client.finish();
                     let _ = engine.send(Message::Fault);
-                    return Some(Stage::Ends);
+                    return Taken::End;
                 }
             };
             let at = clock.now_ms();
             if !lock(table).began(at, client.id) {
-                return None;
+                return Taken::End;
             }
             let slot = client.reserve();
             match request::parse(&words, vocabulary) {
                 Ok(Parsed::Asked(asked)) => {
-                    engine.send(Message::Asked { client: client.clone(), slot, asked, at }).ok()?;
+                    // The engine is gone only with the host.
+                    if engine.send(Message::Asked { client: client.clone(), slot, asked, at }).is_err() {
+                        return Taken::End;
+                    }
                 }
                 Ok(Parsed::Ping) => {
                     client.answer(slot, write::bytes(|out| write::simple(out, "PONG")));
@@ -313,17 +394,14 @@
                         table.fault(client.id)
                     };
                     let _ = engine.send(Message::Fault);
-                    match after {
-                        AfterFault::Pause(ms) => return Some(Stage::Paused(at + ms as f64)),
-                        AfterFault::Close => {
-                            client.finish();
-                            return Some(Stage::Ends);
-                        }
-                    }
+                    return match after {
+                        AfterFault::Pause(ms) => Taken::Pause(at + ms as f64),
+                        AfterFault::Close => Taken::End,
+                    };
                 }
             }
         }
-        Some(Stage::Full)
+        Taken::Full
     }
 }
 
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -62,6 +62,19 @@
         Ok(())
     }
 
+    /// Takes a command back of which nothing has gone out, where so many were written behind it.
+    pub(crate) fn take_back(&self, behind: usize) -> bool {
+        let mut state = lock(&self.state);
+        let back = self.write_buffer.take_back(behind);
+        state.out -= usize::from(back);
+        back
+    }
+
+    /// Whether the last byte of a command has not gone out, where so many were written behind it.
+    pub(crate) fn is_unsent(&self, behind: usize) -> bool {
+        self.write_buffer.unsent() > behind
+    }
+
     /// Reads what came: the answers in it, and whether the connection is of further use.
     fn read(&self, piece: &mut [u8], told: &mut Vec<Answer>) -> bool {
         let mut state = lock(&self.state);
@@ -215,7 +228,8 @@
 
     /// A connection is over by the node's doing.
     fn over(&self, id: LinkId, link: &Link) {
-        let unsent = link.write_buffer.kept() > 0;
+        // Nothing goes out behind this count.
+        let unsent = link.write_buffer.abort();
         {
             let state = lock(&link.state);
             if state.out > 0 {
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -4,7 +4,7 @@
 use crate::engine::{Engine, Message};
 use crate::front::{Front, Leaving};
 use crate::links::Nodes;
-use crate::watch::Watcher;
+use crate::watch::{Following, Pace, Watcher};
 use crossbeam_channel::{bounded, Sender};
 use pearfork_drive::Driver;
 use pearfork_net::{lock, spawn_small, Clock, Flusher, Poller};
@@ -38,22 +38,24 @@
 
 /// Messages that wait for the engine at the most.
 const ENGINE_QUEUE: usize = 4096;
-/// How long a host that leaves goes on taking connections: the platform sends new ones for 0.4 s.
-const STILL_OPEN: Duration = Duration::from_millis(500);
 /// The platform ends a host no sooner than this after the longest deadline, which counts as [`LONGEST`] at the most.
 const ENDED: Duration = Duration::from_millis(700);
 const LONGEST: Duration = Duration::from_secs(3);
-/// Before it is ended all is answered, and before that, connections with nothing open are closed.
+/// Before it is ended all is answered, and before that, connections that rest are closed.
 const ANSWERED: Duration = Duration::from_millis(200);
 const CLOSING: Duration = Duration::from_millis(400);
+/// Before it is ended the host is gone by itself.
+const GONE: Duration = Duration::from_millis(30);
 
 /// The moments of a host that leaves, counted from the word to leave.
 #[derive(Clone, Copy, Debug)]
 struct Departure {
-    /// Connections with nothing open are closed.
+    /// Connections that rest are closed.
     closing: Duration,
-    /// The last answer to what came since.
+    /// The last answer, and then the end of all connections.
     last: Duration,
+    /// The process ends, whatever is left.
+    gone: Duration,
 }
 
 impl Departure {
@@ -61,7 +63,7 @@
     /// its service for seconds; with a tenth of the fleet on its way out at any time, it is the fleet's.
     fn of(longest: Duration) -> Departure {
         let end = longest.min(LONGEST) + ENDED;
-        Departure { closing: end - CLOSING, last: end - ANSWERED }
+        Departure { closing: end - CLOSING, last: end - ANSWERED, gone: end - GONE }
     }
 }
 
@@ -71,7 +73,7 @@
     engine: Sender<Message>,
     mailbox: Arc<Mailbox>,
     table: Arc<Mutex<ClientTable>>,
-    discovery: Arc<Mutex<SocketAddr>>,
+    discovery: Arc<Following>,
     leaving: Arc<Leaving>,
     longest: Duration,
 }
@@ -83,6 +85,7 @@
     /// What the machine refuses: the address, threads. What the module refuses.
     pub fn start(config: Config) -> Result<Serving, ServingError> {
         let address = config.listen;
+        let grace = Duration::from_secs_f64(config.module.drain_grace_ms / 1_000.0);
         let longest = config.module.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
         let driver = Driver::new(config.module, config.seed)?;
         let clock = Clock::start();
@@ -96,8 +99,8 @@
         let mut running = Engine::new(driver, pool, clock, table.clone(), nodes, config.links.connect_ms);
         running.known(&config.known);
         spawn_small("engine", move || running.run(&messages))?;
-        let discovery = Arc::new(Mutex::new(config.discovery));
-        let watcher = Watcher { address: discovery.clone(), engine: engine.clone() };
+        let discovery = Arc::new(Following::new(config.discovery));
+        let watcher = Watcher::new(discovery.clone(), engine.clone(), Pace::within(grace));
         spawn_small("discovery", move || watcher.run())?;
         let listener =
             TcpListener::bind(address).map_err(|source| ServingError::Listen { address, source })?;
@@ -125,26 +128,25 @@
         self.listener.local_addr().ok()
     }
 
-    /// Follows discovery at another address from now on, with the list as it is.
+    /// Follows discovery at another address from now on, with the list as it is until that one tells its own.
     pub fn follow(&self, discovery: SocketAddr) {
-        *lock(&self.discovery) = discovery;
+        self.discovery.change(discovery);
     }
 
-    /// Leaves in order: takes connections for a moment more, serves those that are there for as long as the platform
-    /// lets it, then closes them. False where something taken could not be answered.
+    /// Leaves in order: takes connections and serves all that are there for as long as the platform lets it, then ends
+    /// them. False where something taken could not be answered.
     pub fn stop(&self) -> bool {
         let began = Instant::now();
         let departure = Departure::of(self.longest);
         if self.engine.send(Message::Leave(departure.last)).is_err() {
             return false;
         }
-        std::thread::sleep(STILL_OPEN);
-        self.leaving.begun.store(true, Ordering::SeqCst);
-        self.mailbox.poller.wake();
-        std::thread::sleep(departure.closing.saturating_sub(began.elapsed()));
-        self.leaving.closing.store(true, Ordering::SeqCst);
-        self.mailbox.poller.wake();
-        let until = began + self.longest + ENDED;
+        for (at, flag) in [(departure.closing, &self.leaving.closing), (departure.last, &self.leaving.last)] {
+            std::thread::sleep(at.saturating_sub(began.elapsed()));
+            flag.store(true, Ordering::SeqCst);
+            self.mailbox.poller.wake();
+        }
+        let until = began + departure.gone;
         loop {
             let held = lock(&self.table).held();
             let (to, from) = bounded(1);
@@ -154,7 +156,7 @@
                 return true;
             }
             if Instant::now() >= until {
-                return false;
+                return open == 0;
             }
             std::thread::sleep(Duration::from_millis(10));
         }
@@ -163,7 +165,6 @@
 
 impl Drop for Serving {
     fn drop(&mut self) {
-        self.leaving.begun.store(true, Ordering::SeqCst);
         self.leaving.over.store(true, Ordering::SeqCst);
         self.mailbox.poller.wake();
         let _ = self.engine.try_send(Message::Stop);
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -4,60 +4,149 @@
 use crossbeam_channel::Sender;
 use pearfork_net::{http, lock};
 use pearfork_platform::nodes;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// How long a call may wait at discovery. Short: an agent that went silent, or an address that was replaced, is
-/// left within this and the margin, and the platform counts what it has as told 2 s after a call's wait.
-const WAIT: Duration = Duration::from_millis(1_000);
-/// How much longer than its wait a call may take.
-const MARGIN: Duration = Duration::from_millis(500);
-/// Pause after a call that failed. The agent is on this machine, and costs nothing.
+/// Longest and shortest wait that a call asks for.
+const WAITS: (Duration, Duration) = (Duration::from_millis(1_000), Duration::from_millis(100));
+/// How much longer than its wait a call may take, as a part of the wait.
+const MARGIN: f64 = 0.5;
+/// Pause after a call that failed. The agent is on this machine, and costs nothing; a watch goes on only where the next
+/// call comes within 200 ms of the last answer.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// How long calls wait.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    /// At discovery, for a change.
+    wait: Duration,
+    /// After a call that failed: what came back may have changes that count already.
+    retry: Duration,
+}
+
+impl Pace {
+    /// Danger: an agent that went silent and came back has told all that it has at that moment, whoever was asking. A
+    /// call that began before has to be over, and the next one answered, within the grace that the rules give.
+    pub(crate) fn within(grace: Duration) -> Pace {
+        let wait = (grace / 2).clamp(WAITS.1, WAITS.0);
+        Pace { wait, retry: WAITS.1 }
+    }
+
+    fn whole(wait: Duration) -> Duration {
+        wait + wait.mul_f64(MARGIN).max(WAITS.1)
+    }
+}
+
+/// The address that is followed, and the call that is under way there.
+pub(crate) struct Following {
+    now: Mutex<Now>,
+}
+
+struct Now {
+    address: SocketAddr,
+    call: Option<TcpStream>,
+}
+
+impl Following {
+    pub(crate) fn new(address: SocketAddr) -> Following {
+        Following { now: Mutex::new(Now { address, call: None }) }
+    }
+
+    /// Another address counts from now on; a call under way at the old one is ended.
+    pub(crate) fn change(&self, address: SocketAddr) {
+        let mut now = lock(&self.now);
+        now.address = address;
+        if let Some(call) = now.call.take() {
+            let _ = call.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        lock(&self.now).address
+    }
+
+    /// A call is under way at an address; false where another counts by now.
+    fn begins(&self, address: SocketAddr, call: &TcpStream) -> bool {
+        let mut now = lock(&self.now);
+        now.call = call.try_clone().ok();
+        now.address == address
+    }
+
+    /// It is over; false where another address counts by now, and what was told is another agent's.
+    fn ended(&self, address: SocketAddr) -> bool {
+        let mut now = lock(&self.now);
+        now.call = None;
+        now.address == address
+    }
+}
+
 pub(crate) struct Watcher {
-    /// Where discovery answers; replaced while it runs.
-    pub(crate) address: Arc<Mutex<SocketAddr>>,
-    pub(crate) engine: Sender<Message>,
+    following: Arc<Following>,
+    engine: Sender<Message>,
+    pace: Pace,
+    /// What was told last, and by whom.
+    told: Option<(SocketAddr, u64)>,
+    failing: bool,
 }
 
 impl Watcher {
+    pub(crate) fn new(following: Arc<Following>, engine: Sender<Message>, pace: Pace) -> Watcher {
+        Watcher { following, engine, pace, told: None, failing: false }
+    }
+
     /// Runs until nobody listens any more.
-    pub(crate) fn run(self) {
-        let mut seq = None;
-        let mut failing = false;
-        loop {
-            let address = *lock(&self.address);
-            match call(address, seq) {
-                Ok(list) => {
-                    failing = false;
-                    seq = Some(list.seq);
-                    let news = list.whole || !list.lines.is_empty();
-                    if news && self.engine.send(Message::List(list)).is_err() {
-                        return;
-                    }
-                }
-                Err(why) => {
-                    if !std::mem::replace(&mut failing, true) {
-                        tracing::warn!(why, "discovery cannot be had; going on with the list as it is");
-                    }
-                    std::thread::sleep(PAUSE);
+    pub(crate) fn run(mut self) {
+        while self.step() {}
+    }
+
+    /// One call; false where nobody listens any more.
+    fn step(&mut self) -> bool {
+        let address = self.following.address();
+        // Danger: versions are an agent's own. One asked of another may be newer than all that it has.
+        let since = self.told.filter(|(agent, _)| *agent == address).map(|(_, seq)| seq);
+        let called = self.call(address, since);
+        if !self.following.ended(address) {
+            return true;
+        }
+        match called {
+            Ok(list) => {
+                self.failing = false;
+                self.told = Some((address, list.seq));
+                let news = list.whole || !list.lines.is_empty();
+                !news || self.engine.send(Message::List(list)).is_ok()
+            }
+            Err(why) => {
+                if !std::mem::replace(&mut self.failing, true) {
+                    tracing::warn!(why, "discovery cannot be had; going on with the list as it is");
                 }
+                std::thread::sleep(PAUSE);
+                true
             }
         }
     }
-}
 
-fn call(address: SocketAddr, seq: Option<u64>) -> Result<nodes::Listing, String> {
-    let path = match seq {
-        None => "/discovery/hosts".to_owned(),
-        Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={}", WAIT.as_millis()),
-    };
-    let within = if seq.is_some() { WAIT + MARGIN } else { MARGIN };
-    let (status, body) = http::get(address, &path, within).map_err(|e| e.to_string())?;
-    if status != 200 {
-        return Err(format!("{address}: status {status}"));
-    }
-    nodes::parse(&body).map_err(|e| format!("{address}: {e}"))
+    fn call(&mut self, address: SocketAddr, since: Option<u64>) -> Result<nodes::Listing, String> {
+        let wait = if self.failing { self.pace.retry } else { self.pace.wait };
+        let path = match since {
+            None => "/discovery/hosts".to_owned(),
+            Some(seq) => format!("/discovery/hosts?since={seq}&timeout_ms={}", wait.as_millis()),
+        };
+        let up = |stream: &TcpStream| self.following.begins(address, stream);
+        let (status, body) =
+            http::get_while(address, &path, Pace::whole(wait), up).map_err(|e| e.to_string())?;
+        if status != 200 {
+            return Err(format!("{address}: status {status}"));
+        }
+        let list = nodes::parse(&body).map_err(|e| format!("{address}: {e}"))?;
+        match since {
+            None if !list.whole => Err(format!("{address}: changes, where the whole list was asked for")),
+            // An agent that went back has begun anew: its whole list counts, and changes of it count for nothing here.
+            Some(seq) if list.seq < seq && !list.whole => {
+                self.told = None;
+                Err(format!("{address}: version {} after {seq}", list.seq))
+            }
+            _ => Ok(list),
+        }
+    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -514,6 +514,8 @@
         node: u32,
         /// Time-out; 0: until the client gives up.
         within_ms: f64,
+        /// What has not been written whole by this moment is not to be written at all; infinite for no such moment.
+        by_ms: f64,
     },
     /// Final answer: refused, a retry does no harm.
     Refuse {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -572,6 +572,8 @@
     }
 
     fn send(&mut self, now: f64, node: u32, id: u32, actions: &mut Vec<Action>) {
+        let again = self.books.requests.get(&id).filter(|r| r.tries > 0);
+        let by_ms = again.map_or(f64::INFINITY, |r| self.repeat_until(r));
         let tokens = self.books.nodes.get(&node).map_or(0.0, |n| self.cold_room(n, now));
         let (Some(r), Some(n)) = (self.books.requests.get_mut(&id), self.books.nodes.get_mut(&node)) else {
             return;
@@ -606,7 +608,8 @@
         r.tries += 1;
         r.outstanding += 1;
         r.sent = now;
-        actions.push(Action::Send { id, node, within_ms: self.settings.classes[class].terms.attempt_ms });
+        let within_ms = self.settings.classes[class].terms.attempt_ms;
+        actions.push(Action::Send { id, node, within_ms, by_ms });
     }
 
     // ---- Outcomes --------------------------------------------------------------------------------------
@@ -689,7 +692,7 @@
             return;
         }
         let over = |id: &u32, f: &Flight| {
-            let harmless = |r: &Held| self.may_repeat(now, r) && self.extra_left(now);
+            let harmless = |r: &Held| now < self.repeat_until(r) && self.extra_left(now);
             let open = self.books.requests.get(id);
             !f.given_up && id % SPARED > 0 && self.overdue(now, f) && open.map_or(true, harmless)
         };
@@ -857,21 +860,18 @@
         let class = &self.settings.classes[usize::from(r.q.class)];
         let second = self.settings.second_copies && class.terms.second_after_ms > 0.0;
         let beside = second && r.outstanding == 1 && now >= r.sent + class.terms.second_after_ms;
-        (r.outstanding == 0 || beside) && self.may_repeat(now, r)
+        (r.outstanding == 0 || beside) && now < self.repeat_until(r)
     }
 
-    fn may_repeat(&self, now: f64, r: &Held) -> bool {
+    fn repeat_until(&self, r: &Held) -> f64 {
         let class = &self.settings.classes[usize::from(r.q.class)];
         let (asked, most) = (class.terms.attempts, self.settings.max_attempts);
-        if r.tries >= if asked == 0 { most } else { asked.min(most) } {
-            return false;
-        }
-        match (class.effect, r.may_have_run) {
-            (Effect::Safe, _) => true,
-            (Effect::Keyed, None) => r.outstanding == 0 || now < r.sent + class.window_ms * SAFE_PART,
-            (Effect::Unsafe, None) => r.outstanding == 0,
-            (Effect::Keyed, Some((sent, ..))) => now < sent + class.window_ms * SAFE_PART,
-            (Effect::Unsafe, Some(_)) => false,
+        let first = r.may_have_run.map(|(sent, ..)| sent).or((r.outstanding > 0).then_some(r.sent));
+        match (class.effect, first) {
+            _ if r.tries >= if asked == 0 { most } else { asked.min(most) } => f64::NEG_INFINITY,
+            (Effect::Safe, _) | (_, None) => f64::INFINITY,
+            (Effect::Keyed, Some(sent)) => sent + class.window_ms * SAFE_PART,
+            (Effect::Unsafe, Some(_)) => f64::NEG_INFINITY,
         }
     }
 
--- a/tests/storm.rs
+++ b/tests/storm.rs
@@ -52,7 +52,7 @@
     fn actions(&mut self, now: f64, actions: &[Action]) {
         for a in actions {
             match a {
-                Action::Send { id, node, within_ms } => {
+                Action::Send { id, node, within_ms, .. } => {
                     let class = usize::from(self.requests[id].q.class);
                     assert_eq!(*within_ms, self.s.classes[class].terms.attempt_ms);
                     self.send(now, *id, *node);
