--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -247,6 +247,12 @@
         Some((link, out.len() - 1 - at))
     }
 
+    /// Attempts that were written on connections of a node and are waited for.
+    pub fn written_to(&self, node: u32) -> Vec<AttemptId> {
+        let of_it = self.links.values().filter(|l| l.node == node);
+        of_it.flat_map(|l| l.out.iter().flatten()).copied().collect()
+    }
+
     /// What was written last on a connection: so many commands, those that nobody waits for included.
     pub fn last_written(&self, link: LinkId, commands: usize) -> Vec<AttemptId> {
         let out = self.links.get(&link).map(|l| &l.out);
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::client::Client;
 use crate::links::{Link, Nodes};
+use crate::pauses::{Pauses, Point};
 use crate::tally::Tally;
 use bytes::Bytes;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
@@ -50,6 +51,8 @@
     slot: u64,
     asked: Box<Asked>,
     at: f64,
+    /// An attempt was written for it.
+    begun: bool,
 }
 
 /// Most messages taken before timers are looked at again.
@@ -68,6 +71,7 @@
     pub(crate) nodes: Arc<Nodes>,
     /// How long a connection may take to come up, milliseconds.
     pub(crate) connect_ms: f64,
+    pub(crate) pauses: Pauses,
     work: Work,
 }
 
@@ -99,7 +103,8 @@
         connect_ms: f64,
     ) -> Engine {
         let (node_table, work) = (NodeTable::default(), Work::default());
-        Engine { driver, pool, node_table, clock, table, nodes, connect_ms, work }
+        let pauses = Pauses::default();
+        Engine { driver, pool, node_table, clock, table, nodes, connect_ms, pauses, work }
     }
 
     /// The list as the host last had it.
@@ -124,6 +129,7 @@
                 if matches!(message, Message::Stop) {
                     return self.nodes.stop();
                 }
+                self.pauses.at(Point::EngineTakes);
                 self.take(message);
                 self.settle();
             }
@@ -217,7 +223,7 @@
         let until = at + asked.wait_ms;
         self.driver.request(asked.request(id, self.work.last.map_or(until, |last| until.min(last))));
         self.work.by_client.insert((client.id, id));
-        self.work.open.insert(id, Open { client, slot, asked, at });
+        self.work.open.insert(id, Open { client, slot, asked, at, begun: false });
     }
 
     fn gone(&mut self, client: ClientId) {
@@ -271,10 +277,11 @@
     ///
     /// Danger: a client may wait for longer than the platform lets a host live on.
     fn answer_all(&mut self) {
-        for id in self.work.open.keys().copied().collect::<Vec<u32>>() {
+        for (id, begun) in self.work.open.iter().map(|(id, o)| (*id, o.begun)).collect::<Vec<_>>() {
             self.driver.abandon(id);
             self.take_back(id);
-            self.finish(id, write::bytes(|out| write::error(out, "ERR failed leaving")));
+            let words = if begun { "ERR failed leaving" } else { "BUSY" };
+            self.finish(id, write::bytes(|out| write::error(out, words)));
         }
     }
 
@@ -311,12 +318,22 @@
 
     fn list(&mut self, list: &Listing, kind: ListKind) {
         let (entries, changed) = self.node_table.take(list);
-        for node in changed.left {
+        for node in changed.left.iter().chain(&changed.draining).copied() {
             self.pool.recall(node, &mut self.work.todo);
-            self.pool.close_idle(node, &mut self.work.todo);
+            // Danger: a command that no byte of has gone out would go out to what the node is now.
+            for attempt in self.pool.written_to(node) {
+                let place = self.pool.place_of(attempt);
+                let links = &self.work.links;
+                let back = place.filter(|(l, behind)| links.get(l).is_some_and(|l| l.take_back(*behind)));
+                if let Some((link, _)) = back {
+                    let now = self.clock.now_ms();
+                    self.pool.unsend(now, link, attempt, &mut self.work.todo);
+                    self.lost(now, attempt, Verdict::ConnectFailed);
+                }
+            }
         }
-        for node in changed.draining {
-            self.pool.recall(node, &mut self.work.todo);
+        for node in changed.left {
+            self.pool.close_idle(node, &mut self.work.todo);
         }
         self.driver.list(kind, entries);
     }
@@ -412,14 +429,16 @@
     /// The moment at which an attempt goes out, however long it waited for its connection: whatever stands against it by
     /// now stands against it here. Nodes that changed were looked at when the list came.
     fn write(&mut self, now: f64, link: LinkId, attempt: AttemptId) {
-        let open = self.work.open.get(&attempt.request).filter(|o| !o.client.is_gone());
+        let open = self.work.open.get_mut(&attempt.request).filter(|o| !o.client.is_gone());
         let times = self.work.until.get(&attempt).filter(|(_, by)| now < *by);
+        let here = open.is_some();
         let (Some(open), Some((until, _)), Some(node)) = (open, times, self.driver.node_of(attempt)) else {
-            let verdict = if open.is_some() { Verdict::ConnectFailed } else { Verdict::Moot };
+            let verdict = if here { Verdict::ConnectFailed } else { Verdict::Moot };
             self.pool.unsend(now, link, attempt, &mut self.work.todo);
             return self.lost(now, attempt, verdict);
         };
         let command = open.asked.command(until - now);
+        open.begun = true;
         let wrote = self.work.links.get(&link).is_some_and(|link| link.send(command).is_ok());
         if !wrote {
             self.pool.unfit(now, link, node, attempt, &mut self.work.todo);
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::client::{Client, Mailbox};
 use crate::engine::Message;
+use crate::pauses::{Pauses, Point};
 use bytes::Bytes;
 use crossbeam_channel::Sender;
 use pearfork_net::{lock, long_queue, Clock, Flusher, Ready, Want, WriteBuffer};
@@ -76,6 +77,7 @@
     pub(crate) clock: Clock,
     pub(crate) flusher: Flusher,
     pub(crate) leaving: Arc<Leaving>,
+    pub(crate) pauses: Pauses,
     clients: HashMap<ClientId, Reading>,
     /// Those that have to be looked at though nothing comes on them.
     timed: BTreeSet<ClientId>,
@@ -94,8 +96,6 @@
         flusher: Flusher,
         leaving: Arc<Leaving>,
     ) -> Front {
-        let (clients, timed) = (HashMap::new(), BTreeSet::new());
-        let next = LISTENER;
         Front {
             mailbox,
             table,
@@ -104,9 +104,10 @@
             clock,
             flusher,
             leaving,
-            clients,
-            timed,
-            next,
+            pauses: Pauses::default(),
+            clients: HashMap::new(),
+            timed: BTreeSet::new(),
+            next: LISTENER,
             pause: None,
         }
     }
@@ -132,6 +133,7 @@
                 tracing::error!(%why, "connections can't be waited for");
                 return;
             }
+            self.pauses.at(Point::ReaderLooks);
             for one in &ready {
                 match one.token {
                     LISTENER => self.accept(listener),
@@ -197,6 +199,7 @@
         };
         for id in those {
             if self.clients.get(&id).is_some_and(|r| !r.client.has_unread()) {
+                self.pauses.at(Point::ReaderEnds);
                 self.end(id);
             }
         }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,8 +9,11 @@
 mod engine;
 mod front;
 mod links;
+mod pauses;
 mod serving;
 mod tally;
 mod watch;
 
+#[cfg(feature = "pauses")]
+pub use pauses::{Hold, Point};
 pub use serving::{Serving, ServingError};
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -4,6 +4,7 @@
 use crate::engine::{Engine, Message};
 use crate::front::{Front, Leaving};
 use crate::links::Nodes;
+use crate::pauses::Pauses;
 use crate::watch::{Following, Pace, Watcher};
 use crossbeam_channel::{bounded, Sender};
 use pearfork_drive::Driver;
@@ -84,6 +85,19 @@
     /// # Errors
     /// What the machine refuses: the address, threads. What the module refuses.
     pub fn start(config: Config) -> Result<Serving, ServingError> {
+        Serving::start_with(config, Pauses::default())
+    }
+
+    /// The same, held at named points.
+    ///
+    /// # Errors
+    /// As [`Serving::start`].
+    #[cfg(feature = "pauses")]
+    pub fn start_held(config: Config, hold: crate::pauses::Hold) -> Result<Serving, ServingError> {
+        Serving::start_with(config, Pauses { hold: Some(hold) })
+    }
+
+    fn start_with(config: Config, pauses: Pauses) -> Result<Serving, ServingError> {
         let address = config.listen;
         let grace = Duration::from_secs_f64(config.module.drain_grace_ms / 1_000.0);
         let longest = config.module.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
@@ -97,6 +111,7 @@
         let reads = nodes.clone();
         spawn_small("nodes", move || reads.run())?;
         let mut running = Engine::new(driver, pool, clock, table.clone(), nodes, config.links.connect_ms);
+        running.pauses = pauses.clone();
         running.known(&config.known);
         spawn_small("engine", move || running.run(&messages))?;
         let discovery = Arc::new(Following::new(config.discovery));
@@ -106,7 +121,7 @@
             TcpListener::bind(address).map_err(|source| ServingError::Listen { address, source })?;
         let listener = Arc::new(listener);
         let (mailbox, leaving) = (Arc::new(Mailbox::new(Poller::new()?)), Arc::new(Leaving::default()));
-        let front = Front::new(
+        let mut front = Front::new(
             mailbox.clone(),
             table.clone(),
             config.words,
@@ -115,6 +130,7 @@
             flusher,
             leaving.clone(),
         );
+        front.pauses = pauses;
         front.open(&listener)?;
         let accepting = listener.clone();
         spawn_small("clients", move || front.run(&accepting))?;
@@ -128,6 +144,11 @@
         self.listener.local_addr().ok()
     }
 
+    /// Client connections that it holds, those included that it is ending.
+    pub fn clients(&self) -> usize {
+        lock(&self.table).held()
+    }
+
     /// Follows discovery at another address from now on, with the list as it is until that one tells its own.
     pub fn follow(&self, discovery: SocketAddr) {
         self.discovery.change(discovery);
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -56,7 +56,9 @@
     /// Another address counts from now on; a call under way at the old one is ended.
     pub(crate) fn change(&self, address: SocketAddr) {
         let mut now = lock(&self.now);
-        now.address = address;
+        if std::mem::replace(&mut now.address, address) == address {
+            return;
+        }
         if let Some(call) = now.call.take() {
             let _ = call.shutdown(Shutdown::Both);
         }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -103,8 +103,8 @@
     Server::start(TcpListener::bind("127.0.0.1:0").unwrap(), answer).unwrap()
 }
 
-/// A host over nodes, one a shard, known from its start.
-pub fn host(discovery: &Server, nodes: &[SocketAddr]) -> (Serving, SocketAddr) {
+/// The configuration of a host over nodes, one a shard, known from its start.
+pub fn config(discovery: SocketAddr, nodes: &[SocketAddr]) -> serde_json::Value {
     let lines: Vec<String> = nodes
         .iter()
         .enumerate()
@@ -114,14 +114,24 @@
         .collect();
     let mut config: serde_json::Value = serde_json::from_str(CONFIG).unwrap();
     config["listen"] = "127.0.0.1:0".into();
-    config["discovery"] = discovery.address().to_string().into();
+    config["discovery"] = discovery.to_string().into();
     let known = format!(r#"{{"seq":1,"whole":true,"hosts":[{}]}}"#, lines.join(","));
     config["known"] = serde_json::from_str(&known).unwrap();
+    config
+}
+
+/// A host of a configuration.
+pub fn host_of(config: &serde_json::Value) -> (Serving, SocketAddr) {
     let host = Serving::start(Config::parse(config.to_string().as_bytes()).unwrap()).unwrap();
     let address = host.address().unwrap();
     (host, address)
 }
 
+/// A host over nodes, one a shard, known from its start.
+pub fn host(discovery: &Server, nodes: &[SocketAddr]) -> (Serving, SocketAddr) {
+    host_of(&config(discovery.address(), nodes))
+}
+
 /// A client's connection.
 pub struct Client {
     pub stream: TcpStream,
--- /dev/null
+++ b/crates/serving/tests/crossings/clients.rs
@@ -0,0 +1,263 @@
+//! Ends of client connections, clients that leave, shutdown.
+
+use crate::common::{config, discovery, host_of, is_error, node, until, value, Client, Reaction};
+use crate::held::{ends_in_order, host_held, Gate, LONG};
+use pearfork_resp::Reply;
+use pearfork_serving::Point;
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+fn command(id: u64, wait_ms: u32) -> Vec<u8> {
+    let list = format!("c=read,t=gold,d={wait_ms},volume=0000000000000001,units=1,shard=0,hosts=3");
+    format!(
+        "*4\r\n$7\r\nOBJ.GET\r\n$16\r\n{:016x}\r\n$16\r\n{id:016x}\r\n${}\r\n{list}\r\n",
+        id % 7 + 1,
+        list.len()
+    )
+    .into_bytes()
+}
+
+/// Danger: a request that comes between the look for unread bytes and the end is read by nobody; a close over it resets
+/// the connection, and a request that is taken behind the end is run twice, since its client sends it once more.
+#[test]
+fn a_request_that_crosses_the_end_of_its_connection_is_thrown_away_without_a_reset() {
+    let (node, heard) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (_host, address, gate) = host_held(&config(told.address(), &[node]), Point::ReaderEnds);
+    let mut silent = Client::connect(address);
+    gate.shut();
+    // It said nothing for too long: the host has looked, and is about to end it.
+    gate.held();
+    silent.stream.write_all(&command(5, 1_000)).unwrap();
+    gate.open();
+    assert!(silent.reply().is_none(), "nothing is answered behind the end");
+    // What still comes is read for a while: no reset takes anything with it.
+    for _ in 0..20 {
+        silent.stream.write_all(&command(6, 1_000)).expect("no reset");
+    }
+    silent.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(ends_in_order(&mut silent.stream), "reset");
+    let mut again = Client::connect(address);
+    again.read(5);
+    assert_eq!(again.served(), Some(5));
+    assert_eq!(heard.lock().unwrap().len(), 1, "sent on once, by the connection that was read");
+}
+
+/// Danger: a connection that ends behind its last answer is shut while the write buffer holds bytes of that answer.
+#[test]
+fn answers_that_wait_in_the_write_buffer_go_out_before_the_end() {
+    let big = [b"*3\r\n$60000\r\n".to_vec(), vec![b'v'; 60_000], b"\r\n$-1\r\n$-1\r\n".to_vec()].concat();
+    let (node, heard) = node(move |_, _| Reaction::Say(big.clone()));
+    let told = discovery(1, &[node]);
+    let (_host, address) = host_of(&config(told.address(), &[node]));
+    let mut client = Client::connect(address);
+    rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, 32 * 1024).unwrap();
+    for id in 1..=14 {
+        client.stream.write_all(&command(id, 1_000)).unwrap();
+    }
+    client.stream.write_all(b"nonsense that ends it\r\n").unwrap();
+    until("its requests are with the node", || heard.lock().unwrap().len() >= 8);
+    // Only now does it read: what did not fit its window waits in the host.
+    let mut served = 0;
+    for _ in 1..=14 {
+        match client.reply() {
+            Some(Reply::Bulk(Some(v))) => {
+                assert_eq!(v.len(), 60_000);
+                served += 1;
+            }
+            Some(Reply::Error(_)) => {}
+            other => panic!("cut off behind {served}: {other:?}"),
+        }
+    }
+    assert!(served >= 8, "{served}");
+    assert!(is_error(&client.reply(), "ERR Protocol error"));
+    assert!(ends_in_order(&mut client.stream));
+}
+
+/// Danger: a connection that is not being read, since as many of its commands are open as may be, shows no end. Its client
+/// has left, and what waits would still be sent for it.
+#[test]
+fn a_client_that_leaves_with_all_its_commands_open_is_seen_to_leave() {
+    let gate = Gate::default();
+    gate.shut();
+    let held = gate.clone();
+    let (node, heard) = node(move |_, c| {
+        held.pass();
+        Reaction::Say(value(c))
+    });
+    let told = discovery(1, &[node]);
+    let (host, address) = host_of(&config(told.address(), &[node]));
+    let mut client = Client::connect(address);
+    for id in 1..=40 {
+        client.stream.write_all(&command(id, 60_000)).unwrap();
+    }
+    gate.held();
+    // The node answers nothing: what it may be sent at once is with it, and the rest waits.
+    let mut sent = 0;
+    until("no more is sent", || {
+        std::thread::sleep(Duration::from_millis(200));
+        let before = std::mem::replace(&mut sent, heard.lock().unwrap().len());
+        before == sent && sent > 0
+    });
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    until("it is seen to have left", || host.clients() == 0);
+    assert!(sent < 32, "{sent}: some waited for their first attempt");
+    gate.open();
+    let mut other = Client::connect(address);
+    until("another is served", || {
+        other.read(99);
+        other.served() == Some(99)
+    });
+    let heard = heard.lock().unwrap();
+    let theirs = heard.iter().filter(|c| &c[2][..] != b"0000000000000063").count();
+    assert_eq!(theirs, sent, "nothing of it was sent after it had left");
+}
+
+/// Danger: with the engine behind, the word that a client left stands in the queue behind its request.
+#[test]
+fn a_client_that_leaves_before_its_turn_at_the_engine_has_nothing_sent() {
+    let (node, heard) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (host, address, gate) = host_held(&config(told.address(), &[node]), Point::EngineTakes);
+    gate.shut();
+    // Hundreds leave in one burst.
+    let leaving: Vec<Client> = (1..=80)
+        .map(|id| {
+            let mut client = Client::connect(address);
+            client.stream.write_all(&command(id, 60_000)).unwrap();
+            client
+        })
+        .collect();
+    until("all were read", || host.clients() == 80);
+    drop(leaving);
+    until("they are seen to have left", || host.clients() == 0);
+    gate.open();
+    let mut other = Client::connect(address);
+    other.read(99);
+    assert_eq!(other.served(), Some(99));
+    assert_eq!(heard.lock().unwrap().len(), 1, "only what somebody waits for");
+}
+
+/// Danger: what the system took in the host's name is owed an answer, however many came in one burst before the end.
+#[test]
+fn a_burst_in_the_queue_at_the_word_to_leave_is_answered() {
+    let (node, _) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (host, address, gate) = host_held(&config(told.address(), &[node]), Point::ReaderLooks);
+    let mut first = Client::connect(address);
+    first.send(&["PING"]);
+    assert!(first.reply().is_some());
+    gate.shut();
+    let mut burst: Vec<Client> = (0..100)
+        .map(|_| {
+            let mut client = Client::connect(address);
+            client.send(&["PING"]);
+            client
+        })
+        .collect();
+    gate.held();
+    let stopped = std::thread::spawn(move || host.stop());
+    // Past the time for which the platform sends new ones, and for which the old text took any.
+    std::thread::sleep(Duration::from_millis(700));
+    gate.open();
+    for (i, client) in burst.iter_mut().enumerate() {
+        assert_eq!(client.reply(), Some(Reply::Simple("PONG".into())), "{i}");
+    }
+    assert!(stopped.join().unwrap());
+    for mut client in burst {
+        assert!(ends_in_order(&mut client.stream));
+    }
+}
+
+/// Danger: a client may wait for longer than the platform lets a host live on; the host would be ended with its request.
+#[test]
+fn what_was_taken_before_the_word_to_leave_is_answered_whatever_its_client_waits() {
+    let (node, heard) = node(|_, _| Reaction::Nothing);
+    let told = discovery(1, &[node]);
+    let (host, address) = host_of(&config(told.address(), &[node]));
+    let mut client = Client::connect(address);
+    client.read_of(1, 0, 60_000);
+    until("it is out", || !heard.lock().unwrap().is_empty());
+    let stopped = std::thread::spawn(move || host.stop());
+    assert!(matches!(client.reply(), Some(Reply::Error(_))));
+    assert!(ends_in_order(&mut client.stream));
+    assert!(stopped.join().unwrap());
+}
+
+/// A client that rests until the host ends it, and writes in that very moment.
+#[test]
+fn a_request_that_crosses_the_end_of_a_host_that_leaves_is_not_sent_on() {
+    let (node, heard) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (host, address, gate) = host_held(&config(told.address(), &[node]), Point::ReaderEnds);
+    let mut client = Client::connect(address);
+    client.read(1);
+    assert_eq!(client.served(), Some(1));
+    gate.shut();
+    let stopped = std::thread::spawn(move || host.stop());
+    gate.held();
+    client.stream.write_all(&command(2, 1_000)).unwrap();
+    gate.open();
+    assert!(client.reply().is_none());
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(ends_in_order(&mut client.stream), "reset");
+    assert!(stopped.join().unwrap());
+    assert_eq!(heard.lock().unwrap().len(), 1);
+}
+
+/// Half a request at the departure: its other half comes before the last moment, and is answered.
+#[test]
+fn a_request_half_read_when_connections_are_closed_is_waited_for() {
+    let (node, _) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (host, address, gate) = host_held(&config(told.address(), &[node]), Point::ReaderEnds);
+    let mut rests = Client::connect(address);
+    rests.send(&["PING"]);
+    assert!(rests.reply().is_some());
+    gate.shut();
+    let stopped = std::thread::spawn(move || host.stop());
+    std::thread::sleep(Duration::from_millis(600));
+    let mut client = Client::connect(address);
+    let command = command(2, 1_000);
+    client.stream.write_all(&command[..40]).unwrap();
+    // The one that rests is about to be ended: the time has come for those of which nothing is expected.
+    gate.held();
+    client.stream.write_all(&command[40..]).unwrap();
+    gate.open();
+    assert_eq!(client.served(), Some(2));
+    assert!(stopped.join().unwrap());
+}
+
+/// One connection sends hundreds and goes, others say nothing: a usual client is served beside them.
+#[test]
+fn a_flood_that_leaves_costs_a_usual_client_nothing() {
+    let (node, heard) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (host, address) = host_of(&config(told.address(), &[node]));
+    let silent: Vec<Client> = (0..200).map(|_| Client::connect(address)).collect();
+    for round in 0..5u64 {
+        let mut flood = Client::connect(address);
+        let all: Vec<u8> = (0..500).flat_map(|i| command(10_000 + round * 1_000 + i, 60_000)).collect();
+        let _ = flood.stream.write_all(&all);
+        let _ = flood.stream.write_all(b"*1\r\n$5\r\nHEL");
+        drop(flood);
+    }
+    let mut client = Client::connect(address);
+    let (mut served, end) = (0, Instant::now() + LONG);
+    let mut replies = Vec::new();
+    for id in 1.. {
+        client.read(id);
+        replies.push((Instant::now(), client.reply()));
+        served += usize::from(matches!(replies.last(), Some((_, Some(Reply::Bulk(_))))));
+        if served == 30 {
+            break;
+        }
+        let last = replies.iter().rev().take(5).collect::<Vec<_>>();
+        assert!(Instant::now() < end, "{served} of {} are served; {last:?}", replies.len());
+    }
+    drop(silent);
+    until("all but the usual one are gone", || host.clients() == 1);
+    assert!(heard.lock().unwrap().len() < 2_500);
+    drop(client);
+}
