--- a/crates/serving/tests/crossings/held.rs
+++ b/crates/serving/tests/crossings/held.rs
@@ -79,14 +79,24 @@
         self.listener.local_addr().unwrap()
     }
 
-    /// The next connection that came up, unless it is one that fills the queue.
+    /// The next connection that came up, unless it is one that fills the queue. Danger: a wait without an end holds up all tests.
     pub fn accept(&self) -> TcpStream {
         let ours: Vec<SocketAddr> = self.filling.iter().map(|s| s.local_addr().unwrap()).collect();
+        let end = Instant::now() + LONG;
+        self.listener.set_nonblocking(true).unwrap();
         loop {
-            let (stream, from) = self.listener.accept().unwrap();
-            if !ours.contains(&from) {
-                stream.set_read_timeout(Some(LONG)).unwrap();
-                return stream;
+            match self.listener.accept() {
+                Ok((stream, from)) if !ours.contains(&from) => {
+                    stream.set_nonblocking(false).unwrap();
+                    stream.set_read_timeout(Some(LONG)).unwrap();
+                    return stream;
+                }
+                Ok(_) => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    assert!(Instant::now() < end, "no connection comes up");
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+                Err(e) => panic!("{e}"),
             }
         }
     }
