--- a/crates/serving/tests/crossings/nodes.rs
+++ b/crates/serving/tests/crossings/nodes.rs
@@ -4,6 +4,7 @@
 use crate::held::{is_silent, line, list, read_command, reset, Agent, LateNode};
 use bytes::Bytes;
 use pearfork_resp::{CommandLimits, Commands, Reply};
+use pearfork_serving::Serving;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
@@ -28,47 +29,39 @@
     commands.next_command().unwrap().expect("a whole command")
 }
 
-/// Danger: a repeat is known as one for a while only. Decided within it, and written when its connection comes up late, it
-/// takes effect a second time.
-#[test]
-fn a_repeat_whose_connection_comes_up_after_its_window_is_never_written() {
+/// A write is with its node, which has it run as far as anybody knows; its connection breaks, and the next comes up late,
+/// after 0.4 s. The host, its client, and the connection that came up.
+fn broken_under_a_write(window_ms: f64) -> (Serving, Client, TcpStream) {
     let mut node = LateNode::new();
     let agent = Agent::new();
     let mut config = patient(agent.address, &[node.address()]);
-    config["settings"]["Classes"][1]["WindowMs"] = 300.0.into();
-    let (_host, address) = host_of(&config);
+    config["settings"]["Classes"][1]["WindowMs"] = window_ms.into();
+    let (host, address) = host_of(&config);
     let mut client = Client::connect(address);
     put(&mut client, 1);
     let mut first = node.accept();
-    let wrote = read_command(&mut first);
-    // It has run, as far as anybody knows; its connection breaks, and the next comes up late.
+    read_command(&mut first);
     node.hold_up();
     reset(first);
     std::thread::sleep(Duration::from_millis(400));
     node.let_up();
-    let mut second = node.accept();
+    let second = node.accept();
+    (host, client, second)
+}
+
+/// Danger: a repeat is known as one for a while only. Decided within it, and written when its connection comes up late, it
+/// takes effect a second time.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_is_never_written() {
+    let (_host, mut client, mut second) = broken_under_a_write(300.0);
     assert!(is_error(&client.reply(), "ERR failed"), "no repeat is left, and the first may have run");
     assert!(is_silent(&mut second), "repeated outside the window");
-    drop(wrote);
 }
 
 /// The same within the window: the repeat goes out and is served.
 #[test]
 fn a_repeat_whose_connection_comes_up_within_its_window_is_written() {
-    let mut node = LateNode::new();
-    let agent = Agent::new();
-    let mut config = patient(agent.address, &[node.address()]);
-    config["settings"]["Classes"][1]["WindowMs"] = 15_000.0.into();
-    let (_host, address) = host_of(&config);
-    let mut client = Client::connect(address);
-    put(&mut client, 1);
-    let mut first = node.accept();
-    read_command(&mut first);
-    node.hold_up();
-    reset(first);
-    std::thread::sleep(Duration::from_millis(400));
-    node.let_up();
-    let mut second = node.accept();
+    let (_host, mut client, mut second) = broken_under_a_write(15_000.0);
     let again = read_command(&mut second);
     second.write_all(&value(&parsed(&again))).unwrap();
     assert_eq!(client.served(), Some(1));
