--- a/crates/fleet/src/disk.rs
+++ b/crates/fleet/src/disk.rs
@@ -74,15 +74,15 @@
 /// `full`: nothing can be written. `fsync`: all is written, and then said not to be on disk. `torn`: half of what is
 /// appended is written. `read-only`: no file can be opened for writing. `stall MS`: each write takes so much longer.
 /// Without the file, or with any other word, all is well.
-pub struct TroubledDisk<D> {
+pub struct FaultyDisk<D> {
     disk: D,
     trouble: PathBuf,
 }
 
-impl<D: Disk> TroubledDisk<D> {
+impl<D: Disk> FaultyDisk<D> {
     /// Another disk, with the troubles that a file tells.
-    pub fn new(disk: D, trouble: PathBuf) -> TroubledDisk<D> {
-        TroubledDisk { disk, trouble }
+    pub fn new(disk: D, trouble: PathBuf) -> FaultyDisk<D> {
+        FaultyDisk { disk, trouble }
     }
 
     fn trouble(&self) -> (String, u64) {
@@ -92,7 +92,7 @@
         (word, words.next().and_then(|w| w.parse().ok()).unwrap_or(0))
     }
 
-    fn strike(&self) -> io::Result<()> {
+    fn inject_before_write(&self) -> io::Result<()> {
         match self.trouble() {
             (word, _) if word == "full" => Err(io::Error::from(io::ErrorKind::StorageFull)),
             (word, _) if word == "read-only" => Err(io::Error::from(io::ErrorKind::ReadOnlyFilesystem)),
@@ -104,7 +104,7 @@
         }
     }
 
-    fn strike_after(&self) -> io::Result<()> {
+    fn inject_after_write(&self) -> io::Result<()> {
         match self.trouble().0.as_str() {
             "fsync" => Err(io::Error::other("not known to be on disk")),
             _ => Ok(()),
@@ -112,27 +112,27 @@
     }
 }
 
-impl<D: Disk> Disk for TroubledDisk<D> {
+impl<D: Disk> Disk for FaultyDisk<D> {
     fn read(&mut self, file: &Path) -> io::Result<Option<Vec<u8>>> {
         self.disk.read(file)
     }
 
     fn append(&mut self, file: &Path, bytes: &[u8]) -> io::Result<()> {
-        self.strike()?;
+        self.inject_before_write()?;
         if self.trouble().0 == "torn" {
             self.disk.append(file, &bytes[..bytes.len() / 2])?;
             return Err(io::Error::other("torn"));
         }
         self.disk.append(file, bytes)?;
-        self.strike_after()
+        self.inject_after_write()
     }
 
     fn replace(&mut self, file: &Path, bytes: &[u8]) -> io::Result<()> {
-        self.strike()?;
+        self.inject_before_write()?;
         if self.trouble().0 == "torn" {
             return Err(io::Error::other("torn"));
         }
         self.disk.replace(file, bytes)?;
-        self.strike_after()
+        self.inject_after_write()
     }
 }
--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 
 /// Bytes before the body.
-pub const HEAD: usize = 8;
+pub const HEADER_BYTES: usize = 8;
 
 /// Why bytes are no frame. Nothing after them can be read.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -45,10 +45,10 @@
     if length as usize > most {
         return Err(FrameFault::TooLong { length: u64::from(length), most });
     }
-    let Some(body) = bytes.get(HEAD..HEAD + length as usize) else { return Ok(None) };
+    let Some(body) = bytes.get(HEADER_BYTES..HEADER_BYTES + length as usize) else { return Ok(None) };
     if crc32c::crc32c(body) != sum {
         return Err(FrameFault::Checksum);
     }
     let value = serde_json::from_slice(body).map_err(|e| FrameFault::Body(e.to_string()))?;
-    Ok(Some((value, HEAD + body.len())))
+    Ok(Some((value, HEADER_BYTES + body.len())))
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,23 +7,23 @@
 pub mod client;
 pub mod disk;
 pub mod frame;
-pub mod hub;
 pub mod plan;
-mod seat;
 pub mod state;
 pub mod store;
 pub mod time;
+pub mod transport;
+mod voter_thread;
 
 pub use client::{Demand, Portion, User};
-pub use plan::{FleetPlan, Trouble, VoterAt};
+pub use plan::{FaultInjection, FleetPlan, VoterAddress};
 pub use state::FleetView;
 
-use crate::client::Client;
-use crate::hub::{Boxes, ForHolder, ForVoter, Hub, HubHandle, Order};
-use crate::seat::Seat;
+use crate::client::LeaseClient;
 use crate::state::Shared;
 use crate::store::{owner, Folder, Store, StoreError};
 use crate::time::LeaseClock;
+use crate::transport::{Channels, HolderEvent, Transport, TransportCommand, TransportHandle, VoterEvent};
+use crate::voter_thread::VoterThread;
 use crossbeam_channel::{bounded, Sender};
 use pearfork_net::{spawn_small, Poller};
 use std::io;
@@ -57,22 +57,22 @@
 /// Messages that wait for a voter; more are dropped, and said again.
 const VOTER_QUEUE: usize = 8_192;
 const HOLDER_QUEUE: usize = 256;
-const ORDERS: usize = 16_384;
+const COMMAND_QUEUE: usize = 16_384;
 /// How long an end waits for the threads.
 const PATIENCE: Duration = Duration::from_secs(2);
 
 /// A running place in the fleet. Dropping it ends it at once, without a word to the others.
 pub struct Fleet {
     shared: Arc<Shared>,
-    hub: HubHandle,
-    voter: Option<Sender<ForVoter>>,
-    holder: Sender<ForHolder>,
+    transport: TransportHandle,
+    voter: Option<Sender<VoterEvent>>,
+    holder: Sender<HolderEvent>,
     holder_thread: Mutex<Option<JoinHandle<()>>>,
     threads: Mutex<Vec<JoinHandle<()>>>,
 }
 
 /// A number for this process that no other is likely to draw, from what differs between any two.
-fn drawn() -> u64 {
+fn random_nonce() -> u64 {
     use std::hash::{BuildHasher, Hasher};
     // Keyed from the system's random numbers for each process.
     let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
@@ -90,12 +90,12 @@
     pub fn start(plan: FleetPlan, user: impl User + 'static) -> Result<Fleet, FleetError> {
         let plan = Arc::new(plan);
         let shared = Arc::new(Shared::new(&plan));
-        let clock = LeaseClock::start(plan.trouble.clock_rate);
+        let clock = LeaseClock::start(plan.fault_injection.clock_rate);
         let poller = Arc::new(Poller::new()?);
-        let (orders, given) = bounded(ORDERS);
-        let hub = HubHandle::new(orders, poller.clone());
+        let (commands, command_receiver) = bounded(COMMAND_QUEUE);
+        let transport = TransportHandle::new(commands, poller.clone());
         let (holder, for_holder) = bounded(HOLDER_QUEUE);
-        let (nonce, mut voter, mut listener, mut threads) = (drawn(), None, None, Vec::new());
+        let (nonce, mut voter, mut listener, mut threads) = (random_nonce(), None, None, Vec::new());
         if plan.votes() {
             let address = plan.listen.ok_or(FleetError::Missing("listen"))?;
             let folder = plan.folder.as_ref().ok_or(FleetError::Missing("folder"))?;
@@ -106,12 +106,12 @@
             let (to, inbox) = bounded(VOTER_QUEUE);
             voter = Some(to);
             let opened =
-                Store::open(&folder, Seat::disk(&plan), owner(&plan.name, plan.me.0), plan.lendable());
-            let seat = Seat {
+                Store::open(&folder, VoterThread::disk(&plan), owner(&plan.name, plan.me.0), plan.lendable());
+            let voter_thread = VoterThread {
                 plan: plan.clone(),
                 folder,
                 inbox,
-                hub: hub.clone(),
+                transport: transport.clone(),
                 here: holder.clone(),
                 shared: shared.clone(),
                 clock,
@@ -119,26 +119,26 @@
             };
             match opened {
                 Ok((store, image)) => {
-                    threads.push(spawn_small("fleet-voter", move || seat.run(Some((store, image))))?);
+                    threads.push(spawn_small("fleet-voter", move || voter_thread.run(Some((store, image))))?);
                 }
                 Err(why @ StoreError::Disk { .. }) => {
                     tracing::error!(%why, "this voter can't write: it serves, but neither votes nor lends");
                     shared.voter(|v| v.trouble = Some(why.to_string()));
-                    threads.push(spawn_small("fleet-voter", move || seat.run(None))?);
+                    threads.push(spawn_small("fleet-voter", move || voter_thread.run(None))?);
                 }
                 Err(why) => return Err(why.into()),
             }
         }
         let view = shared.clone();
-        let told = Box::new(move |states: &_| view.links(states));
-        let boxes = Boxes { orders: given, voter: voter.clone(), holder: holder.clone() };
-        let sockets = Hub::new(plan.clone(), listener, poller, boxes, told)?;
-        threads.push(spawn_small("fleet-hub", move || sockets.run())?);
-        let client = Client {
+        let observer = Box::new(move |states: &_| view.links(states));
+        let channels = Channels { commands: command_receiver, voter: voter.clone(), holder: holder.clone() };
+        let transport_thread = Transport::new(plan.clone(), listener, poller, channels, observer)?;
+        threads.push(spawn_small("fleet-hub", move || transport_thread.run())?);
+        let client = LeaseClient {
             plan: plan.clone(),
             user,
             inbox: for_holder,
-            hub: hub.clone(),
+            transport: transport.clone(),
             here: voter.clone(),
             shared: shared.clone(),
             clock,
@@ -154,7 +154,7 @@
         );
         Ok(Fleet {
             shared,
-            hub,
+            transport,
             voter,
             holder,
             holder_thread: Mutex::new(Some(holder_thread)),
@@ -169,7 +169,7 @@
 
     /// Gives all back and ends. Whoever sends has to be done: nothing may go out by a part that was given back.
     pub fn leave(&self) {
-        let _ = self.holder.try_send(ForHolder::Leave);
+        let _ = self.holder.try_send(HolderEvent::Leave);
         if let Some(thread) = pearfork_net::lock(&self.holder_thread).take() {
             let _ = thread.join();
         }
@@ -178,11 +178,11 @@
 
     /// Ends at once: what it held is free when its lease is over.
     pub fn stop(&self) {
-        let _ = self.holder.try_send(ForHolder::Stop);
+        let _ = self.holder.try_send(HolderEvent::Stop);
         if let Some(voter) = &self.voter {
-            let _ = voter.send_timeout(ForVoter::Stop, PATIENCE);
+            let _ = voter.send_timeout(VoterEvent::Stop, PATIENCE);
         }
-        self.hub.order(Order::Stop);
+        self.transport.send(TransportCommand::Stop);
         if let Some(thread) = pearfork_net::lock(&self.holder_thread).take() {
             let _ = thread.join();
         }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,12 +1,12 @@
 //! What a host is told of its fleet; valid as a whole.
 
-use pearfork_ledger::{HostNumber, Part, Times};
+use pearfork_ledger::{Fraction, HostNumber, Times};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 /// A voter as this host reaches it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct VoterAt {
+pub struct VoterAddress {
     /// Its number.
     pub host: HostNumber,
     /// Where it listens for its fleet.
@@ -15,7 +15,7 @@
 
 /// Trouble that the settings ask for, for trials alone.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Trouble {
+pub struct FaultInjection {
     /// How fast this process's clock runs for its leases; 1 where nothing is said.
     pub clock_rate: Option<f64>,
     /// A file whose first word is the disk's present trouble.
@@ -36,13 +36,13 @@
     /// Where a voter keeps its promises.
     pub folder: Option<PathBuf>,
     /// All voters, this host perhaps among them.
-    pub voters: Vec<VoterAt>,
+    pub voters: Vec<VoterAddress>,
     /// What all floors together make of each whole.
-    pub floors: Part,
+    pub floors: Fraction,
     /// Times.
     pub times: Times,
     /// For trials.
-    pub trouble: Trouble,
+    pub fault_injection: FaultInjection,
 }
 
 impl FleetPlan {
@@ -52,13 +52,13 @@
     }
 
     /// Each host's floor. All floors add up to no more than `floors`.
-    pub fn floor(&self) -> Part {
-        Part(self.floors.0 / u64::from(self.hosts.max(1)))
+    pub fn floor(&self) -> Fraction {
+        Fraction(self.floors.0 / u64::from(self.hosts.max(1)))
     }
 
     /// What floors leave to be lent.
-    pub fn lendable(&self) -> Part {
-        Part::WHOLE.minus(self.floors)
+    pub fn lendable(&self) -> Fraction {
+        Fraction::WHOLE.saturating_sub(self.floors)
     }
 
     /// Checksum of all that must be alike at every host. Addresses may differ: each host has its own way to a voter.
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,13 +1,13 @@
 //! What a host knows of its fleet, for people and collectors.
 
-use crate::hub::{Asker, LinkState};
 use crate::plan::FleetPlan;
+use crate::transport::{LinkStatus, Requester};
 use pearfork_ledger::{HostNumber, Voter};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// A process in the book, as a leader sees it.
+/// A process in the table, as a leader sees it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct MemberLine {
     /// Its host.
@@ -16,16 +16,16 @@
     pub incarnation: u64,
     /// Milliseconds since it was last heard; none where that was before this leader.
     pub heard_ms: Option<f64>,
-    /// Milliseconds until its lease is over for the lender.
+    /// Milliseconds until its lease is over for the leader.
     pub over_in_ms: Option<f64>,
 }
 
-/// A budget in the book.
+/// A budget in the table.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct BudgetLine {
     /// Its name.
     pub budget: String,
-    /// What is lent of it in all, as a part of the whole.
+    /// What is lent of it in all, as a fraction of the whole.
     pub lent: f64,
     /// To which host how much.
     pub to: BTreeMap<u16, f64>,
@@ -44,33 +44,33 @@
     pub lends: bool,
     /// All up to here is agreed.
     pub commit: u64,
-    /// Processes in the book.
+    /// Processes in the table.
     pub members: Vec<MemberLine>,
-    /// Budgets in the book.
+    /// Budgets in the table.
     pub budgets: Vec<BudgetLine>,
 }
 
 impl VoterView {
-    pub(crate) fn note(&mut self, voter: &Voter<Asker>, now: f64) {
-        let (state, accounts) = (voter.state(), voter.lender().map(|l| l.accounts()));
-        let book = voter.book();
+    pub(crate) fn note(&mut self, voter: &Voter<Requester>, now: f64) {
+        let (state, accounts) = (voter.state(), voter.lease_manager().map(|l| l.leases()));
+        let table = voter.table();
         let member = |(who, m): (&pearfork_ledger::Incarnation, &pearfork_ledger::Member)| {
             let account = accounts.and_then(|a| a.get(who));
             MemberLine {
                 host: m.host.0,
                 incarnation: who.0,
-                heard_ms: account.map(|a| now - a.heard_at).filter(|ms| ms.is_finite()),
-                over_in_ms: account.map(|a| a.over_at - now),
+                heard_ms: account.map(|a| now - a.last_heard_at).filter(|ms| ms.is_finite()),
+                over_in_ms: account.map(|a| a.expires_at - now),
             }
         };
         // Danger: several processes of one host, the old one's lease still running, share its line.
-        let budget = |(b, holders): (&pearfork_ledger::Budget, &BTreeMap<_, pearfork_ledger::Lent>)| {
+        let budget = |(b, holders): (&pearfork_ledger::Budget, &BTreeMap<_, pearfork_ledger::Allocation>)| {
             let mut to = BTreeMap::new();
             for (who, lent) in holders {
-                let host = book.members().get(who).map_or(u16::MAX, |m| m.host.0);
-                *to.entry(host).or_insert(0.0) += lent.part.fraction();
+                let host = table.members().get(who).map_or(u16::MAX, |m| m.host.0);
+                *to.entry(host).or_insert(0.0) += lent.fraction.as_f64();
             }
-            BudgetLine { budget: b.to_string(), lent: book.lent(b).fraction(), to }
+            BudgetLine { budget: b.to_string(), lent: table.total_allocated(b).as_f64(), to }
         };
         *self = VoterView {
             trouble: None,
@@ -78,8 +78,8 @@
             leader: state.leader.map(|h| h.0),
             lends: accounts.is_some(),
             commit: state.commit,
-            members: book.members().iter().map(member).collect(),
-            budgets: book.budgets().map(budget).collect(),
+            members: table.members().iter().map(member).collect(),
+            budgets: table.budgets().map(budget).collect(),
         };
     }
 }
@@ -89,11 +89,11 @@
 pub struct HeldLine {
     /// The budget.
     pub budget: String,
-    /// Its floor, as a part of the whole.
+    /// Its floor, as a fraction of the whole.
     pub floor: f64,
     /// What it borrows beyond that; 0 once the lease is over.
     pub lent: f64,
-    /// What its clients ask for, as a part of the whole.
+    /// What its clients ask for, as a fraction of the whole.
     pub demand: f64,
 }
 
@@ -177,9 +177,12 @@
         self.lock().holder = view;
     }
 
-    pub(crate) fn links(&self, states: &HashMap<HostNumber, LinkState>) {
-        let line =
-            |(h, s): (&HostNumber, &LinkState)| LinkLine { voter: h.0, up: s.up, refused: s.refused.clone() };
+    pub(crate) fn links(&self, states: &HashMap<HostNumber, LinkStatus>) {
+        let line = |(h, s): (&HostNumber, &LinkStatus)| LinkLine {
+            voter: h.0,
+            up: s.up,
+            refused: s.refused.clone(),
+        };
         let mut links: Vec<LinkLine> = states.iter().map(line).collect();
         links.sort_by_key(|l| l.voter);
         self.lock().links = links;
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -6,15 +6,15 @@
 
 use crate::disk::Disk;
 use crate::frame::{self, FrameFault};
-use pearfork_ledger::raft::{Image, Record};
-use pearfork_ledger::{Book, Part};
+use pearfork_ledger::raft::{PersistentState, Record};
+use pearfork_ledger::{Fraction, LeaseTable};
 use serde::{Deserialize, Serialize};
 use std::fs::{File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
 
 /// Bytes of one frame in a file.
-const MOST: usize = 256 << 20;
+const MAX_FRAME_BYTES: usize = 256 << 20;
 const FORMAT: u32 = 1;
 
 /// Why a store can't be used.
@@ -30,11 +30,11 @@
     },
     /// Another process has the folder.
     #[error("{0}: another process uses this folder")]
-    Taken(PathBuf),
+    Locked(PathBuf),
     /// Promises are lost.
     #[error("{file}, byte {at}: {why}; promises of this voter may be lost, and it must not vote by this file. Mend the disk, \
              or remove the folder and let the host join under another number")]
-    Spoilt {
+    Corrupt {
         /// Which file.
         file: PathBuf,
         /// Where.
@@ -65,8 +65,9 @@
 
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum Written {
-    Image(Image),
+enum StoredFrame {
+    #[serde(rename = "image")]
+    PersistentState(PersistentState),
     Record(Record),
 }
 
@@ -97,12 +98,12 @@
         };
         match lock.try_lock() {
             Ok(()) => Ok(Folder { path: path.to_owned(), _lock: lock }),
-            Err(TryLockError::WouldBlock) => Err(StoreError::Taken(path.to_owned())),
+            Err(TryLockError::WouldBlock) => Err(StoreError::Locked(path.to_owned())),
             Err(TryLockError::Error(e)) => Err(told(&name)(e)),
         }
     }
 
-    fn promises(&self) -> PathBuf {
+    fn state_file(&self) -> PathBuf {
         self.path.join("promises")
     }
 }
@@ -126,17 +127,20 @@
         folder: &Folder,
         mut disk: Box<dyn Disk>,
         owner: Owner,
-        lendable: Part,
-    ) -> Result<(Store, Image), StoreError> {
-        let file = folder.promises();
+        lendable: Fraction,
+    ) -> Result<(Store, PersistentState), StoreError> {
+        let file = folder.state_file();
         let told = |source| StoreError::Disk { file: file.clone(), source };
         let image = match disk.read(&file).map_err(told)? {
             Some(bytes) => read(&file, &bytes, &owner)?,
             None => None,
         };
-        let image = image.unwrap_or_else(|| Image { book: Book::new(lendable), ..Image::default() });
-        if image.book.lendable() != lendable {
-            let what = format!("of a fleet whose floors leave {}, not {lendable}", image.book.lendable());
+        let image = image.unwrap_or_else(|| PersistentState {
+            table: LeaseTable::new(lendable),
+            ..PersistentState::default()
+        });
+        if image.table.lendable() != lendable {
+            let what = format!("of a fleet whose floors leave {}, not {lendable}", image.table.lendable());
             return Err(StoreError::Foreign { file, what });
         }
         let mut store = Store { file, disk, owner };
@@ -150,7 +154,7 @@
     /// The disk fails. Nothing more may be written through this store: what is on disk is not known any more.
     pub fn append(&mut self, records: Vec<Record>) -> Result<(), StoreError> {
         let mut bytes = Vec::new();
-        records.into_iter().for_each(|r| frame::put(&mut bytes, &Written::Record(r)));
+        records.into_iter().for_each(|r| frame::put(&mut bytes, &StoredFrame::Record(r)));
         self.disk
             .append(&self.file, &bytes)
             .map_err(|source| StoreError::Disk { file: self.file.clone(), source })
@@ -160,10 +164,10 @@
     ///
     /// # Errors
     /// The disk fails, and the old file is there.
-    pub fn rewrite(&mut self, image: &Image) -> Result<(), StoreError> {
+    pub fn rewrite(&mut self, image: &PersistentState) -> Result<(), StoreError> {
         let mut bytes = Vec::new();
         frame::put(&mut bytes, &self.owner);
-        frame::put(&mut bytes, &Written::Image(image.clone()));
+        frame::put(&mut bytes, &StoredFrame::PersistentState(image.clone()));
         self.disk
             .replace(&self.file, &bytes)
             .map_err(|source| StoreError::Disk { file: self.file.clone(), source })
@@ -179,10 +183,10 @@
 ///
 /// # Errors
 /// It is spoilt, or somebody else's.
-pub fn read(file: &Path, bytes: &[u8], owner: &Owner) -> Result<Option<Image>, StoreError> {
-    let spoilt = |at: usize, why: String| StoreError::Spoilt { file: file.to_owned(), at, why };
+pub fn read(file: &Path, bytes: &[u8], owner: &Owner) -> Result<Option<PersistentState>, StoreError> {
+    let spoilt = |at: usize, why: String| StoreError::Corrupt { file: file.to_owned(), at, why };
     let fault = |at: usize| move |e: FrameFault| spoilt(at, e.to_string());
-    let Some((found, mut at)) = frame::get::<Owner>(bytes, MOST).map_err(fault(0))? else {
+    let Some((found, mut at)) = frame::get::<Owner>(bytes, MAX_FRAME_BYTES).map_err(fault(0))? else {
         // The file is put in place whole: a short one was never ours.
         return if bytes.is_empty() { Ok(None) } else { Err(spoilt(0, "it ends in its head".to_owned())) };
     };
@@ -190,22 +194,24 @@
         let what = format!("format {} of host {} of fleet `{}`", found.format, found.host, found.fleet);
         return Err(StoreError::Foreign { file: file.to_owned(), what });
     }
-    let mut image = match frame::get::<Written>(&bytes[at..], MOST).map_err(fault(at))? {
-        Some((Written::Image(image), length)) => {
+    let mut image = match frame::get::<StoredFrame>(&bytes[at..], MAX_FRAME_BYTES).map_err(fault(at))? {
+        Some((StoredFrame::PersistentState(image), length)) => {
             at += length;
             image
         }
         _ => return Err(spoilt(at, "no image comes first".to_owned())),
     };
     while at < bytes.len() {
-        match frame::get::<Written>(&bytes[at..], MOST) {
-            Ok(Some((Written::Record(record), length))) => {
+        match frame::get::<StoredFrame>(&bytes[at..], MAX_FRAME_BYTES) {
+            Ok(Some((StoredFrame::Record(record), length))) => {
                 if !image.add(record) {
                     return Err(spoilt(at, "a record does not follow on the one before".to_owned()));
                 }
                 at += length;
             }
-            Ok(Some((Written::Image(_), _))) => return Err(spoilt(at, "a second image".to_owned())),
+            Ok(Some((StoredFrame::PersistentState(_), _))) => {
+                return Err(spoilt(at, "a second image".to_owned()))
+            }
             // A length that was spoilt reads as a frame that is not whole.
             Ok(None) if followed(&bytes[at..]) => return Err(spoilt(at, "a frame has no end".to_owned())),
             // Not whole: it was being written when the machine stopped.
@@ -221,14 +227,14 @@
 
 /// Whether any whole frame begins after the first byte: then what comes before it was once promised.
 fn followed(bytes: &[u8]) -> bool {
-    (1..bytes.len().saturating_sub(frame::HEAD))
-        .any(|at| matches!(frame::get::<Written>(&bytes[at..], MOST), Ok(Some(_))))
+    (1..bytes.len().saturating_sub(frame::HEADER_BYTES))
+        .any(|at| matches!(frame::get::<StoredFrame>(&bytes[at..], MAX_FRAME_BYTES), Ok(Some(_))))
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::disk::{RealDisk, TroubledDisk};
+    use crate::disk::{FaultyDisk, RealDisk};
     use pearfork_ledger::{Change, Entry, HostNumber};
 
     struct Scratch(PathBuf);
@@ -253,11 +259,11 @@
     }
 
     fn records() -> Vec<Record> {
-        vec![Record::Promise { term: 3, voted: Some(HostNumber(1)) }, entry(1), entry(2), entry(3)]
+        vec![Record::HardState { term: 3, voted_for: Some(HostNumber(1)) }, entry(1), entry(2), entry(3)]
     }
 
-    fn open(folder: &Folder) -> Result<(Store, Image), StoreError> {
-        Store::open(folder, Box::<RealDisk>::default(), owner("f", 1), Part::of(0.5))
+    fn open(folder: &Folder) -> Result<(Store, PersistentState), StoreError> {
+        Store::open(folder, Box::<RealDisk>::default(), owner("f", 1), Fraction::from_f64(0.5))
     }
 
     #[test]
@@ -267,14 +273,14 @@
         let (mut store, image) = open(&folder).unwrap();
         assert_eq!((image.term, image.entries.len()), (0, 0));
         store.append(records()).unwrap();
-        assert!(matches!(Folder::take(&scratch.0), Err(StoreError::Taken(_))));
+        assert!(matches!(Folder::take(&scratch.0), Err(StoreError::Locked(_))));
         drop((store, folder));
         let folder = Folder::take(&scratch.0).unwrap();
         let (_, image) = open(&folder).unwrap();
-        assert_eq!((image.term, image.voted, image.entries.len()), (3, Some(HostNumber(1)), 3));
-        let other = Store::open(&folder, Box::<RealDisk>::default(), owner("g", 1), Part::of(0.5));
+        assert_eq!((image.term, image.voted_for, image.entries.len()), (3, Some(HostNumber(1)), 3));
+        let other = Store::open(&folder, Box::<RealDisk>::default(), owner("g", 1), Fraction::from_f64(0.5));
         assert!(matches!(other, Err(StoreError::Foreign { .. })));
-        let other = Store::open(&folder, Box::<RealDisk>::default(), owner("f", 1), Part::of(0.4));
+        let other = Store::open(&folder, Box::<RealDisk>::default(), owner("f", 1), Fraction::from_f64(0.4));
         assert!(matches!(other, Err(StoreError::Foreign { .. })));
     }
 
@@ -285,16 +291,16 @@
         let scratch = Scratch::new("torn");
         let folder = Folder::take(&scratch.0).unwrap();
         let (mut store, _) = open(&folder).unwrap();
-        let head = std::fs::read(folder.promises()).unwrap().len();
+        let head = std::fs::read(folder.state_file()).unwrap().len();
         let mut ends = vec![head];
         for record in records() {
             store.append(vec![record]).unwrap();
-            ends.push(std::fs::read(folder.promises()).unwrap().len());
+            ends.push(std::fs::read(folder.state_file()).unwrap().len());
         }
-        let bytes = std::fs::read(folder.promises()).unwrap();
-        let whole = read(&folder.promises(), &bytes, &owner("f", 1)).unwrap().unwrap();
+        let bytes = std::fs::read(folder.state_file()).unwrap();
+        let whole = read(&folder.state_file(), &bytes, &owner("f", 1)).unwrap().unwrap();
         for cut in 0..bytes.len() {
-            let got = read(&folder.promises(), &bytes[..cut], &owner("f", 1));
+            let got = read(&folder.state_file(), &bytes[..cut], &owner("f", 1));
             let known = ends.iter().filter(|e| **e <= cut).count();
             match got {
                 Ok(Some(image)) => {
@@ -309,7 +315,7 @@
         for at in 0..bytes.len() {
             let mut spoilt = bytes.clone();
             spoilt[at] ^= 0x10;
-            match read(&folder.promises(), &spoilt, &owner("f", 1)) {
+            match read(&folder.state_file(), &spoilt, &owner("f", 1)) {
                 Ok(Some(image)) => {
                     assert!(at >= last, "a flip at {at} went unseen");
                     assert_eq!(image.entries.len(), 2);
@@ -326,18 +332,19 @@
         let scratch = Scratch::new("trouble");
         let folder = Folder::take(&scratch.0).unwrap();
         let trouble = scratch.0.join("trouble");
-        let disk = || Box::new(TroubledDisk::new(RealDisk::default(), trouble.clone()));
-        let (mut store, _) = Store::open(&folder, disk(), owner("f", 1), Part::of(0.5)).unwrap();
+        let disk = || Box::new(FaultyDisk::new(RealDisk::default(), trouble.clone()));
+        let (mut store, _) = Store::open(&folder, disk(), owner("f", 1), Fraction::from_f64(0.5)).unwrap();
         store.append(records()).unwrap();
         for word in ["full", "torn", "fsync", "read-only"] {
             std::fs::write(&trouble, word).unwrap();
             assert!(store.append(vec![entry(4)]).is_err(), "{word}");
-            assert!(Store::open(&folder, disk(), owner("f", 1), Part::of(0.5)).is_err(), "{word}");
+            assert!(Store::open(&folder, disk(), owner("f", 1), Fraction::from_f64(0.5)).is_err(), "{word}");
             std::fs::write(&trouble, "").unwrap();
-            let (again, image) = Store::open(&folder, disk(), owner("f", 1), Part::of(0.5)).unwrap();
+            let (again, image) =
+                Store::open(&folder, disk(), owner("f", 1), Fraction::from_f64(0.5)).unwrap();
             assert!(image.entries.len() >= 3 && image.term == 3, "{word}");
             store = again;
-            store.rewrite(&Image { entries: image.entries[..3].to_vec(), ..image }).unwrap();
+            store.rewrite(&PersistentState { entries: image.entries[..3].to_vec(), ..image }).unwrap();
         }
     }
 }
--- a/crates/fleet/src/hub.rs
+++ b/crates/fleet/src/transport.rs
@@ -1,4 +1,4 @@
-//! All sockets of a host's talk with its fleet, in one thread.
+//! The transport between the hosts of a fleet: all sockets, in one thread.
 //!
 //! A voter listens; every host dials every voter that it talks to. What a host says to a voter goes over the connection
 //! that it dialled, and answers come back there. What can't be sent at once waits in a bounded buffer, and what finds
@@ -8,7 +8,7 @@
 use crate::plan::FleetPlan;
 use crossbeam_channel::{Receiver, Sender, TrySendError};
 use pearfork_ledger::raft::RaftMessage;
-use pearfork_ledger::{Answer, Ask, Hello, HostNumber, Message, VERSION};
+use pearfork_ledger::{Hello, HostNumber, LeaseRequest, LeaseResponse, Message, VERSION};
 use pearfork_net::{begin_connect, Poller, Ready, Want};
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Read, Write};
@@ -17,87 +17,87 @@
 use std::time::{Duration, Instant};
 
 /// Bytes of a message from somebody whose name is not known yet.
-const HELLO_MOST: usize = 4 << 10;
+const MAX_HELLO_BYTES: usize = 4 << 10;
 /// Bytes of a message from a host: an ask of some thousand budgets.
-const HOST_MOST: usize = 1 << 20;
+const MAX_HOST_MESSAGE_BYTES: usize = 1 << 20;
 /// Bytes of a message from a voter: the state of a fleet with as many hosts and budgets as there may be.
-const VOTER_MOST: usize = 64 << 20;
+const MAX_VOTER_MESSAGE_BYTES: usize = 64 << 20;
 /// Bytes that wait for one connection, beyond one message of any length.
-const WAITING: usize = 4 << 20;
+const MAX_QUEUED_BYTES: usize = 4 << 20;
 /// How long a connection may take to come up and to say who it is.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// A dialled connection is asked for a sign of life so often, and given up after three times as long without any.
-const SIGN: Duration = Duration::from_millis(700);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(700);
 /// The least and the longest pause between two tries to reach a voter.
-const PAUSE: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(1_000));
+const RECONNECT_BACKOFF: (Duration, Duration) = (Duration::from_millis(80), Duration::from_millis(1_000));
 const LISTENER: u64 = u64::MAX - 1;
 
 /// Where an answer goes: a connection, or this very process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Asker {
+pub enum Requester {
     /// The connection that the ask came over.
     Connection(u64),
     /// The holder in this process.
-    Here,
+    Local,
 }
 
 /// What comes for the voter.
 #[derive(Debug)]
-pub enum ForVoter {
+pub enum VoterEvent {
     /// Of another voter.
     Raft(HostNumber, RaftMessage),
     /// Of a host.
-    Ask(Asker, Ask),
+    LeaseRequest(Requester, LeaseRequest),
     /// The process ends.
     Stop,
 }
 
 /// What comes for the holder.
 #[derive(Debug)]
-pub enum ForHolder {
+pub enum HolderEvent {
     /// An answer, and who gave it.
-    Answer(HostNumber, Answer),
+    LeaseResponse(HostNumber, LeaseResponse),
     /// Give all back and end.
     Leave,
     /// End at once.
     Stop,
 }
 
-/// What others have the hub do.
+/// A command to the transport thread.
 #[derive(Debug)]
-pub enum Order {
+pub enum TransportCommand {
     /// Say something to a voter.
-    Say(HostNumber, Message),
-    /// Answer somebody.
-    Answer(u64, Answer),
+    Send(HostNumber, Message),
+    /// Respond on a connection.
+    LeaseResponse(u64, LeaseResponse),
     /// End.
     Stop,
 }
 
-/// Gives orders to the hub; never waits.
+/// Sends commands to the transport thread; never blocks.
 #[derive(Clone)]
-pub struct HubHandle {
-    orders: Sender<Order>,
+pub struct TransportHandle {
+    commands: Sender<TransportCommand>,
     poller: Arc<Poller>,
 }
 
-impl HubHandle {
-    /// A handle that gives its orders here.
-    pub fn new(orders: Sender<Order>, poller: Arc<Poller>) -> HubHandle {
-        HubHandle { orders, poller }
+impl TransportHandle {
+    /// A handle that sends its commands here.
+    pub fn new(commands: Sender<TransportCommand>, poller: Arc<Poller>) -> TransportHandle {
+        TransportHandle { commands, poller }
     }
 
-    /// Gives an order; one that finds no room is dropped.
-    pub fn order(&self, order: Order) {
-        if !matches!(self.orders.try_send(order), Err(TrySendError::Disconnected(_))) {
+    /// Sends a command; one that finds the queue full is dropped.
+    pub fn send(&self, command: TransportCommand) {
+        if !matches!(self.commands.try_send(command), Err(TrySendError::Disconnected(_))) {
             self.poller.wake();
         }
     }
 }
 
-/// How the talk with a voter stands, for people.
+/// Status of the connection to a voter, for status pages.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct LinkState {
+pub struct LinkStatus {
     /// Whether it is up and both sides know each other.
     pub up: bool,
     /// Why the other side, or this one, will not talk.
@@ -110,54 +110,54 @@
     dialled: Option<HostNumber>,
     /// Who the other side is, once it said so.
     peer: Option<HostNumber>,
-    coming_up: bool,
+    connecting: bool,
     watched: Want,
     since: Instant,
-    heard: Instant,
-    asked_sign: Instant,
+    last_heard_at: Instant,
+    keepalive_at: Instant,
     input: Vec<u8>,
     output: Vec<u8>,
     sent: usize,
     closing: bool,
 }
 
-struct Dial {
+struct Link {
     connection: Option<u64>,
     again: Instant,
     pause: Duration,
-    state: LinkState,
+    state: LinkStatus,
 }
 
-/// Hears of each change of the links.
-pub type Told = Box<dyn FnMut(&HashMap<HostNumber, LinkState>) + Send>;
+/// Called at each change of the links.
+pub type LinkObserver = Box<dyn FnMut(&HashMap<HostNumber, LinkStatus>) + Send>;
 
-/// Where orders come from, and where what is heard goes.
-pub struct Boxes {
-    /// Orders.
-    pub orders: Receiver<Order>,
+/// Where commands come from, and where received messages go.
+pub struct Channels {
+    /// Commands.
+    pub commands: Receiver<TransportCommand>,
     /// The voter, where this host is one.
-    pub voter: Option<Sender<ForVoter>>,
+    pub voter: Option<Sender<VoterEvent>>,
     /// The holder.
-    pub holder: Sender<ForHolder>,
+    pub holder: Sender<HolderEvent>,
 }
 
 /// The thread's state.
-pub struct Hub {
+pub struct Transport {
     plan: Arc<FleetPlan>,
     hello: Hello,
     poller: Arc<Poller>,
-    boxes: Boxes,
+    channels: Channels,
     listener: Option<TcpListener>,
     connections: HashMap<u64, Connection>,
     next: u64,
-    dials: HashMap<HostNumber, Dial>,
+    links: HashMap<HostNumber, Link>,
     /// When links are to be looked after next.
-    look_at: Instant,
-    told: Told,
+    maintain_at: Instant,
+    observer: LinkObserver,
 }
 
-impl Hub {
-    /// A hub that is not running yet. `told` hears of each change of the links.
+impl Transport {
+    /// A transport that is not running yet. `observer` is called at each change of the links.
     ///
     /// # Errors
     /// The poller can't watch the listener.
@@ -165,9 +165,9 @@
         plan: Arc<FleetPlan>,
         listener: Option<TcpListener>,
         poller: Arc<Poller>,
-        boxes: Boxes,
-        told: Told,
-    ) -> io::Result<Hub> {
+        channels: Channels,
+        observer: LinkObserver,
+    ) -> io::Result<Transport> {
         if let Some(listener) = &listener {
             listener.set_nonblocking(true)?;
             poller.add(listener, LISTENER, Want::Read)?;
@@ -176,20 +176,29 @@
             Hello { version: VERSION, fleet: plan.name.clone(), settings: plan.fingerprint(), host: plan.me };
         let now = Instant::now();
         let others = plan.voters.iter().filter(|v| v.host != plan.me);
-        let dial =
-            |h| (h, Dial { connection: None, again: now, pause: PAUSE.0, state: LinkState::default() });
-        let dials = others.map(|v| dial(v.host)).collect();
-        Ok(Hub {
+        let link = |h| {
+            (
+                h,
+                Link {
+                    connection: None,
+                    again: now,
+                    pause: RECONNECT_BACKOFF.0,
+                    state: LinkStatus::default(),
+                },
+            )
+        };
+        let links = others.map(|v| link(v.host)).collect();
+        Ok(Transport {
             plan,
             hello,
             poller,
-            boxes,
+            channels,
             listener,
             connections: HashMap::new(),
             next: 0,
-            dials,
-            look_at: now,
-            told,
+            links,
+            maintain_at: now,
+            observer,
         })
     }
 
@@ -197,23 +206,25 @@
     pub fn run(mut self) {
         let mut ready = Vec::new();
         loop {
-            let orders = self.boxes.orders.clone();
-            for order in orders.try_iter() {
-                match order {
-                    Order::Say(to, message) => {
-                        if let Some(id) = self.dials.get(&to).and_then(|d| d.connection) {
-                            self.say(id, &message);
+            let commands = self.channels.commands.clone();
+            for command in commands.try_iter() {
+                match command {
+                    TransportCommand::Send(to, message) => {
+                        if let Some(id) = self.links.get(&to).and_then(|d| d.connection) {
+                            self.send(id, &message);
                         }
                     }
-                    Order::Answer(id, answer) => self.say(id, &Message::Answer(answer)),
-                    Order::Stop => return,
+                    TransportCommand::LeaseResponse(id, response) => {
+                        self.send(id, &Message::LeaseResponse(response))
+                    }
+                    TransportCommand::Stop => return,
                 }
             }
             let now = Instant::now();
-            if now >= self.look_at {
-                self.look_at = self.keep_up(now);
+            if now >= self.maintain_at {
+                self.maintain_at = self.maintain_links(now);
             }
-            if self.poller.wait(&mut ready, Some(self.look_at)).is_err() {
+            if self.poller.wait(&mut ready, Some(self.maintain_at)).is_err() {
                 tracing::error!("the fleet's sockets can't be waited for any more");
                 return;
             }
@@ -228,10 +239,10 @@
     }
 
     /// Dials, asks for signs of life and gives up; when to look again.
-    fn keep_up(&mut self, now: Instant) -> Instant {
-        let mut next = now + SIGN / 4;
+    fn maintain_links(&mut self, now: Instant) -> Instant {
+        let mut next = now + KEEPALIVE_INTERVAL / 4;
         let due: Vec<HostNumber> = self
-            .dials
+            .links
             .iter()
             .filter(|(_, d)| d.connection.is_none() && d.again <= now)
             .map(|(h, _)| *h)
@@ -239,28 +250,29 @@
         for host in due {
             self.dial(host, now);
         }
-        for dial in self.dials.values().filter(|d| d.connection.is_none()) {
-            next = next.min(dial.again);
+        for link in self.links.values().filter(|d| d.connection.is_none()) {
+            next = next.min(link.again);
         }
         let mut over = Vec::new();
         let mut signs = Vec::new();
         for (id, c) in &self.connections {
             let unknown = c.peer.is_none() && now - c.since > PATIENCE;
-            let silent = c.dialled.is_some() && c.peer.is_some() && now - c.heard > 3 * SIGN;
+            let silent =
+                c.dialled.is_some() && c.peer.is_some() && now - c.last_heard_at > 3 * KEEPALIVE_INTERVAL;
             if unknown || silent {
                 over.push(*id);
-            } else if c.dialled.is_some() && c.peer.is_some() && now - c.asked_sign >= SIGN {
+            } else if c.dialled.is_some() && c.peer.is_some() && now - c.keepalive_at >= KEEPALIVE_INTERVAL {
                 signs.push(*id);
             }
         }
         over.into_iter().for_each(|id| self.close(id, "no sign of life"));
         for id in signs {
             if let Some(c) = self.connections.get_mut(&id) {
-                c.asked_sign = now;
+                c.keepalive_at = now;
             }
             // The other side answers a name with its own.
             let hello = Message::Hello(self.hello.clone());
-            self.say(id, &hello);
+            self.send(id, &hello);
         }
         next
     }
@@ -273,13 +285,13 @@
             Ok(stream)
         });
         let id = self.next;
-        if let Some(dial) = self.dials.get_mut(&host) {
+        if let Some(link) = self.links.get_mut(&host) {
             // Danger: hundreds of hosts that lost a voter at once would come back to it at once, and again at once.
             let spread = 1.0 + f64::from(id as u32 % 7) / 10.0;
-            dial.again = now + dial.pause.mul_f64(spread);
-            dial.pause = (dial.pause * 2).min(PAUSE.1);
+            link.again = now + link.pause.mul_f64(spread);
+            link.pause = (link.pause * 2).min(RECONNECT_BACKOFF.1);
             if begun.is_ok() {
-                dial.connection = Some(id);
+                link.connection = Some(id);
             }
         }
         if let Ok(stream) = begun {
@@ -317,19 +329,19 @@
         if broken {
             return self.close(id, "the connection broke");
         }
-        if c.coming_up {
+        if c.connecting {
             if !matches!(c.stream.take_error(), Ok(None)) {
                 return self.close(id, "no connection");
             }
-            c.coming_up = false;
+            c.connecting = false;
         }
         if !c.output.is_empty() && c.write().is_err() {
             return self.close(id, "the connection broke");
         }
         let most = match (c.peer, c.dialled) {
-            (None, None) => HELLO_MOST,
-            (Some(peer), _) if self.plan.voters.iter().any(|v| v.host == peer) => VOTER_MOST,
-            _ => HOST_MOST,
+            (None, None) => MAX_HELLO_BYTES,
+            (Some(peer), _) if self.plan.voters.iter().any(|v| v.host == peer) => MAX_VOTER_MESSAGE_BYTES,
+            _ => MAX_HOST_MESSAGE_BYTES,
         };
         let ended = c.read(most);
         let mut at = 0;
@@ -349,7 +361,7 @@
             c.input = Vec::new();
         }
         if !messages.is_empty() {
-            c.heard = Instant::now();
+            c.last_heard_at = Instant::now();
         }
         for message in messages {
             self.message(id, message);
@@ -380,38 +392,38 @@
     fn message(&mut self, id: u64, message: Message) {
         let Some(c) = self.connections.get_mut(&id) else { return };
         match (c.peer, message) {
-            (_, Message::Hello(hello)) => self.greeted(id, &hello),
+            (_, Message::Hello(hello)) => self.handle_hello(id, &hello),
             (_, Message::Refused(why)) => {
                 let dialled = c.dialled;
                 tracing::warn!(why, "a voter of the fleet refuses this host");
-                if let Some(dial) = dialled.and_then(|h| self.dials.get_mut(&h)) {
-                    dial.state.refused = Some(why);
-                    dial.pause = PAUSE.1;
+                if let Some(link) = dialled.and_then(|h| self.links.get_mut(&h)) {
+                    link.state.refused = Some(why);
+                    link.pause = RECONNECT_BACKOFF.1;
                 }
                 self.close(id, "refused");
             }
             (Some(peer), Message::Raft(m)) if self.plan.voters.iter().any(|v| v.host == peer) => {
-                self.for_voter(ForVoter::Raft(peer, m));
+                self.to_voter(VoterEvent::Raft(peer, m));
             }
-            (Some(_), Message::Ask(ask)) if c.dialled.is_none() => {
-                self.for_voter(ForVoter::Ask(Asker::Connection(id), ask));
+            (Some(_), Message::LeaseRequest(request)) if c.dialled.is_none() => {
+                self.to_voter(VoterEvent::LeaseRequest(Requester::Connection(id), request));
             }
-            (Some(peer), Message::Answer(answer)) if c.dialled.is_some() => {
-                let _ = self.boxes.holder.try_send(ForHolder::Answer(peer, answer));
+            (Some(peer), Message::LeaseResponse(response)) if c.dialled.is_some() => {
+                let _ = self.channels.holder.try_send(HolderEvent::LeaseResponse(peer, response));
             }
             // Before its name, or out of place.
             _ => self.close(id, "it speaks out of turn"),
         }
     }
 
-    fn for_voter(&self, what: ForVoter) {
-        if let Some(voter) = &self.boxes.voter {
+    fn to_voter(&self, what: VoterEvent) {
+        if let Some(voter) = &self.channels.voter {
             // A voter whose disk stalls hears no more for a while; all this is said again.
             let _ = voter.try_send(what);
         }
     }
 
-    fn greeted(&mut self, id: u64, hello: &Hello) {
+    fn handle_hello(&mut self, id: u64, hello: &Hello) {
         let why = if hello.version != VERSION {
             Some(format!("this host speaks version {VERSION}, not {}", hello.version))
         } else if hello.fleet != self.hello.fleet {
@@ -428,10 +440,10 @@
         let first = c.peer.is_none();
         if let Some(why) = why {
             tracing::warn!(host = hello.host.0, why, "refused a host of the fleet");
-            if let Some(dial) = c.dialled.and_then(|h| self.dials.get_mut(&h)) {
-                dial.state.refused = Some(why.clone());
+            if let Some(link) = c.dialled.and_then(|h| self.links.get_mut(&h)) {
+                link.state.refused = Some(why.clone());
             }
-            self.say(id, &Message::Refused(why));
+            self.send(id, &Message::Refused(why));
             if let Some(c) = self.connections.get_mut(&id) {
                 c.closing = true;
             }
@@ -443,29 +455,29 @@
         c.peer = Some(hello.host);
         match c.dialled {
             Some(host) if first => {
-                if let Some(dial) = self.dials.get_mut(&host) {
-                    dial.pause = PAUSE.0;
-                    dial.state = LinkState { up: true, refused: None };
+                if let Some(link) = self.links.get_mut(&host) {
+                    link.pause = RECONNECT_BACKOFF.0;
+                    link.state = LinkStatus { up: true, refused: None };
                 }
-                self.tell();
+                self.notify_observer();
             }
             Some(_) => {}
             None => {
                 let hello = Message::Hello(self.hello.clone());
-                self.say(id, &hello);
+                self.send(id, &hello);
             }
         }
     }
 
-    fn say(&mut self, id: u64, message: &Message) {
+    fn send(&mut self, id: u64, message: &Message) {
         let Some(c) = self.connections.get_mut(&id) else { return };
         let greets = matches!(message, Message::Hello(_) | Message::Refused(_));
         // Nothing but names before the names are known; and nothing more to one that does not read.
-        if (c.peer.is_none() && !greets) || c.output.len() - c.sent > WAITING {
+        if (c.peer.is_none() && !greets) || c.output.len() - c.sent > MAX_QUEUED_BYTES {
             return;
         }
         frame::put(&mut c.output, message);
-        if !c.coming_up && c.write().is_err() {
+        if !c.connecting && c.write().is_err() {
             return self.close(id, "the connection broke");
         }
         self.watch(id);
@@ -475,21 +487,21 @@
         let Some(c) = self.connections.remove(&id) else { return };
         self.poller.remove(&c.stream);
         let Some(host) = c.dialled else { return };
-        if let Some(dial) = self.dials.get_mut(&host).filter(|d| d.connection == Some(id)) {
-            dial.connection = None;
-            dial.again = dial.again.max(Instant::now() + dial.pause);
-            self.look_at = self.look_at.min(dial.again);
-            let was_up = std::mem::take(&mut dial.state.up);
+        if let Some(link) = self.links.get_mut(&host).filter(|d| d.connection == Some(id)) {
+            link.connection = None;
+            link.again = link.again.max(Instant::now() + link.pause);
+            self.maintain_at = self.maintain_at.min(link.again);
+            let was_up = std::mem::take(&mut link.state.up);
             if was_up {
                 tracing::info!(voter = host.0, why, "the link to a voter is down");
             }
-            self.tell();
+            self.notify_observer();
         }
     }
 
-    fn tell(&mut self) {
-        let states = self.dials.iter().map(|(h, d)| (*h, d.state.clone())).collect();
-        (self.told)(&states);
+    fn notify_observer(&mut self) {
+        let states = self.links.iter().map(|(h, d)| (*h, d.state.clone())).collect();
+        (self.observer)(&states);
     }
 }
 
@@ -499,11 +511,11 @@
             stream,
             dialled,
             peer: None,
-            coming_up: dialled.is_some(),
+            connecting: dialled.is_some(),
             watched: if dialled.is_some() { Want::Write } else { Want::Read },
             since: now,
-            heard: now,
-            asked_sign: now,
+            last_heard_at: now,
+            keepalive_at: now,
             input: Vec::new(),
             output,
             sent: 0,
@@ -534,7 +546,7 @@
     /// Reads what is there, up to one message of the longest kind and a little more; whether the other side ended.
     fn read(&mut self, most: usize) -> bool {
         let mut part = [0u8; 16 << 10];
-        while self.input.len() <= most + frame::HEAD {
+        while self.input.len() <= most + frame::HEADER_BYTES {
             match (&self.stream).read(&mut part) {
                 Ok(0) => return true,
                 Ok(n) => self.input.extend_from_slice(&part[..n]),
--- a/crates/fleet/tests/peers.rs
+++ b/crates/fleet/tests/peers.rs
@@ -1,7 +1,9 @@
 //! A fleet in one process, and peers that mean it no good.
 
-use pearfork_fleet::{frame, Demand, Fleet, FleetError, FleetPlan, Portion, Trouble, User, VoterAt};
-use pearfork_ledger::{Budget, Hello, HostNumber, Kind, Message, Part, Times, VERSION};
+use pearfork_fleet::{
+    frame, Demand, FaultInjection, Fleet, FleetError, FleetPlan, Portion, User, VoterAddress,
+};
+use pearfork_ledger::{Budget, Fraction, Hello, HostNumber, Kind, Message, Times, VERSION};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -21,8 +23,8 @@
 
 impl User for Clients {
     fn demand(&mut self) -> Vec<Demand> {
-        let asked = Part::of(*self.asked.lock().unwrap());
-        vec![Demand { budget: archive(), asked, least: Part::of(0.01), turn: Duration::ZERO }]
+        let asked = Fraction::from_f64(*self.asked.lock().unwrap());
+        vec![Demand { budget: archive(), asked, least: Fraction::from_f64(0.01), turn: Duration::ZERO }]
     }
 
     fn apply(&mut self, portions: &[Portion]) -> bool {
@@ -34,8 +36,8 @@
 impl Clients {
     fn may_use(&self) -> f64 {
         let has = self.has.lock().unwrap();
-        let lent = has.as_ref().filter(|p| Instant::now() < p.until).map_or(Part::NONE, |p| p.lent);
-        lent.fraction()
+        let lent = has.as_ref().filter(|p| Instant::now() < p.until).map_or(Fraction::ZERO, |p| p.lent);
+        lent.as_f64()
     }
 }
 
@@ -57,8 +59,8 @@
 
 fn plans(scratch: &Scratch, hosts: u16) -> Vec<FleetPlan> {
     let held: Vec<TcpListener> = (0..3).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    let voters: Vec<VoterAt> = (0..3)
-        .map(|v| VoterAt { host: HostNumber(v), address: held[usize::from(v)].local_addr().unwrap() })
+    let voters: Vec<VoterAddress> = (0..3)
+        .map(|v| VoterAddress { host: HostNumber(v), address: held[usize::from(v)].local_addr().unwrap() })
         .collect();
     let plan = |me: u16| FleetPlan {
         name: "f".to_owned(),
@@ -67,9 +69,9 @@
         listen: voters.get(usize::from(me)).map(|v| v.address),
         folder: (me < 3).then(|| scratch.0.join(me.to_string())),
         voters: voters.clone(),
-        floors: Part::of(0.02),
+        floors: Fraction::from_f64(0.02),
         times: Times::default(),
-        trouble: Trouble::default(),
+        fault_injection: FaultInjection::default(),
     };
     (0..hosts).map(plan).collect()
 }
--- a/crates/host/src/fleet.rs
+++ b/crates/host/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::volumes::VolumeId;
 use crossbeam_channel::{bounded, Sender};
 use pearfork_fleet::{Demand, FleetPlan, Portion, User};
-use pearfork_ledger::{Budget, Kind, Meter, Part};
+use pearfork_ledger::{Budget, Fraction, Kind, Meter};
 use pearfork_net::Clock;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -21,9 +21,9 @@
     rate: Budget,
     burst: Budget,
     /// The part of the rate that pays for a usual request within a second.
-    least_rate: Part,
+    least_rate: Fraction,
     /// The part of the burst that holds the largest request.
-    least_burst: Part,
+    least_burst: Fraction,
     /// How long the whole rate pays for the largest request.
     turn: Duration,
     meter: Meter,
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub(crate) struct Limits {
     lines: Vec<Line>,
-    floor: Part,
+    floor: Fraction,
     asked: Arc<[AtomicU64]>,
 }
 
@@ -49,8 +49,8 @@
                 rate: Budget::new(Kind::Limit, &v.name),
                 burst: Budget::new(Kind::Burst, &v.name),
                 // Less than that would leave a request waiting past its aim, and a host that has few waiting for ever.
-                least_rate: Part::of(plan.module.mean_units / p.limit),
-                least_burst: Part::of(largest / p.burst.max(1e-9)),
+                least_rate: Fraction::from_f64(plan.module.mean_units / p.limit),
+                least_burst: Fraction::from_f64(largest / p.burst.max(1e-9)),
                 turn: Duration::from_secs_f64((1.25 * largest / p.limit).min(60.0)),
                 meter: Meter::new(p.limit, largest),
                 seen: 0,
@@ -61,7 +61,7 @@
 
     /// What a host has before it hears from anybody.
     pub(crate) fn floors(&self) -> Vec<LentPart> {
-        let floor = self.floor.fraction();
+        let floor = self.floor.as_f64();
         let until_ms = f64::NEG_INFINITY;
         let part = |l: &Line| LentPart { volume: l.volume, floor, lent: 0.0, lent_burst: 0.0, until_ms };
         self.lines.iter().map(part).collect()
@@ -102,9 +102,9 @@
             let (rate, burst) = (of(&l.rate)?, of(&l.burst)?);
             Some(LentPart {
                 volume: l.volume,
-                floor: rate.floor.fraction(),
-                lent: rate.lent.fraction(),
-                lent_burst: burst.lent.fraction(),
+                floor: rate.floor.as_f64(),
+                lent: rate.lent.as_f64(),
+                lent_burst: burst.lent.as_f64(),
                 // Both are of one lease.
                 until_ms: self.clock.ms_at(rate.until.min(burst.until)),
             })
--- a/crates/host/src/settings/fleet.rs
+++ b/crates/host/src/settings/fleet.rs
@@ -3,8 +3,8 @@
 use super::tables::{File, FleetTable};
 use super::Checker;
 use crate::units::Span;
-use pearfork_fleet::{FleetPlan, Trouble, VoterAt};
-use pearfork_ledger::{HostNumber, Part, Times};
+use pearfork_fleet::{FaultInjection, FleetPlan, VoterAddress};
+use pearfork_ledger::{Fraction, HostNumber, Times};
 use std::collections::HashSet;
 
 /// Voters that a fleet may have. Two are no better than one, and nine take longer to agree than seven without bearing
@@ -26,9 +26,9 @@
             v.ms()
         };
         let lease_ms = span(self, "lease", f.lease, 200.0, 60_000.0);
-        let ask_ms = span(self, "ask", f.ask, 10.0, lease_ms / 4.0);
+        let renew_ms = span(self, "ask", f.ask, 10.0, lease_ms / 4.0);
         let election_ms = span(self, "election", f.election, 50.0, 30_000.0);
-        let beat_ms = span(self, "beat", f.beat, 5.0, election_ms / 4.0);
+        let heartbeat_ms = span(self, "beat", f.beat, 5.0, election_ms / 4.0);
         if !(0.0..=1.0).contains(&f.drift) {
             self.fault("fleet.drift", "must be 0 to 1: by how much one clock may run faster than another");
         }
@@ -66,11 +66,11 @@
             voters: f
                 .voters
                 .iter()
-                .map(|v| VoterAt { host: HostNumber(v.host), address: v.address })
+                .map(|v| VoterAddress { host: HostNumber(v.host), address: v.address })
                 .collect(),
-            floors: Part::of(f.floors),
-            times: Times { lease_ms, drift: f.drift, ask_ms, beat_ms, election_ms },
-            trouble: Trouble { clock_rate: f.trouble.clock, disk: f.trouble.disk.clone() },
+            floors: Fraction::from_f64(f.floors),
+            times: Times { lease_ms, drift: f.drift, renew_ms, heartbeat_ms, election_ms },
+            fault_injection: FaultInjection { clock_rate: f.trouble.clock, disk: f.trouble.disk.clone() },
         })
     }
 
--- a/crates/host/src/settings/tables.rs
+++ b/crates/host/src/settings/tables.rs
@@ -36,7 +36,7 @@
     /// Where a voter keeps its promises.
     pub(super) folder: Option<PathBuf>,
     pub(super) voters: Vec<VoterTable>,
-    /// Part of each whole that the floors of all hosts make up together.
+    /// Fraction of each whole that the floors of all hosts make up together.
     #[serde(default = "default_floors")]
     pub(super) floors: f64,
     #[serde(default = "default_lease")]
@@ -82,11 +82,11 @@
 }
 
 fn default_ask() -> Span {
-    Span::from_ms(Times::default().ask_ms)
+    Span::from_ms(Times::default().renew_ms)
 }
 
 fn default_beat() -> Span {
-    Span::from_ms(Times::default().beat_ms)
+    Span::from_ms(Times::default().heartbeat_ms)
 }
 
 fn default_election() -> Span {
--- a/crates/ledger/benches/fleets.rs
+++ b/crates/ledger/benches/fleets.rs
@@ -20,7 +20,7 @@
     /// Messages and bytes a host a second, its answers and its part in the voters' talk included.
     messages: f64,
     bytes: f64,
-    /// Part of what there is to lend that nobody has, in the mean, while all hosts ask.
+    /// Fraction of what there is to lend that nobody has, in the mean, while all hosts ask.
     unused: f64,
 }
 
@@ -45,7 +45,7 @@
             let (from, to) = (ids[(turn * 7) % hosts], ids[(turn * 7 + 7) % hosts]);
             w.want(from, &archive(), 0.0);
             w.want(to, &archive(), 1.5);
-            until(&mut w, 20_000.0, |w| w.usable(to, &archive()).fraction() > NEARLY_ALL)
+            until(&mut w, 20_000.0, |w| w.usable(to, &archive()).as_f64() > NEARLY_ALL)
         })
         .collect();
     moves.sort_by(f64::total_cmp);
@@ -57,7 +57,7 @@
     let mut unused = 0.0;
     for _ in 0..50 {
         w.run(span / 50.0);
-        unused += (1.0 - w.usable_in_all(&archive()).fraction() / w.lendable.fraction()) / 50.0;
+        unused += (1.0 - w.usable_in_all(&archive()).as_f64() / w.lendable.as_f64()) / 50.0;
     }
     let each = |n: u64| n as f64 / hosts as f64 / (span / 1_000.0);
     let (messages, bytes) = (each(w.messages - messages), each(w.bytes.take().unwrap_or(0)));
@@ -66,7 +66,7 @@
     dead.push(leader);
     w.kill_voter(leader);
     dead.iter().for_each(|h| w.kill_host(ids[*h]));
-    let halved = until(&mut w, 30_000.0, |w| w.usable_in_all(&archive()).fraction() > NEARLY_ALL);
+    let halved = until(&mut w, 30_000.0, |w| w.usable_in_all(&archive()).as_f64() > NEARLY_ALL);
     Figures { hosts, lost, moved: (moves[5], moves[9]), halved, messages, bytes, unused }
 }
 
--- a/crates/ledger/src/part.rs
+++ b/crates/ledger/src/budget.rs
@@ -15,45 +15,45 @@
 /// A part of a whole, in billionths: whole numbers, so that parts add up to what they add up to.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct Part(pub u64);
+pub struct Fraction(pub u64);
 
-impl Part {
+impl Fraction {
     /// All of it.
-    pub const WHOLE: Part = Part(1_000_000_000);
+    pub const WHOLE: Fraction = Fraction(1_000_000_000);
     /// Nothing.
-    pub const NONE: Part = Part(0);
+    pub const ZERO: Fraction = Fraction(0);
 
     /// A fraction, rounded down; what is no number or below 0 is nothing, and nothing exceeds 1,000 wholes.
-    pub fn of(fraction: f64) -> Part {
+    pub fn from_f64(fraction: f64) -> Fraction {
         // A cast from a float saturates, and takes NaN for 0.
-        Part((fraction.min(1_000.0) * Part::WHOLE.0 as f64) as u64)
+        Fraction((fraction.min(1_000.0) * Fraction::WHOLE.0 as f64) as u64)
     }
 
     /// As a fraction of the whole.
-    pub fn fraction(self) -> f64 {
-        self.0 as f64 / Part::WHOLE.0 as f64
+    pub fn as_f64(self) -> f64 {
+        self.0 as f64 / Fraction::WHOLE.0 as f64
     }
 
     /// Sum, at most what the type holds.
-    pub fn plus(self, other: Part) -> Part {
-        Part(self.0.saturating_add(other.0))
+    pub fn saturating_add(self, other: Fraction) -> Fraction {
+        Fraction(self.0.saturating_add(other.0))
     }
 
     /// Difference, at least nothing.
-    pub fn minus(self, other: Part) -> Part {
-        Part(self.0.saturating_sub(other.0))
+    pub fn saturating_sub(self, other: Fraction) -> Fraction {
+        Fraction(self.0.saturating_sub(other.0))
     }
 }
 
-impl std::iter::Sum for Part {
-    fn sum<I: Iterator<Item = Part>>(parts: I) -> Part {
-        parts.fold(Part::NONE, Part::plus)
+impl std::iter::Sum for Fraction {
+    fn sum<I: Iterator<Item = Fraction>>(parts: I) -> Fraction {
+        parts.fold(Fraction::ZERO, Fraction::saturating_add)
     }
 }
 
-impl std::fmt::Display for Part {
+impl std::fmt::Display for Fraction {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{:.3} %", self.fraction() * 100.0)
+        write!(f, "{:.3} %", self.as_f64() * 100.0)
     }
 }
 
--- a/crates/ledger/src/divide.rs
+++ b/crates/ledger/src/divide.rs
@@ -1,6 +1,6 @@
 //! How a whole is divided among those who want some of it.
 
-use crate::part::{Incarnation, Part};
+use crate::budget::{Fraction, Incarnation};
 
 /// What one process wants of a budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -8,13 +8,13 @@
     /// Who.
     pub who: Incarnation,
     /// What its clients asked for of late; more than the whole counts as the whole.
-    pub demand: Part,
-    /// The least part that holds its largest request: less is of no use to it.
-    pub least: Part,
-    /// How long it has to have its least part for a request to come of it, milliseconds.
+    pub demand: Fraction,
+    /// The least fraction that holds its largest request: less is of no use to it.
+    pub least: Fraction,
+    /// How long it has to have its least fraction for a request to come of it, milliseconds.
     pub turn_ms: f64,
     /// What it has now.
-    pub held: Part,
+    pub held: Fraction,
     /// Since when it has had some, or has been waiting for some, milliseconds.
     pub since_ms: f64,
 }
@@ -27,7 +27,7 @@
 const TURN_MS: f64 = 1_000.0;
 /// A part is not lowered by less than this part of itself.
 const STEADY_DOWN: f64 = 0.1;
-/// Nor raised by less than this part of the whole, or of itself where that is less. Danger: where hundreds have a part,
+/// Nor raised by less than this part of the whole, or of itself where that is less. Danger: where hundreds have a fraction,
 /// what is little of the whole is all that one of them has.
 const STEADY_UP: (f64, f64) = (0.005, 0.03);
 
@@ -36,20 +36,20 @@
 /// Each gets its demand with something to spare, the smallest demands first and none less than its least; what is left
 /// is dealt out by demand, and where it does not suffice, the larger ones share evenly. Where even the least
 /// parts of all are too much, as many as fit have theirs in turn.
-pub fn divide(lendable: Part, claims: &[Claim], now: f64) -> Vec<Part> {
-    let mut targets = vec![Part::NONE; claims.len()];
-    let mut askers: Vec<usize> = (0..claims.len()).filter(|i| claims[*i].demand > Part::NONE).collect();
-    let reserve = Part::of(lendable.fraction() * RESERVE);
-    let whole = lendable.minus(reserve);
-    // Danger: a least part above all that there is would let nobody have any.
-    let least = |i: usize| claims[i].least.min(whole).max(Part(1));
-    let needed: Part = askers.iter().map(|i| least(*i)).sum();
+pub fn divide(lendable: Fraction, claims: &[Claim], now: f64) -> Vec<Fraction> {
+    let mut targets = vec![Fraction::ZERO; claims.len()];
+    let mut askers: Vec<usize> = (0..claims.len()).filter(|i| claims[*i].demand > Fraction::ZERO).collect();
+    let reserve = Fraction::from_f64(lendable.as_f64() * RESERVE);
+    let whole = lendable.saturating_sub(reserve);
+    // Danger: a least fraction above all that there is would let nobody have any.
+    let least = |i: usize| claims[i].least.min(whole).max(Fraction(1));
+    let needed: Fraction = askers.iter().map(|i| least(*i)).sum();
     if needed > whole {
         // Those in their turn go first, then those who have waited longest.
         let order = |i: &usize| {
             let c = &claims[*i];
             let in_turn = c.held >= least(*i) && now - c.since_ms < c.turn_ms.max(TURN_MS);
-            let fresh = c.held > Part::NONE;
+            let fresh = c.held > Fraction::ZERO;
             (!in_turn, !in_turn && fresh, c.since_ms)
         };
         askers.sort_by(|a, b| {
@@ -60,33 +60,33 @@
         askers.retain(|i| {
             let fits = least(*i) <= left;
             if fits {
-                left = left.minus(least(*i));
+                left = left.saturating_sub(least(*i));
             }
             fits
         });
     }
     // Water fills up to the demands, from the smallest on.
     let want = |i: usize| {
-        let demand = claims[i].demand.fraction().min(1.0) * AHEAD;
-        Part::of(demand).max(least(i)).min(whole)
+        let demand = claims[i].demand.as_f64().min(1.0) * AHEAD;
+        Fraction::from_f64(demand).max(least(i)).min(whole)
     };
     askers.sort_by_key(|i| (want(*i), claims[*i].who));
     let mut left = whole;
-    let mut floor_left: Part = askers.iter().map(|i| least(*i)).sum();
+    let mut floor_left: Fraction = askers.iter().map(|i| least(*i)).sum();
     for (n, i) in askers.iter().enumerate() {
-        floor_left = floor_left.minus(least(*i));
-        let fair = Part(left.0 / (askers.len() - n) as u64);
+        floor_left = floor_left.saturating_sub(least(*i));
+        let fair = Fraction(left.0 / (askers.len() - n) as u64);
         // What those after it need at the least stays.
-        targets[*i] = want(*i).min(fair.max(least(*i))).min(left.minus(floor_left));
-        left = left.minus(targets[*i]);
+        targets[*i] = want(*i).min(fair.max(least(*i))).min(left.saturating_sub(floor_left));
+        left = left.saturating_sub(targets[*i]);
     }
-    let all: f64 = askers.iter().map(|i| targets[*i].fraction()).sum();
+    let all: f64 = askers.iter().map(|i| targets[*i].as_f64()).sum();
     if all > 0.0 {
         let spare = left;
         for i in &askers {
-            let more = Part::of(spare.fraction() * targets[*i].fraction() / all).min(left);
-            targets[*i] = targets[*i].plus(more);
-            left = left.minus(more);
+            let more = Fraction::from_f64(spare.as_f64() * targets[*i].as_f64() / all).min(left);
+            targets[*i] = targets[*i].saturating_add(more);
+            left = left.saturating_sub(more);
         }
     }
     steady(claims, &mut targets, whole);
@@ -94,8 +94,8 @@
 }
 
 /// Leaves alone what hardly changed, where that still adds up.
-fn steady(claims: &[Claim], targets: &mut [Part], whole: Part) {
-    let mut all: Part = targets.iter().copied().sum();
+fn steady(claims: &[Claim], targets: &mut [Fraction], whole: Fraction) {
+    let mut all: Fraction = targets.iter().copied().sum();
     for (claim, target) in claims.iter().zip(targets.iter_mut()) {
         let apart = claim.held.0.abs_diff(target.0) as f64;
         // What is left idle for steadiness is lost; what is left with its holder is not.
@@ -103,9 +103,9 @@
             true => (STEADY_UP.0 * whole.0 as f64).min(STEADY_UP.1 * target.0 as f64),
             false => STEADY_DOWN * target.0 as f64,
         };
-        let kept = all.minus(*target).plus(claim.held);
+        let kept = all.saturating_sub(*target).saturating_add(claim.held);
         let useful = claim.held >= claim.least.min(whole);
-        if *target > Part::NONE && useful && apart < little && kept <= whole {
+        if *target > Fraction::ZERO && useful && apart < little && kept <= whole {
             (all, *target) = (kept, claim.held);
         }
     }
@@ -118,12 +118,22 @@
     use proptest::test_runner::RngSeed;
 
     fn claim(who: u64, demand: f64, least: f64) -> Claim {
-        let (demand, least) = (Part::of(demand), Part::of(least));
-        Claim { who: Incarnation(who), demand, least, turn_ms: 0.0, held: Part::NONE, since_ms: who as f64 }
+        let (demand, least) = (Fraction::from_f64(demand), Fraction::from_f64(least));
+        Claim {
+            who: Incarnation(who),
+            demand,
+            least,
+            turn_ms: 0.0,
+            held: Fraction::ZERO,
+            since_ms: who as f64,
+        }
     }
 
     fn fractions(claims: &[Claim]) -> Vec<f64> {
-        divide(Part::WHOLE, claims, 10.0).iter().map(|p| (p.fraction() * 1_000.0).round() / 1_000.0).collect()
+        divide(Fraction::WHOLE, claims, 10.0)
+            .iter()
+            .map(|p| (p.as_f64() * 1_000.0).round() / 1_000.0)
+            .collect()
     }
 
     #[test]
@@ -146,11 +156,11 @@
         let mut had = std::collections::BTreeSet::new();
         for step in 0..60 {
             let now = f64::from(step) * 500.0;
-            let targets = divide(Part::WHOLE, &claims, now);
-            let with: Vec<usize> = (0..40).filter(|i| targets[*i] > Part::NONE).collect();
+            let targets = divide(Fraction::WHOLE, &claims, now);
+            let with: Vec<usize> = (0..40).filter(|i| targets[*i] > Fraction::ZERO).collect();
             assert_eq!(with.len(), 2, "at {now}");
             for (i, claim) in claims.iter_mut().enumerate() {
-                if (claim.held > Part::NONE) != (targets[i] > Part::NONE) {
+                if (claim.held > Fraction::ZERO) != (targets[i] > Fraction::ZERO) {
                     claim.since_ms = now;
                 }
                 claim.held = targets[i];
@@ -163,10 +173,10 @@
     /// Half of four hundred are gone: what they had is little for each of the others, and all of it together.
     #[test]
     fn many_with_little_each_get_what_is_free() {
-        let held = Part::of(0.0025);
+        let held = Fraction::from_f64(0.0025);
         let claims: Vec<Claim> = (0..200).map(|i| Claim { held, ..claim(i, 0.0025, 0.0001) }).collect();
-        let all: Part = divide(Part::WHOLE, &claims, 10.0).into_iter().sum();
-        assert!(all.fraction() > 0.96, "{all}");
+        let all: Fraction = divide(Fraction::WHOLE, &claims, 10.0).into_iter().sum();
+        assert!(all.as_f64() > 0.96, "{all}");
     }
 
     #[test]
@@ -182,19 +192,19 @@
             lines in prop::collection::vec((0.0f64..3.0, 0.0f64..0.7, 0.0f64..0.2, 0.0f64..9_000.0), 0..50),
         ) {
             let claims: Vec<Claim> = lines.iter().enumerate().map(|(i, (demand, least, held, since))| Claim {
-                held: Part::of(*held), since_ms: *since, ..claim(i as u64, *demand, *least)
+                held: Fraction::from_f64(*held), since_ms: *since, ..claim(i as u64, *demand, *least)
             }).collect();
-            let lendable = Part::of(lendable);
+            let lendable = Fraction::from_f64(lendable);
             let targets = divide(lendable, &claims, 9_000.0);
-            let all: Part = targets.iter().copied().sum();
+            let all: Fraction = targets.iter().copied().sum();
             prop_assert!(all <= lendable, "{all} of {lendable}");
-            let whole = lendable.minus(Part::of(lendable.fraction() * RESERVE));
+            let whole = lendable.saturating_sub(Fraction::from_f64(lendable.as_f64() * RESERVE));
             for (c, t) in claims.iter().zip(&targets) {
-                prop_assert!(*t == Part::NONE || *t >= c.least.min(whole), "{t} of {c:?}");
-                prop_assert!(c.demand > Part::NONE || *t == Part::NONE);
+                prop_assert!(*t == Fraction::ZERO || *t >= c.least.min(whole), "{t} of {c:?}");
+                prop_assert!(c.demand > Fraction::ZERO || *t == Fraction::ZERO);
             }
-            let asked = claims.iter().any(|c| c.demand > Part::NONE) && whole > Part::NONE;
-            prop_assert_eq!(asked, all > Part::NONE, "someone is always served");
+            let asked = claims.iter().any(|c| c.demand > Fraction::ZERO) && whole > Fraction::ZERO;
+            prop_assert_eq!(asked, all > Fraction::ZERO, "someone is always served");
         }
     }
 }
--- a/crates/ledger/src/book.rs
+++ b/crates/ledger/src/lease_table.rs
@@ -1,10 +1,10 @@
 //! The agreed state: who is in the fleet and what is lent to whom. Every voter that applied the same entries has the same.
 
-use crate::part::{Budget, HostNumber, Incarnation, Part};
+use crate::budget::{Budget, Fraction, HostNumber, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// A change of the book, as entries of the log hold it. One that no longer fits when it is applied changes nothing.
+/// A change of the table, as entries of the log hold it. One that no longer fits when it is applied changes nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Change {
@@ -16,19 +16,23 @@
         nonce: u64,
     },
     /// What a process holds of a budget from now on.
-    Lend {
+    #[serde(rename = "lend")]
+    Allocate {
         /// Which process.
         to: Incarnation,
         /// Of what.
         budget: Budget,
         /// How much.
-        part: Part,
+        #[serde(rename = "part")]
+        fraction: Fraction,
         /// The version of what it holds now; 0 where it holds nothing. Danger: a change thought out before another one
         /// was applied would strike out what was lent in between.
-        after: u64,
+        #[serde(rename = "after")]
+        expected_version: u64,
     },
     /// A process is gone, or its lease is over: all it held is free.
-    Forget {
+    #[serde(rename = "forget")]
+    Remove {
         /// Which.
         who: Incarnation,
     },
@@ -45,31 +49,36 @@
 
 /// What a process holds of a budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Lent {
+pub struct Allocation {
     /// How much.
-    pub part: Part,
+    #[serde(rename = "part")]
+    pub fraction: Fraction,
     /// Version of this line; no other line ever has it.
-    pub at: u64,
+    #[serde(rename = "at")]
+    pub version: u64,
 }
 
 /// The agreed state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Book {
-    lendable: Part,
-    joined: u64,
-    versions: u64,
+pub struct LeaseTable {
+    lendable: Fraction,
+    #[serde(rename = "joined")]
+    last_incarnation: u64,
+    #[serde(rename = "versions")]
+    last_version: u64,
     members: BTreeMap<Incarnation, Member>,
-    lent: BTreeMap<Budget, BTreeMap<Incarnation, Lent>>,
+    #[serde(rename = "lent")]
+    allocations: BTreeMap<Budget, BTreeMap<Incarnation, Allocation>>,
 }
 
-impl Book {
+impl LeaseTable {
     /// Nothing is lent yet; `lendable` is what all floors leave of each whole.
-    pub fn new(lendable: Part) -> Book {
-        Book { lendable: lendable.min(Part::WHOLE), ..Book::default() }
+    pub fn new(lendable: Fraction) -> LeaseTable {
+        LeaseTable { lendable: lendable.min(Fraction::WHOLE), ..LeaseTable::default() }
     }
 
     /// What all floors leave.
-    pub fn lendable(&self) -> Part {
+    pub fn lendable(&self) -> Fraction {
         self.lendable
     }
 
@@ -79,24 +88,26 @@
     }
 
     /// Budgets of which something is lent.
-    pub fn budgets(&self) -> impl Iterator<Item = (&Budget, &BTreeMap<Incarnation, Lent>)> {
-        self.lent.iter()
+    pub fn budgets(&self) -> impl Iterator<Item = (&Budget, &BTreeMap<Incarnation, Allocation>)> {
+        self.allocations.iter()
     }
 
     /// What a process holds of a budget; version 0 where that is nothing.
-    pub fn held(&self, who: Incarnation, budget: &Budget) -> Lent {
-        let line = self.lent.get(budget).and_then(|holders| holders.get(&who));
-        line.copied().unwrap_or(Lent { part: Part::NONE, at: 0 })
+    pub fn allocation(&self, who: Incarnation, budget: &Budget) -> Allocation {
+        let line = self.allocations.get(budget).and_then(|holders| holders.get(&who));
+        line.copied().unwrap_or(Allocation { fraction: Fraction::ZERO, version: 0 })
     }
 
     /// All that a process holds.
-    pub fn all_held(&self, who: Incarnation) -> impl Iterator<Item = (&Budget, Lent)> {
-        self.lent.iter().filter_map(move |(budget, holders)| Some((budget, *holders.get(&who)?)))
+    pub fn allocations(&self, who: Incarnation) -> impl Iterator<Item = (&Budget, Allocation)> {
+        self.allocations.iter().filter_map(move |(budget, holders)| Some((budget, *holders.get(&who)?)))
     }
 
     /// What is lent of a budget in all.
-    pub fn lent(&self, budget: &Budget) -> Part {
-        self.lent.get(budget).map_or(Part::NONE, |holders| holders.values().map(|l| l.part).sum())
+    pub fn total_allocated(&self, budget: &Budget) -> Fraction {
+        self.allocations
+            .get(budget)
+            .map_or(Fraction::ZERO, |holders| holders.values().map(|l| l.fraction).sum())
     }
 
     /// The incarnation of a process that joined.
@@ -117,40 +128,42 @@
                 if self.incarnation(*host, *nonce).is_some() {
                     return false;
                 }
-                self.joined += 1;
+                self.last_incarnation += 1;
                 let member = Member { host: *host, nonce: *nonce };
-                self.members.insert(Incarnation(self.joined), member);
+                self.members.insert(Incarnation(self.last_incarnation), member);
                 true
             }
-            Change::Lend { to, budget, part, after } => {
-                let held = self.held(*to, budget);
-                let all = self.lent(budget).minus(held.part).plus(*part);
+            Change::Allocate { to, budget, fraction, expected_version } => {
+                let held = self.allocation(*to, budget);
+                let all =
+                    self.total_allocated(budget).saturating_sub(held.fraction).saturating_add(*fraction);
                 // Danger: whatever a leader thought, more than the whole is never written down as lent.
-                if !self.members.contains_key(to) || held.at != *after || all > self.lendable {
+                if !self.members.contains_key(to) || held.version != *expected_version || all > self.lendable
+                {
                     return false;
                 }
-                self.versions += 1;
-                let holders = self.lent.entry(budget.clone()).or_default();
-                if *part == Part::NONE {
+                self.last_version += 1;
+                let holders = self.allocations.entry(budget.clone()).or_default();
+                if *fraction == Fraction::ZERO {
                     holders.remove(to);
                 } else {
-                    holders.insert(*to, Lent { part: *part, at: self.versions });
+                    holders.insert(*to, Allocation { fraction: *fraction, version: self.last_version });
                 }
-                self.tidy();
+                self.drop_empty_budgets();
                 true
             }
-            Change::Forget { who } => {
+            Change::Remove { who } => {
                 let known = self.members.remove(who).is_some();
-                for holders in self.lent.values_mut() {
+                for holders in self.allocations.values_mut() {
                     holders.remove(who);
                 }
-                self.tidy();
+                self.drop_empty_budgets();
                 known
             }
         }
     }
 
-    fn tidy(&mut self) {
-        self.lent.retain(|_, holders| !holders.is_empty());
+    fn drop_empty_budgets(&mut self) {
+        self.allocations.retain(|_, holders| !holders.is_empty());
     }
 }
--- a/crates/ledger/src/log.rs
+++ b/crates/ledger/src/log.rs
@@ -1,6 +1,6 @@
 //! The log in memory: entries after a snapshot.
 
-use crate::book::Change;
+use crate::lease_table::Change;
 use serde::{Deserialize, Serialize};
 
 /// One entry; its index is told by its place.
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -1,6 +1,6 @@
 //! What hosts say to each other. The forms are those of `serde`; fields that a release does not know are skipped.
 
-use crate::part::{Budget, HostNumber, Incarnation, Part};
+use crate::budget::{Budget, Fraction, HostNumber, Incarnation};
 use crate::raft::RaftMessage;
 use serde::{Deserialize, Serialize};
 
@@ -31,32 +31,35 @@
     /// From voter to voter.
     Raft(RaftMessage),
     /// From a host to a voter.
-    Ask(Ask),
+    #[serde(rename = "ask")]
+    LeaseRequest(LeaseRequest),
     /// From a voter to a host.
-    Answer(Answer),
+    #[serde(rename = "answer")]
+    LeaseResponse(LeaseResponse),
 }
 
 /// What a host says of one budget.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Want {
+pub struct BudgetRequest {
     /// Which.
     pub budget: Budget,
-    /// What its clients asked for of late, as a part of the whole; may be more than that.
-    pub demand: Part,
-    /// The least part that is of use: what holds its largest request.
-    pub least: Part,
+    /// What its clients asked for of late, as a fraction of the whole; may be more than that.
+    pub demand: Fraction,
+    /// The least fraction that is of use: what holds its largest request.
+    pub least: Fraction,
     /// How long it has to have that for a request to come of it, milliseconds.
     #[serde(default)]
     pub turn_ms: u32,
     /// It uses no more than this, on top of its floor, until a grant of a later version lets it.
-    pub using: Part,
+    pub using: Fraction,
     /// Version of the grant that `using` is under; 0 where it never had one.
-    pub at: u64,
+    #[serde(rename = "at")]
+    pub version: u64,
 }
 
 /// A host asks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ask {
+pub struct LeaseRequest {
     /// Which host.
     pub host: HostNumber,
     /// Which process of it, by its own number.
@@ -68,20 +71,23 @@
     /// It goes: all it held may be lent to others at once.
     pub leaving: bool,
     /// Every budget that it holds or wants some of.
-    pub wants: Vec<Want>,
+    #[serde(rename = "wants")]
+    pub requests: Vec<BudgetRequest>,
 }
 
-/// A line of the book, told to its holder.
+/// A line of the table, told to its holder.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// Of what.
     pub budget: Budget,
-    /// What the book has.
-    pub part: Part,
+    /// What the table has.
+    #[serde(rename = "part")]
+    pub fraction: Fraction,
     /// Version of that line.
-    pub at: u64,
+    #[serde(rename = "at")]
+    pub version: u64,
     /// What the holder should come down to; the same as `part` where it need not.
-    pub target: Part,
+    pub target: Fraction,
 }
 
 /// Why an ask was not answered with grants.
@@ -90,7 +96,7 @@
 pub enum Refusal {
     /// This voter does not lead; perhaps that one does.
     NotLeader(Option<HostNumber>),
-    /// This process is not, or no longer, in the book: it has to join anew.
+    /// This process is not, or no longer, in the table: it has to join anew.
     Unknown,
     /// A later process has the host's name.
     Superseded,
@@ -99,7 +105,7 @@
 /// What is said to an ask.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Said {
+pub enum LeaseOutcome {
     /// The lease holds from when this ask was sent, with these parts and no others.
     Lease {
         /// The process.
@@ -113,11 +119,12 @@
 
 /// A voter answers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
+pub struct LeaseResponse {
     /// To which process.
     pub nonce: u64,
     /// To which ask.
     pub seq: u64,
     /// What.
-    pub said: Said,
+    #[serde(rename = "said")]
+    pub outcome: LeaseOutcome,
 }
--- a/crates/ledger/src/meter.rs
+++ b/crates/ledger/src/meter.rs
@@ -1,6 +1,6 @@
 //! What clients ask for of late, as a part of a whole.
 
-use crate::part::Part;
+use crate::budget::Fraction;
 use std::collections::VecDeque;
 
 /// The span over which demand is counted at the least, milliseconds: a few asks of the ledger.
@@ -27,8 +27,8 @@
         Meter { rate, span_ms: (SPAN_MS + apart_ms).min(SPAN_MOST_MS), counts: VecDeque::new() }
     }
 
-    /// So much was asked up to now since the last call; the demand, as a part of the whole.
-    pub fn count(&mut self, now: f64, units: f64) -> Part {
+    /// So much was asked up to now since the last call; the demand, as a fraction of the whole.
+    pub fn count(&mut self, now: f64, units: f64) -> Fraction {
         if units > 0.0 {
             match self.counts.back_mut() {
                 Some((at, sum)) if now - *at < self.span_ms / STEPS => *sum += units,
@@ -40,11 +40,11 @@
         }
         let asked: f64 = self.counts.iter().map(|(_, units)| units).sum();
         // What is asked once at least is some demand, however large the whole.
-        let part = Part::of(asked * 1_000.0 / self.span_ms / self.rate.max(1e-6));
+        let fraction = Fraction::from_f64(asked * 1_000.0 / self.span_ms / self.rate.max(1e-6));
         if asked > 0.0 {
-            part.max(Part(1))
+            fraction.max(Fraction(1))
         } else {
-            Part::NONE
+            Fraction::ZERO
         }
     }
 }
@@ -56,17 +56,17 @@
     #[test]
     fn a_load_is_measured_within_its_span_and_forgotten_after_it() {
         let mut meter = Meter::new(100.0, 5.0);
-        let mut demand = Part::NONE;
+        let mut demand = Fraction::ZERO;
         for step in 0..50 {
             demand = meter.count(f64::from(step) * 50.0, 5.0);
         }
-        assert!((demand.fraction() - 1.0).abs() < 0.15, "{demand}");
-        assert_eq!(meter.count(2_450.0 + 800.0, 0.0), Part::NONE);
+        assert!((demand.as_f64() - 1.0).abs() < 0.15, "{demand}");
+        assert_eq!(meter.count(2_450.0 + 800.0, 0.0), Fraction::ZERO);
         // One request in four seconds of a whole of one a second is a quarter of it, all the time.
         let mut slow = Meter::new(1.0, 8.0);
         for step in 0..40 {
             demand = slow.count(f64::from(step) * 1_000.0, if step % 4 == 0 { 1.0 } else { 0.0 });
-            assert!(step < 8 || (0.1..0.5).contains(&demand.fraction()), "{step}: {demand}");
+            assert!(step < 8 || (0.1..0.5).contains(&demand.as_f64()), "{step}: {demand}");
         }
     }
 }
--- a/crates/ledger/src/raft.rs
+++ b/crates/ledger/src/raft.rs
@@ -4,9 +4,9 @@
 //! The voters are fixed by the settings. Nothing is sent before what it promises is on disk: [`Raft::take`] gives
 //! records and messages together, the caller writes the records, says so ([`Raft::persisted`]) and only then sends.
 
-use crate::book::Book;
+use crate::budget::HostNumber;
+use crate::lease_table::LeaseTable;
 use crate::log::{Entry, Log};
-use crate::part::HostNumber;
 use crate::random::Random;
 use crate::Times;
 use serde::{Deserialize, Serialize};
@@ -21,33 +21,39 @@
     /// The sender's term; of a pre-vote, the one that it would begin.
     pub term: u64,
     /// What it says.
-    pub what: RaftWhat,
+    #[serde(rename = "what")]
+    pub payload: RaftPayload,
 }
 
 /// What a voter says.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum RaftWhat {
+pub enum RaftPayload {
     /// Would you vote for me? It changes nothing at either end.
-    PreVote {
+    #[serde(rename = "pre_vote")]
+    PreVoteRequest {
         /// My last entry.
         last: u64,
         /// Its term.
         last_term: u64,
     },
     /// Whether I would.
-    PreVoted(bool),
+    #[serde(rename = "pre_voted")]
+    PreVoteResponse(bool),
     /// Vote for me.
-    Vote {
+    #[serde(rename = "vote")]
+    VoteRequest {
         /// My last entry.
         last: u64,
         /// Its term.
         last_term: u64,
     },
     /// Whether I did, for good in this term.
-    Voted(bool),
+    #[serde(rename = "voted")]
+    VoteResponse(bool),
     /// I lead; entries follow on one that you should have.
-    Append {
+    #[serde(rename = "append")]
+    AppendRequest {
         /// The entry before the first of `entries`.
         previous: u64,
         /// Its term.
@@ -57,27 +63,34 @@
         /// All up to here is agreed.
         commit: u64,
         /// Counts the leader's words in its term.
-        beat: u64,
+        #[serde(rename = "beat")]
+        heartbeat: u64,
     },
     /// I lead, and you lack what my log no longer has.
-    Install {
-        /// All up to here is in `book`.
+    #[serde(rename = "install")]
+    InstallSnapshot {
+        /// All up to here is in `table`.
         index: u64,
         /// Term of that entry.
         index_term: u64,
         /// The state.
-        book: Book,
+        #[serde(rename = "book")]
+        table: LeaseTable,
         /// Counts the leader's words in its term.
-        beat: u64,
+        #[serde(rename = "beat")]
+        heartbeat: u64,
     },
-    /// To `Append` and `Install`: I have what you have, on disk, up to here; or not, then try from there.
-    Appended {
+    /// To `AppendRequest` and `InstallSnapshot`: I have what you have, on disk, up to here; or not, then try from there.
+    #[serde(rename = "appended")]
+    AppendResponse {
         /// Whether the entry before was there.
-        fits: bool,
+        #[serde(rename = "fits")]
+        success: bool,
         /// The last entry that is the same at both, or where to try next.
         index: u64,
         /// The beat that this answers.
-        beat: u64,
+        #[serde(rename = "beat")]
+        heartbeat: u64,
     },
 }
 
@@ -86,11 +99,13 @@
 #[serde(rename_all = "snake_case")]
 pub enum Record {
     /// Term and vote.
-    Promise {
+    #[serde(rename = "promise")]
+    HardState {
         /// The term.
         term: u64,
         /// For whom.
-        voted: Option<HostNumber>,
+        #[serde(rename = "voted")]
+        voted_for: Option<HostNumber>,
     },
     /// An entry; whatever the log had there and after is dropped.
     Entry {
@@ -103,27 +118,29 @@
 
 /// All that a voter has on disk, as one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Image {
+pub struct PersistentState {
     /// The term.
     pub term: u64,
     /// For whom it voted in it.
-    pub voted: Option<HostNumber>,
-    /// Index and term up to which `book` holds all.
+    #[serde(rename = "voted")]
+    pub voted_for: Option<HostNumber>,
+    /// Index and term up to which `table` holds all.
     pub base: (u64, u64),
     /// The state at the base.
-    pub book: Book,
+    #[serde(rename = "book")]
+    pub table: LeaseTable,
     /// Entries after the base.
     pub entries: Vec<Entry>,
 }
 
-impl Image {
+impl PersistentState {
     /// Adds a record that was written after the image; false where it does not follow on what is there.
     pub fn add(&mut self, record: Record) -> bool {
         match record {
-            Record::Promise { term, voted } => {
+            Record::HardState { term, voted_for } => {
                 let sane = term >= self.term;
                 if sane {
-                    (self.term, self.voted) = (term, voted);
+                    (self.term, self.voted_for) = (term, voted_for);
                 }
                 sane
             }
@@ -150,18 +167,18 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Peer {
-    next: u64,
-    matched: u64,
-    beat: u64,
+struct Progress {
+    next_index: u64,
+    match_index: u64,
+    heartbeat: u64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
-struct Leading {
-    peers: BTreeMap<HostNumber, Peer>,
-    heard: BTreeMap<HostNumber, f64>,
-    beat: u64,
-    beat_at: f64,
+struct LeaderState {
+    peers: BTreeMap<HostNumber, Progress>,
+    heard_at: BTreeMap<HostNumber, f64>,
+    heartbeat: u64,
+    heartbeat_at: f64,
     /// Its own first entry: what is agreed from here on is known to be.
     first: u64,
 }
@@ -169,8 +186,8 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Role {
     Follower { leader: Option<HostNumber> },
-    Asking { pre: bool, votes: BTreeSet<HostNumber> },
-    Leader(Leading),
+    Candidate { pre_vote: bool, votes: BTreeSet<HostNumber> },
+    Leader(LeaderState),
 }
 
 /// One voter's part in the agreement.
@@ -181,17 +198,17 @@
     times: Times,
     random: Random,
     term: u64,
-    voted: Option<HostNumber>,
+    voted_for: Option<HostNumber>,
     log: Log,
     /// The state at the base of the log.
-    base: Book,
+    base: LeaseTable,
     commit: u64,
     /// What is on disk of the log.
-    durable: u64,
+    persisted_index: u64,
     role: Role,
     election_at: f64,
     /// When a leader was last heard.
-    led_at: f64,
+    leader_heard_at: f64,
     out: Output,
 }
 
@@ -203,7 +220,7 @@
         voters: &[HostNumber],
         times: Times,
         seed: u64,
-        image: Image,
+        image: PersistentState,
         now: f64,
     ) -> Raft {
         let log = Log::after(image.base.0, image.base.1, image.entries);
@@ -213,24 +230,30 @@
             times,
             random: Random(seed),
             term: image.term,
-            voted: image.voted,
+            voted_for: image.voted_for,
             commit: image.base.0,
-            durable: log.last(),
+            persisted_index: log.last(),
             log,
-            base: image.book,
+            base: image.table,
             role: Role::Follower { leader: None },
             election_at: 0.0,
-            led_at: f64::NEG_INFINITY,
+            leader_heard_at: f64::NEG_INFINITY,
             out: Output::default(),
         };
-        raft.put_off(now);
+        raft.reset_election_timer(now);
         raft
     }
 
     /// All that has to be on disk, as one.
-    pub fn image(&self) -> Image {
+    pub fn persistent_state(&self) -> PersistentState {
         let entries = self.log.from(self.log.base().0 + 1, usize::MAX).to_vec();
-        Image { term: self.term, voted: self.voted, base: self.log.base(), book: self.base.clone(), entries }
+        PersistentState {
+            term: self.term,
+            voted_for: self.voted_for,
+            base: self.log.base(),
+            table: self.base.clone(),
+            entries,
+        }
     }
 
     /// The term.
@@ -249,7 +272,7 @@
     }
 
     /// The state at the base of the log.
-    pub fn base(&self) -> &Book {
+    pub fn base(&self) -> &LeaseTable {
         &self.base
     }
 
@@ -257,135 +280,146 @@
     pub fn leader(&self) -> Option<HostNumber> {
         match &self.role {
             Role::Follower { leader } => *leader,
-            Role::Asking { .. } => None,
+            Role::Candidate { .. } => None,
             Role::Leader(_) => Some(self.me),
         }
     }
 
     /// Whether it leads.
-    pub fn leads(&self) -> bool {
+    pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader(_))
     }
 
     /// Whether it leads and its first entry is agreed: the log up to there is all that was ever agreed.
-    pub fn settled(&self) -> bool {
+    pub fn has_committed_in_term(&self) -> bool {
         matches!(&self.role, Role::Leader(l) if self.commit >= l.first)
     }
 
     /// Voters that are needed for a decision.
-    fn majority(&self) -> usize {
+    fn quorum(&self) -> usize {
         self.others.len().div_ceil(2) + 1
     }
 
-    fn put_off(&mut self, now: f64) {
+    fn reset_election_timer(&mut self, now: f64) {
         self.election_at = now + self.times.election_ms * (1.0 + self.random.next());
     }
 
     /// When something is due next.
-    pub fn next_due(&self) -> f64 {
+    pub fn next_deadline(&self) -> f64 {
         match &self.role {
-            Role::Leader(l) => l.beat_at + self.times.beat_ms,
+            Role::Leader(l) => l.heartbeat_at + self.times.heartbeat_ms,
             _ => self.election_at,
         }
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: f64) {
-        if now < self.next_due() {
+        if now < self.next_deadline() {
             return;
         }
         let election_ms = self.times.election_ms;
         match &self.role {
             Role::Leader(l) => {
-                let heard = l.heard.values().filter(|at| now - **at <= 2.0 * election_ms).count();
-                if heard + 1 < self.majority() {
+                let heard_at = l.heard_at.values().filter(|at| now - **at <= 2.0 * election_ms).count();
+                if heard_at + 1 < self.quorum() {
                     // Nobody hears it: another may lead by now.
-                    self.follow(now, self.term, None);
+                    self.become_follower(now, self.term, None);
                 } else {
-                    self.beat(now);
+                    self.send_heartbeat(now);
                 }
             }
-            _ => self.ask_votes(now, true),
+            _ => self.start_election(now, true),
         }
     }
 
     /// Asks for votes: first whether it would get them, so that one which was cut off does not unseat a leader.
-    fn ask_votes(&mut self, now: f64, pre: bool) {
-        self.put_off(now);
-        if !pre {
-            self.promise(self.term + 1, Some(self.me));
+    fn start_election(&mut self, now: f64, pre_vote: bool) {
+        self.reset_election_timer(now);
+        if !pre_vote {
+            self.set_hard_state(self.term + 1, Some(self.me));
         }
-        self.role = Role::Asking { pre, votes: BTreeSet::from([self.me]) };
+        self.role = Role::Candidate { pre_vote, votes: BTreeSet::from([self.me]) };
         let (last, last_term) = (self.log.last(), self.log.last_term());
-        let (term, what) = if pre {
-            (self.term + 1, RaftWhat::PreVote { last, last_term })
+        let (term, payload) = if pre_vote {
+            (self.term + 1, RaftPayload::PreVoteRequest { last, last_term })
         } else {
-            (self.term, RaftWhat::Vote { last, last_term })
+            (self.term, RaftPayload::VoteRequest { last, last_term })
         };
         for to in self.others.clone() {
-            self.say(to, term, what.clone());
+            self.send(to, term, payload.clone());
         }
         self.count_votes(now);
     }
 
     fn count_votes(&mut self, now: f64) {
-        let Role::Asking { pre, votes } = &self.role else { return };
-        if votes.len() < self.majority() {
+        let Role::Candidate { pre_vote, votes } = &self.role else { return };
+        if votes.len() < self.quorum() {
             return;
         }
-        if *pre {
-            return self.ask_votes(now, false);
+        if *pre_vote {
+            return self.start_election(now, false);
         }
-        let peer = Peer { next: self.log.last() + 1, matched: 0, beat: 0 };
+        let peer = Progress { next_index: self.log.last() + 1, match_index: 0, heartbeat: 0 };
         let peers = self.others.iter().map(|v| (*v, peer.clone())).collect();
-        let heard = self.others.iter().map(|v| (*v, now)).collect();
+        let heard_at = self.others.iter().map(|v| (*v, now)).collect();
         let first = self.log.last() + 1;
-        self.role = Role::Leader(Leading { peers, heard, beat: 0, beat_at: now, first });
+        self.role = Role::Leader(LeaderState { peers, heard_at, heartbeat: 0, heartbeat_at: now, first });
         // What earlier terms left is agreed with the first entry of this one, and not before.
         self.append(Vec::new());
-        self.beat(now);
+        self.send_heartbeat(now);
     }
 
     /// Tells all followers that it leads, with what they lack; the number of this word.
-    pub fn beat(&mut self, now: f64) -> u64 {
+    pub fn send_heartbeat(&mut self, now: f64) -> u64 {
         let Role::Leader(l) = &mut self.role else { return 0 };
-        l.beat += 1;
-        l.beat_at = now;
-        let (beat, peers) = (l.beat, l.peers.clone());
+        l.heartbeat += 1;
+        l.heartbeat_at = now;
+        let (heartbeat, peers) = (l.heartbeat, l.peers.clone());
         for (to, peer) in peers {
-            self.send_log(to, peer.next, beat);
+            self.send_log(to, peer.next_index, heartbeat);
         }
-        beat
+        heartbeat
     }
 
     /// The last word that a majority is known to have heard in this term.
-    pub fn confirmed(&self) -> u64 {
+    pub fn confirmed_heartbeat(&self) -> u64 {
         let Role::Leader(l) = &self.role else { return 0 };
-        let mut beats: Vec<u64> = l.peers.values().map(|p| p.beat).chain([l.beat]).collect();
-        beats.sort_unstable();
-        beats[beats.len() - self.majority()]
+        let mut heartbeats: Vec<u64> = l.peers.values().map(|p| p.heartbeat).chain([l.heartbeat]).collect();
+        heartbeats.sort_unstable();
+        heartbeats[heartbeats.len() - self.quorum()]
     }
 
-    fn send_log(&mut self, to: HostNumber, next: u64, beat: u64) {
+    fn send_log(&mut self, to: HostNumber, next_index: u64, heartbeat: u64) {
         let (base, base_term) = self.log.base();
-        let what = match self.log.term(next.saturating_sub(1)) {
-            Some(previous_term) if next > base => {
-                let entries = self.log.from(next, AT_ONCE).to_vec();
-                RaftWhat::Append { previous: next - 1, previous_term, entries, commit: self.commit, beat }
+        let payload = match self.log.term(next_index.saturating_sub(1)) {
+            Some(previous_term) if next_index > base => {
+                let entries = self.log.from(next_index, AT_ONCE).to_vec();
+                RaftPayload::AppendRequest {
+                    previous: next_index - 1,
+                    previous_term,
+                    entries,
+                    commit: self.commit,
+                    heartbeat,
+                }
             }
-            _ => RaftWhat::Install { index: base, index_term: base_term, book: self.base.clone(), beat },
+            _ => RaftPayload::InstallSnapshot {
+                index: base,
+                index_term: base_term,
+                table: self.base.clone(),
+                heartbeat,
+            },
         };
-        self.say(to, self.term, what);
+        self.send(to, self.term, payload);
     }
 
-    fn say(&mut self, to: HostNumber, term: u64, what: RaftWhat) {
-        self.out.messages.push((to, RaftMessage { term, what }));
+    fn send(&mut self, to: HostNumber, term: u64, payload: RaftPayload) {
+        self.out.messages.push((to, RaftMessage { term, payload }));
     }
 
-    fn promise(&mut self, term: u64, voted: Option<HostNumber>) {
-        if (self.term, self.voted) != (term, voted) {
-            (self.term, self.voted) = (term, voted);
-            self.out.records.push(Record::Promise { term, voted });
+    fn set_hard_state(&mut self, term: u64, voted_for: Option<HostNumber>) {
+        if (self.term, self.voted_for) != (term, voted_for) {
+            (self.term, self.voted_for) = (term, voted_for);
+            self.out.records.push(Record::HardState { term, voted_for });
         }
     }
 
@@ -398,96 +432,105 @@
 
     /// Proposes an entry; its index, or none where another leads. It goes out with the next beat.
     pub fn propose(&mut self, changes: Vec<crate::Change>) -> Option<u64> {
-        self.leads().then(|| self.append(changes))
+        self.is_leader().then(|| self.append(changes))
     }
 
-    fn follow(&mut self, now: f64, term: u64, leader: Option<HostNumber>) {
-        let voted = if term > self.term { None } else { self.voted };
-        self.promise(term, voted);
+    fn become_follower(&mut self, now: f64, term: u64, leader: Option<HostNumber>) {
+        let voted_for = if term > self.term { None } else { self.voted_for };
+        self.set_hard_state(term, voted_for);
         self.role = Role::Follower { leader };
-        self.put_off(now);
+        self.reset_election_timer(now);
     }
 
     /// Takes what there is to write and to say.
-    pub fn take(&mut self) -> Output {
+    pub fn take_output(&mut self) -> Output {
         std::mem::take(&mut self.out)
     }
 
     /// All records taken so far are on disk.
     pub fn persisted(&mut self) {
-        self.durable = self.log.last();
-        self.advance();
+        self.persisted_index = self.log.last();
+        self.advance_commit();
     }
 
     /// A state that holds all up to an agreed index takes the place of the entries up to there.
-    pub fn compact(&mut self, index: u64, book: &Book) {
+    pub fn compact(&mut self, index: u64, table: &LeaseTable) {
         if index > self.log.base().0 && index <= self.commit {
             self.log.compact(index);
-            self.base = book.clone();
+            self.base = table.clone();
             self.out.rewrite = true;
         }
     }
 
     /// Takes a message of another voter. Those of strangers are the caller's to keep away.
-    pub fn message(&mut self, now: f64, from: HostNumber, message: RaftMessage) {
-        let RaftMessage { term, what } = message;
-        let asks = matches!(what, RaftWhat::PreVote { .. } | RaftWhat::PreVoted(_));
+    pub fn handle_message(&mut self, now: f64, from: HostNumber, message: RaftMessage) {
+        let RaftMessage { term, payload } = message;
+        let asks = matches!(payload, RaftPayload::PreVoteRequest { .. } | RaftPayload::PreVoteResponse(_));
         if term > self.term && !asks {
-            let leads = matches!(what, RaftWhat::Append { .. } | RaftWhat::Install { .. });
-            self.follow(now, term, leads.then_some(from));
+            let is_leader =
+                matches!(payload, RaftPayload::AppendRequest { .. } | RaftPayload::InstallSnapshot { .. });
+            self.become_follower(now, term, is_leader.then_some(from));
         }
-        match what {
-            RaftWhat::PreVote { last, last_term } => {
-                let led = self.leads() || now - self.led_at < self.times.election_ms;
-                let granted = term > self.term && !led && self.is_behind(last, last_term);
-                self.say(from, if granted { term } else { self.term }, RaftWhat::PreVoted(granted));
+        match payload {
+            RaftPayload::PreVoteRequest { last, last_term } => {
+                let led = self.is_leader() || now - self.leader_heard_at < self.times.election_ms;
+                let granted = term > self.term && !led && self.is_up_to_date(last, last_term);
+                self.send(
+                    from,
+                    if granted { term } else { self.term },
+                    RaftPayload::PreVoteResponse(granted),
+                );
             }
-            RaftWhat::PreVoted(true) if term == self.term + 1 => self.voted_by(now, from, true),
+            RaftPayload::PreVoteResponse(true) if term == self.term + 1 => self.record_vote(now, from, true),
             // Danger: one whose term fell behind, but whose log is the longest, would ask in vain for ever.
-            RaftWhat::PreVoted(false) if term > self.term => self.follow(now, term, None),
-            RaftWhat::PreVoted(_) => {}
-            RaftWhat::Vote { last, last_term } => {
-                let free = self.voted.is_none() || self.voted == Some(from);
-                let granted = term == self.term && free && self.is_behind(last, last_term);
+            RaftPayload::PreVoteResponse(false) if term > self.term => self.become_follower(now, term, None),
+            RaftPayload::PreVoteResponse(_) => {}
+            RaftPayload::VoteRequest { last, last_term } => {
+                let free = self.voted_for.is_none() || self.voted_for == Some(from);
+                let granted = term == self.term && free && self.is_up_to_date(last, last_term);
                 if granted {
-                    self.promise(term, Some(from));
-                    self.put_off(now);
+                    self.set_hard_state(term, Some(from));
+                    self.reset_election_timer(now);
                 }
-                self.say(from, self.term, RaftWhat::Voted(granted));
+                self.send(from, self.term, RaftPayload::VoteResponse(granted));
             }
-            RaftWhat::Voted(true) if term == self.term => self.voted_by(now, from, false),
-            RaftWhat::Voted(_) => {}
-            RaftWhat::Append { previous, previous_term, entries, commit, beat } => {
-                let (fits, index) = match self.hear_leader(now, from, term) {
-                    true => self.take_entries(previous, previous_term, entries, commit),
+            RaftPayload::VoteResponse(true) if term == self.term => self.record_vote(now, from, false),
+            RaftPayload::VoteResponse(_) => {}
+            RaftPayload::AppendRequest { previous, previous_term, entries, commit, heartbeat } => {
+                let (success, index) = match self.accept_leader(now, from, term) {
+                    true => self.append_entries(previous, previous_term, entries, commit),
                     false => (false, self.log.last()),
                 };
-                self.say(from, self.term, RaftWhat::Appended { fits, index, beat });
+                self.send(from, self.term, RaftPayload::AppendResponse { success, index, heartbeat });
             }
-            RaftWhat::Install { index, index_term, book, beat } => {
-                if self.hear_leader(now, from, term) {
-                    self.install(index, index_term, book);
-                    self.say(from, self.term, RaftWhat::Appended { fits: true, index, beat });
+            RaftPayload::InstallSnapshot { index, index_term, table, heartbeat } => {
+                if self.accept_leader(now, from, term) {
+                    self.install_snapshot(index, index_term, table);
+                    self.send(
+                        from,
+                        self.term,
+                        RaftPayload::AppendResponse { success: true, index, heartbeat },
+                    );
                 }
             }
-            RaftWhat::Appended { fits, index, beat } if term == self.term => {
-                self.appended(now, from, fits, index, beat);
+            RaftPayload::AppendResponse { success, index, heartbeat } if term == self.term => {
+                self.handle_append_response(now, from, success, index, heartbeat);
             }
-            RaftWhat::Appended { .. } => {}
+            RaftPayload::AppendResponse { .. } => {}
         }
     }
 
     /// Whether a log that ends so holds all that may have been agreed on here.
-    fn is_behind(&self, last: u64, last_term: u64) -> bool {
+    fn is_up_to_date(&self, last: u64, last_term: u64) -> bool {
         (last_term, last) >= (self.log.last_term(), self.log.last())
     }
 
-    fn voted_by(&mut self, now: f64, from: HostNumber, of_pre: bool) {
+    fn record_vote(&mut self, now: f64, from: HostNumber, of_pre: bool) {
         if !self.others.contains(&from) {
             return;
         }
-        if let Role::Asking { pre, votes } = &mut self.role {
-            if *pre == of_pre {
+        if let Role::Candidate { pre_vote, votes } = &mut self.role {
+            if *pre_vote == of_pre {
                 votes.insert(from);
                 self.count_votes(now);
             }
@@ -495,18 +538,18 @@
     }
 
     /// Whether the sender leads in the present term.
-    fn hear_leader(&mut self, now: f64, from: HostNumber, term: u64) -> bool {
-        if term != self.term || self.leads() {
+    fn accept_leader(&mut self, now: f64, from: HostNumber, term: u64) -> bool {
+        if term != self.term || self.is_leader() {
             return false;
         }
         self.role = Role::Follower { leader: Some(from) };
-        self.led_at = now;
-        self.put_off(now);
+        self.leader_heard_at = now;
+        self.reset_election_timer(now);
         true
     }
 
     /// Whether the entry before was there, and up to where the logs are the same; otherwise where to try next.
-    fn take_entries(
+    fn append_entries(
         &mut self,
         previous: u64,
         previous_term: u64,
@@ -529,7 +572,7 @@
                 return (false, self.commit);
             }
             self.log.cut(index);
-            self.durable = self.durable.min(self.log.last());
+            self.persisted_index = self.persisted_index.min(self.log.last());
             self.log.push(entry.clone());
             self.out.records.push(Record::Entry { index, entry });
         }
@@ -537,43 +580,51 @@
         (true, index)
     }
 
-    fn install(&mut self, index: u64, index_term: u64, book: Book) {
+    fn install_snapshot(&mut self, index: u64, index_term: u64, table: LeaseTable) {
         if self.log.term(index) == Some(index_term) {
             // It has all that, and perhaps entries after it that count for a majority: they stay.
             self.commit = self.commit.max(index);
         } else if index > self.commit {
             self.log = Log::after(index, index_term, Vec::new());
-            (self.base, self.commit) = (book, index);
+            (self.base, self.commit) = (table, index);
             self.out.rewrite = true;
         }
     }
 
-    fn appended(&mut self, now: f64, from: HostNumber, fits: bool, index: u64, beat: u64) {
+    fn handle_append_response(
+        &mut self,
+        now: f64,
+        from: HostNumber,
+        success: bool,
+        index: u64,
+        heartbeat: u64,
+    ) {
         let last = self.log.last();
         let Role::Leader(l) = &mut self.role else { return };
         let Some(peer) = l.peers.get_mut(&from) else { return };
-        l.heard.insert(from, now);
-        peer.beat = peer.beat.max(beat.min(l.beat));
-        if fits {
-            peer.matched = peer.matched.max(index.min(last));
-            peer.next = peer.next.max(peer.matched + 1);
-            if peer.next <= last {
+        l.heard_at.insert(from, now);
+        peer.heartbeat = peer.heartbeat.max(heartbeat.min(l.heartbeat));
+        if success {
+            peer.match_index = peer.match_index.max(index.min(last));
+            peer.next_index = peer.next_index.max(peer.match_index + 1);
+            if peer.next_index <= last {
                 // More waits: not before the next beat would be slow for one that was away long.
-                let (next, beat) = (peer.next, l.beat);
-                self.send_log(from, next, beat);
+                let (next_index, heartbeat) = (peer.next_index, l.heartbeat);
+                self.send_log(from, next_index, heartbeat);
             }
         } else {
-            peer.next = (index + 1).min(last + 1).max(peer.matched + 1);
+            peer.next_index = (index + 1).min(last + 1).max(peer.match_index + 1);
         }
-        self.advance();
+        self.advance_commit();
     }
 
     /// What a majority has on disk is agreed, once an entry of this term is.
-    fn advance(&mut self) {
+    fn advance_commit(&mut self) {
         let Role::Leader(l) = &self.role else { return };
-        let mut matched: Vec<u64> = l.peers.values().map(|p| p.matched).chain([self.durable]).collect();
-        matched.sort_unstable();
-        let agreed = matched[matched.len() - self.majority()];
+        let mut match_index: Vec<u64> =
+            l.peers.values().map(|p| p.match_index).chain([self.persisted_index]).collect();
+        match_index.sort_unstable();
+        let agreed = match_index[match_index.len() - self.quorum()];
         if agreed > self.commit && self.log.term(agreed) == Some(self.term) {
             self.commit = agreed;
         }
--- a/crates/ledger/tests/formats.rs
+++ b/crates/ledger/tests/formats.rs
@@ -2,7 +2,7 @@
 //!
 //! Hosts of different releases share a fleet, and files outlive a release: names in the code may change, these may not.
 
-use pearfork_ledger::raft::{Image, Record};
+use pearfork_ledger::raft::{PersistentState, Record};
 use pearfork_ledger::Message;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -69,7 +69,7 @@
         r#"{"promise":{"term":3,"voted":null}}"#.to_owned(),
         r#"{"entry":{"index":1,"entry":{"term":3,"changes":[]}}}"#.to_owned(),
     ]);
-    assert_unchanged::<Image>(&[format!(
+    assert_unchanged::<PersistentState>(&[format!(
         r#"{{"term":3,"voted":1,"base":[4,2],"book":{TABLE},"entries":[{{"term":3,"changes":[]}}]}}"#
     )]);
 }
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -4,8 +4,10 @@
 //! The state machines are the real ones, on a clock of whole ticks. The search begins where things can go wrong: one holder has
 //! nearly all, its clients fell silent, and another asks.
 
-use pearfork_ledger::raft::{Image, RaftMessage};
-use pearfork_ledger::{Answer, Ask, Book, Budget, Holder, HostNumber, Kind, Part, Times, Voter};
+use pearfork_ledger::raft::{PersistentState, RaftMessage};
+use pearfork_ledger::{
+    Budget, Fraction, Holder, HostNumber, Kind, LeaseRequest, LeaseResponse, LeaseTable, Times, Voter,
+};
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
 
@@ -13,7 +15,7 @@
 const HOLDERS: usize = 3;
 
 fn times() -> Times {
-    Times { lease_ms: 400.0, drift: 0.25, ask_ms: 100.0, beat_ms: 100.0, election_ms: 200.0 }
+    Times { lease_ms: 400.0, drift: 0.25, renew_ms: 100.0, heartbeat_ms: 100.0, election_ms: 200.0 }
 }
 
 /// One tick of all clocks.
@@ -26,8 +28,8 @@
 #[derive(Clone, Debug)]
 enum Said {
     Raft(usize, HostNumber, RaftMessage),
-    Ask(usize, usize, Ask),
-    Answer(usize, Answer),
+    LeaseRequest(usize, usize, LeaseRequest),
+    LeaseResponse(usize, LeaseResponse),
 }
 
 /// A fleet at a moment.
@@ -35,7 +37,7 @@
 struct Fleet {
     now: f64,
     voters: Vec<Option<Voter<usize>>>,
-    disks: Vec<Image>,
+    disks: Vec<PersistentState>,
     holders: Vec<Holder>,
     /// On its way, in any order.
     said: Vec<Said>,
@@ -86,7 +88,8 @@
 
 impl Fleet {
     fn new() -> Fleet {
-        let disk = Image { book: Book::new(Part::of(0.9)), ..Image::default() };
+        let disk =
+            PersistentState { table: LeaseTable::new(Fraction::from_f64(0.9)), ..PersistentState::default() };
         let mut fleet = Fleet {
             now: 0.0,
             voters: vec![None; VOTERS],
@@ -113,20 +116,20 @@
     fn settle(&mut self, v: usize) {
         let Some(voter) = &mut self.voters[v] else { return };
         loop {
-            let ready = voter.take();
+            let ready = voter.take_output();
             let writes = ready.raft.rewrite || !ready.raft.records.is_empty();
             if ready.raft.rewrite {
-                self.disks[v] = voter.raft().image();
+                self.disks[v] = voter.raft().persistent_state();
             } else {
                 for record in ready.raft.records {
                     assert!(self.disks[v].add(record));
                 }
             }
-            let done = !writes && ready.raft.messages.is_empty() && ready.answers.is_empty();
+            let done = !writes && ready.raft.messages.is_empty() && ready.responses.is_empty();
             for (to, m) in ready.raft.messages {
                 self.said.push(Said::Raft(usize::from(to.0), HostNumber(v as u16), m));
             }
-            self.said.extend(ready.answers.into_iter().map(|(h, a)| Said::Answer(h, a)));
+            self.said.extend(ready.responses.into_iter().map(|(h, a)| Said::LeaseResponse(h, a)));
             if done {
                 return;
             }
@@ -138,33 +141,33 @@
         match said {
             Said::Raft(to, from, m) => {
                 if let Some(v) = &mut self.voters[to] {
-                    v.message(self.now, from, m);
+                    v.handle_message(self.now, from, m);
                     self.settle(to);
                 }
             }
-            Said::Ask(to, from, ask) => {
+            Said::LeaseRequest(to, from, ask) => {
                 if let Some(v) = &mut self.voters[to] {
-                    v.ask(self.now, from, ask);
+                    v.handle_request(self.now, from, ask);
                     self.settle(to);
                 }
             }
-            Said::Answer(to, answer) => {
+            Said::LeaseResponse(to, answer) => {
                 let holder = &mut self.holders[to];
-                holder.answer(self.now, &answer);
-                for (b, part, at) in holder.unconfirmed() {
-                    holder.confirm(&b, part, at);
+                holder.handle_response(self.now, &answer);
+                for (b, fraction, at) in holder.unconfirmed() {
+                    holder.confirm(&b, fraction, at);
                 }
             }
         }
     }
 
     fn asks(&mut self, h: usize) {
-        if self.holders[h].asks() {
-            let ask = self.holders[h].ask(self.now);
+        if self.holders[h].should_request() {
+            let ask = self.holders[h].next_request(self.now);
             for v in 0..VOTERS {
                 // It does not know who leads: all hear it, and those that do not lead say so.
-                if self.voters[v].as_ref().is_some_and(|v| v.lender().is_some()) {
-                    self.said.push(Said::Ask(v, h, ask.clone()));
+                if self.voters[v].as_ref().is_some_and(|v| v.lease_manager().is_some()) {
+                    self.said.push(Said::LeaseRequest(v, h, ask.clone()));
                 }
             }
         }
@@ -189,13 +192,13 @@
         }
     }
 
-    fn in_use(&self) -> Part {
+    fn in_use(&self) -> Fraction {
         let held = |h: &Holder| {
             let held = h.held(&budget());
             if self.now < held.until_ms {
-                held.part
+                held.fraction
             } else {
-                Part::NONE
+                Fraction::ZERO
             }
         };
         self.holders.iter().map(held).sum()
@@ -232,7 +235,7 @@
         out.push(Step::Time);
         for v in 0..VOTERS {
             match &s.voters[v] {
-                Some(voter) if voter.next_due() <= s.now => out.push(Step::Due(v)),
+                Some(voter) if voter.next_deadline() <= s.now => out.push(Step::Due(v)),
                 Some(_) if s.crashes < self.crashes => out.push(Step::Crash(v)),
                 Some(_) => {}
                 None => out.push(Step::Start(v)),
@@ -271,18 +274,21 @@
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
             Property::always("no more is in use than there is to lend", |_, s: &Fleet| {
-                s.in_use() <= Part::of(0.9)
+                s.in_use() <= Fraction::from_f64(0.9)
             }),
-            Property::always("no book lends more", |_, s: &Fleet| {
-                s.voters.iter().flatten().all(|v| v.book().lent(&budget()) <= v.book().lendable())
+            Property::always("no table lends more", |_, s: &Fleet| {
+                s.voters
+                    .iter()
+                    .flatten()
+                    .all(|v| v.table().total_allocated(&budget()) <= v.table().lendable())
             }),
             Property::always("two voters never agree on different things", |_, s: &Fleet| {
-                let books = |v: &Voter<usize>| (v.raft().commit(), v.raft().log().term(v.raft().commit()));
+                let tables = |v: &Voter<usize>| (v.raft().commit(), v.raft().log().term(v.raft().commit()));
                 let mut seen = std::collections::BTreeMap::new();
                 s.voters
                     .iter()
                     .flatten()
-                    .map(books)
+                    .map(tables)
                     .all(|(at, term)| term.is_none() || *seen.entry(at).or_insert(term) == term)
             }),
         ]
@@ -293,11 +299,11 @@
 fn moved() -> Fleet {
     let mut fleet = Fleet::new();
     fleet.calm(6);
-    fleet.holders[0].want(&budget(), Part::of(1.0), Part::of(0.01), 0);
+    fleet.holders[0].set_demand(&budget(), Fraction::from_f64(1.0), Fraction::from_f64(0.01), 0);
     fleet.calm(6);
-    assert!(fleet.in_use() > Part::of(0.7), "the search begins with a lease: {}", fleet.in_use());
-    fleet.holders[0].want(&budget(), Part::NONE, Part::of(0.01), 0);
-    fleet.holders[1].want(&budget(), Part::of(1.0), Part::of(0.01), 0);
+    assert!(fleet.in_use() > Fraction::from_f64(0.7), "the search begins with a lease: {}", fleet.in_use());
+    fleet.holders[0].set_demand(&budget(), Fraction::ZERO, Fraction::from_f64(0.01), 0);
+    fleet.holders[1].set_demand(&budget(), Fraction::from_f64(1.0), Fraction::from_f64(0.01), 0);
     fleet
 }
 
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -3,8 +3,10 @@
 //! use is added up.
 #![allow(dead_code)]
 
-use pearfork_ledger::raft::{Image, RaftMessage};
-use pearfork_ledger::{Answer, Ask, Book, Budget, Holder, HostNumber, Kind, Part, Times, Voter};
+use pearfork_ledger::raft::{PersistentState, RaftMessage};
+use pearfork_ledger::{
+    Budget, Fraction, Holder, HostNumber, Kind, LeaseRequest, LeaseResponse, LeaseTable, Times, Voter,
+};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -45,11 +47,11 @@
 #[derive(Clone)]
 enum What {
     Raft { to: usize, from: HostNumber, message: RaftMessage },
-    Ask { to: usize, from: (usize, u64), ask: Ask },
-    Answer { to: (usize, u64), answer: Answer },
+    LeaseRequest { to: usize, from: (usize, u64), ask: LeaseRequest },
+    LeaseResponse { to: (usize, u64), answer: LeaseResponse },
     VoterDue { voter: usize, life: u64 },
     HolderDue { process: u64 },
-    Adopt { process: u64, budget: Budget, part: Part, at: u64 },
+    Adopt { process: u64, budget: Budget, fraction: Fraction, at: u64 },
     DiskAgain { voter: usize },
 }
 
@@ -76,7 +78,7 @@
     pub host: usize,
     holder: Holder,
     /// What whoever sends goes by.
-    used: BTreeMap<Budget, Part>,
+    used: BTreeMap<Budget, Fraction>,
     still_until: f64,
     /// Whoever sends takes up one word after the other.
     adopts_at: f64,
@@ -89,7 +91,7 @@
 
 struct Seat {
     voter: Option<Voter<(usize, u64)>>,
-    disk: Image,
+    disk: PersistentState,
     disk_bad: bool,
     life: u64,
     still_until: f64,
@@ -105,7 +107,7 @@
     pub draw: Draw,
     pub net: Net,
     pub times: Times,
-    pub lendable: Part,
+    pub lendable: Fraction,
     pub hosts: usize,
     seats: Vec<Seat>,
     pub processes: BTreeMap<u64, Process>,
@@ -129,10 +131,10 @@
 
 impl World {
     pub fn new(seed: u64, hosts: usize, voters: usize) -> World {
-        let lendable = Part::of(0.97);
+        let lendable = Fraction::from_f64(0.97);
         let seat = || Seat {
             voter: None,
-            disk: Image { book: Book::new(lendable), ..Image::default() },
+            disk: PersistentState { table: LeaseTable::new(lendable), ..PersistentState::default() },
             disk_bad: false,
             life: 0,
             still_until: 0.0,
@@ -277,8 +279,8 @@
         if let Some(bytes) = &mut self.bytes {
             let length = match &what {
                 What::Raft { message, .. } => serde_json::to_vec(message),
-                What::Ask { ask, .. } => serde_json::to_vec(ask),
-                What::Answer { answer, .. } => serde_json::to_vec(answer),
+                What::LeaseRequest { ask, .. } => serde_json::to_vec(ask),
+                What::LeaseResponse { answer, .. } => serde_json::to_vec(answer),
                 _ => Ok(Vec::new()),
             };
             *bytes += length.map_or(0, |b| b.len() as u64 + 8);
@@ -304,7 +306,7 @@
         let Some(voter) = &mut seat.voter else { return };
         step(voter, local);
         loop {
-            let ready = voter.take();
+            let ready = voter.take_output();
             let writes = ready.raft.rewrite || !ready.raft.records.is_empty();
             if writes {
                 if seat.disk_bad {
@@ -314,7 +316,7 @@
                     return;
                 }
                 if ready.raft.rewrite {
-                    seat.disk = voter.raft().image();
+                    seat.disk = voter.raft().persistent_state();
                 } else {
                     for record in ready.raft.records {
                         assert!(seat.disk.add(record), "a record that does not follow");
@@ -322,7 +324,7 @@
                 }
                 voter.persisted(local);
             }
-            let done = ready.raft.messages.is_empty() && ready.answers.is_empty() && !writes;
+            let done = ready.raft.messages.is_empty() && ready.responses.is_empty() && !writes;
             let from = HostNumber(v as u16);
             for (to, message) in ready.raft.messages {
                 let to = usize::from(to.0);
@@ -331,15 +333,15 @@
                 // A detour past the borrow of the seat.
                 self.events.push(Reverse(Event(-1.0, self.number, what)));
             }
-            for (to, answer) in ready.answers {
+            for (to, answer) in ready.responses {
                 self.number += 1;
-                self.events.push(Reverse(Event(-1.0, self.number, What::Answer { to, answer })));
+                self.events.push(Reverse(Event(-1.0, self.number, What::LeaseResponse { to, answer })));
             }
             if done {
                 break;
             }
         }
-        let (due, life) = (voter.next_due(), seat.life);
+        let (due, life) = (voter.next_deadline(), seat.life);
         while let Some(Reverse(Event(at, ..))) = self.events.peek() {
             if *at >= 0.0 {
                 break;
@@ -347,7 +349,7 @@
             let Some(Reverse(Event(.., what))) = self.events.pop() else { break };
             let to = match &what {
                 What::Raft { to, .. } => *to,
-                What::Answer { to, .. } => to.0,
+                What::LeaseResponse { to, .. } => to.0,
                 _ => continue,
             };
             self.send(v, to, what);
@@ -367,7 +369,7 @@
         }
         let (host, to) = (p.host, p.leader);
         for (budget, demand) in &p.demand {
-            p.holder.want(budget, Part::of(*demand), Part::of(p.least), 0);
+            p.holder.set_demand(budget, Fraction::from_f64(*demand), Fraction::from_f64(p.least), 0);
         }
         p.silent += 1;
         if p.silent > 2 {
@@ -375,31 +377,31 @@
             p.leader = (p.leader + 1) % self.seats.len();
         }
         let local = self.now * self.rates[host];
-        let next = self.now + self.times.ask_ms / self.rates[host];
-        if p.holder.asks() {
-            let ask = p.holder.ask(local);
-            self.send(host, to, What::Ask { to, from: (host, id), ask });
+        let next = self.now + self.times.renew_ms / self.rates[host];
+        if p.holder.should_request() {
+            let ask = p.holder.next_request(local);
+            self.send(host, to, What::LeaseRequest { to, from: (host, id), ask });
         }
         self.at(next, What::HolderDue { process: id });
     }
 
-    fn answered(&mut self, id: u64, answer: &Answer) {
-        use pearfork_ledger::{Refusal, Said};
+    fn answered(&mut self, id: u64, answer: &LeaseResponse) {
+        use pearfork_ledger::{LeaseOutcome, Refusal};
         let Some(p) = self.processes.get_mut(&id) else { return };
         let local = self.now * self.rates[p.host];
-        match &answer.said {
-            Said::Refused(Refusal::NotLeader(Some(leader))) => p.leader = usize::from(leader.0),
-            Said::Refused(Refusal::NotLeader(None)) => {}
+        match &answer.outcome {
+            LeaseOutcome::Refused(Refusal::NotLeader(Some(leader))) => p.leader = usize::from(leader.0),
+            LeaseOutcome::Refused(Refusal::NotLeader(None)) => {}
             _ => p.silent = 0,
         }
-        p.holder.answer(local, answer);
+        p.holder.handle_response(local, answer);
         let adopt = p.holder.unconfirmed();
-        for (budget, part, at) in adopt {
+        for (budget, fraction, at) in adopt {
             let later = self.now + self.draw.between(0.0, self.adopt_ms);
             let Some(p) = self.processes.get_mut(&id) else { return };
             p.adopts_at = p.adopts_at.max(later);
             let when = p.adopts_at;
-            self.at(when, What::Adopt { process: id, budget, part, at });
+            self.at(when, What::Adopt { process: id, budget, fraction, at });
         }
     }
 
@@ -410,12 +412,12 @@
         match what {
             What::Raft { to, from, message } => {
                 if !self.put_off(to, What::Raft { to, from, message: message.clone() }) {
-                    self.voter_step(to, |v, now| v.message(now, from, message));
+                    self.voter_step(to, |v, now| v.handle_message(now, from, message));
                 }
             }
-            What::Ask { to, from, ask } => {
-                if !self.put_off(to, What::Ask { to, from, ask: ask.clone() }) {
-                    self.voter_step(to, |v, now| v.ask(now, from, ask));
+            What::LeaseRequest { to, from, ask } => {
+                if !self.put_off(to, What::LeaseRequest { to, from, ask: ask.clone() }) {
+                    self.voter_step(to, |v, now| v.handle_request(now, from, ask));
                 }
             }
             What::VoterDue { voter, life } => {
@@ -431,20 +433,20 @@
                     self.voter_step(voter, |v, now| v.tick(now));
                 }
             }
-            What::Answer { to, answer } => match self.processes.get(&to.1) {
+            What::LeaseResponse { to, answer } => match self.processes.get(&to.1) {
                 Some(p) if p.still_until > self.now => {
-                    self.at(p.still_until, What::Answer { to, answer });
+                    self.at(p.still_until, What::LeaseResponse { to, answer });
                 }
                 _ => self.answered(to.1, &answer),
             },
             What::HolderDue { process } => self.holder_due(process),
-            What::Adopt { process, budget, part, at } => {
+            What::Adopt { process, budget, fraction, at } => {
                 let still = self.processes.get(&process).map_or(0.0, |p| p.still_until);
                 if still > self.now {
-                    self.at(still, What::Adopt { process, budget, part, at });
+                    self.at(still, What::Adopt { process, budget, fraction, at });
                 } else if let Some(p) = self.processes.get_mut(&process) {
-                    p.used.insert(budget.clone(), part);
-                    p.holder.confirm(&budget, part, at);
+                    p.used.insert(budget.clone(), fraction);
+                    p.holder.confirm(&budget, fraction, at);
                 }
             }
             What::DiskAgain { voter } => {
@@ -479,35 +481,35 @@
     }
 
     /// What a process may use of a budget now, beyond its floor.
-    pub fn usable(&self, id: u64, budget: &Budget) -> Part {
-        let Some(p) = self.processes.get(&id) else { return Part::NONE };
+    pub fn usable(&self, id: u64, budget: &Budget) -> Fraction {
+        let Some(p) = self.processes.get(&id) else { return Fraction::ZERO };
         let held = p.holder.held(budget);
         if self.local(p.host) < held.until_ms {
-            p.used.get(budget).copied().unwrap_or(Part::NONE)
+            p.used.get(budget).copied().unwrap_or(Fraction::ZERO)
         } else {
-            Part::NONE
+            Fraction::ZERO
         }
     }
 
-    pub fn usable_in_all(&self, budget: &Budget) -> Part {
+    pub fn usable_in_all(&self, budget: &Budget) -> Fraction {
         self.processes.keys().map(|id| self.usable(*id, budget)).sum()
     }
 
     /// The invariant: what all processes may use, those that stand still included, is never more than the whole.
     fn check(&mut self) {
-        let mut all: BTreeMap<&Budget, Part> = BTreeMap::new();
+        let mut all: BTreeMap<&Budget, Fraction> = BTreeMap::new();
         for p in self.processes.values() {
             let until = p.holder.state().until_ms;
             if self.now * self.rates[p.host] < until {
-                for (budget, part) in &p.used {
+                for (budget, fraction) in &p.used {
                     let sum = all.entry(budget).or_default();
-                    *sum = sum.plus(*part);
+                    *sum = sum.saturating_add(*fraction);
                 }
             }
         }
-        for (budget, part) in all {
-            self.worst = self.worst.max(part.fraction());
-            assert!(part <= self.lendable, "at {:.1} ms {part} of {budget} is in use", self.now);
+        for (budget, fraction) in all {
+            self.worst = self.worst.max(fraction.as_f64());
+            assert!(fraction <= self.lendable, "at {:.1} ms {fraction} of {budget} is in use", self.now);
         }
         for seat in &self.seats {
             let Some(v) = &seat.voter else { continue };
@@ -515,9 +517,9 @@
             if seat.seen.replace((seat.life, commit)) == (seat.life, commit) {
                 continue;
             }
-            for (budget, holders) in v.book().budgets() {
-                let all: Part = holders.values().map(|l| l.part).sum();
-                assert!(all <= self.lendable, "the book lends {all} of {budget}");
+            for (budget, holders) in v.table().budgets() {
+                let all: Fraction = holders.values().map(|l| l.fraction).sum();
+                assert!(all <= self.lendable, "the table lends {all} of {budget}");
             }
             if let Some(entry) = v.raft().log().get(commit).filter(|_| commit > base) {
                 let words = format!("{entry:?}");
@@ -528,7 +530,8 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        (0..self.seats.len()).find(|v| self.seats[*v].voter.as_ref().is_some_and(|v| v.lender().is_some()))
+        (0..self.seats.len())
+            .find(|v| self.seats[*v].voter.as_ref().is_some_and(|v| v.lease_manager().is_some()))
     }
 }
 
--- a/crates/ledger/tests/simulated.rs
+++ b/crates/ledger/tests/simulated.rs
@@ -2,7 +2,7 @@
 
 mod sim;
 
-use pearfork_ledger::{Budget, Kind, Part};
+use pearfork_ledger::{Budget, Fraction, Kind};
 use sim::{archive, Draw, World, BAD};
 
 /// A share that counts as all there is: the reserve and what is not worth a change stay behind.
@@ -34,7 +34,7 @@
             world.want(from, &archive(), 0.0);
             world.want(to, &archive(), 1.5);
             let took = until(&mut world, 2_000.0, "the load moved", |w| {
-                w.usable(to, &archive()).fraction() > NEARLY_ALL
+                w.usable(to, &archive()).as_f64() > NEARLY_ALL
             });
             assert!(took < 2_000.0);
         }
@@ -46,7 +46,7 @@
     let (mut world, processes) = fleet(11, 40, 5);
     processes.iter().for_each(|p| world.want(*p, &archive(), 0.5));
     world.run(4_000.0);
-    let shares: Vec<f64> = processes.iter().map(|p| world.usable(*p, &archive()).fraction()).collect();
+    let shares: Vec<f64> = processes.iter().map(|p| world.usable(*p, &archive()).as_f64()).collect();
     assert!(shares.iter().all(|s| *s > 0.01), "{shares:?}");
     // Half of them die at once, two voters with them.
     for host in (0..40).step_by(2) {
@@ -55,8 +55,7 @@
             world.kill_voter(host);
         }
     }
-    let took =
-        until(&mut world, 6_000.0, "half died", |w| w.usable_in_all(&archive()).fraction() > NEARLY_ALL);
+    let took = until(&mut world, 6_000.0, "half died", |w| w.usable_in_all(&archive()).as_f64() > NEARLY_ALL);
     // The lease and its margin, a vote, and two asks.
     assert!(took < 5_000.0, "{took}");
 }
@@ -66,16 +65,16 @@
     let (mut world, processes) = fleet(5, 8, 3);
     world.want(processes[3], &archive(), 1.0);
     world.run(3_000.0);
-    assert!(world.usable(processes[3], &archive()).fraction() > NEARLY_ALL);
+    assert!(world.usable(processes[3], &archive()).as_f64() > NEARLY_ALL);
     world.kill_voter(0);
     world.kill_voter(1);
     world.run(world.times.lease_ms + 1.0);
-    assert_eq!(world.usable_in_all(&archive()), Part::NONE);
+    assert_eq!(world.usable_in_all(&archive()), Fraction::ZERO);
     world.run(60_000.0);
-    assert_eq!(world.usable_in_all(&archive()), Part::NONE);
+    assert_eq!(world.usable_in_all(&archive()), Fraction::ZERO);
     world.start_voter(1);
     until(&mut world, 6_000.0, "a majority is back", |w| {
-        w.usable(processes[3], &archive()).fraction() > NEARLY_ALL
+        w.usable(processes[3], &archive()).as_f64() > NEARLY_ALL
     });
 }
 
@@ -88,8 +87,8 @@
     let again = world.start_host(6);
     world.want(again, &archive(), 1.0);
     world.run(1_000.0);
-    assert!(world.usable(again, &archive()).fraction() < 0.05, "the lease of the dead one still runs");
-    until(&mut world, 4_000.0, "the restart", |w| w.usable(again, &archive()).fraction() > NEARLY_ALL);
+    assert!(world.usable(again, &archive()).as_f64() < 0.05, "the lease of the dead one still runs");
+    until(&mut world, 4_000.0, "the restart", |w| w.usable(again, &archive()).as_f64() > NEARLY_ALL);
 }
 
 #[test]
@@ -99,10 +98,10 @@
     world.run(2_000.0);
     let second = world.start_host(2);
     world.want(second, &archive(), 1.0);
-    until(&mut world, 6_000.0, "the name", |w| w.usable(second, &archive()).fraction() > NEARLY_ALL);
+    until(&mut world, 6_000.0, "the name", |w| w.usable(second, &archive()).as_f64() > NEARLY_ALL);
     world.run(20_000.0);
-    assert!(world.usable(second, &archive()).fraction() > NEARLY_ALL, "it keeps the name");
-    assert_eq!(world.usable(processes[2], &archive()), Part::NONE);
+    assert!(world.usable(second, &archive()).as_f64() > NEARLY_ALL, "it keeps the name");
+    assert_eq!(world.usable(processes[2], &archive()), Fraction::ZERO);
 }
 
 #[test]
@@ -116,7 +115,7 @@
     world.want(processes[5], &archive(), 0.0);
     world.want(processes[7], &archive(), 1.0);
     until(&mut world, 9_000.0, "another leads", |w| {
-        w.leader().is_some_and(|l| l != leader) && w.usable(processes[7], &archive()).fraction() > NEARLY_ALL
+        w.leader().is_some_and(|l| l != leader) && w.usable(processes[7], &archive()).as_f64() > NEARLY_ALL
     });
     // The next one's disk fills up too: with one of three left nobody lends.
     let second = world.leader().expect("a leader");
@@ -124,11 +123,9 @@
     world.want(processes[7], &archive(), 0.0);
     world.want(processes[6], &archive(), 1.0);
     world.run(8_000.0);
-    assert_eq!(world.usable_in_all(&archive()), Part::NONE);
+    assert_eq!(world.usable_in_all(&archive()), Fraction::ZERO);
     world.disk(leader, false);
-    until(&mut world, 9_000.0, "there is room", |w| {
-        w.usable(processes[6], &archive()).fraction() > NEARLY_ALL
-    });
+    until(&mut world, 9_000.0, "there is room", |w| w.usable(processes[6], &archive()).as_f64() > NEARLY_ALL);
 }
 
 #[test]
@@ -145,7 +142,7 @@
             let host = world.processes[p].host;
             (0..3).for_each(|v| world.cut(host, v, true));
             world.run(3_600.0);
-            assert!(world.usable_in_all(&archive()).fraction() > 0.8);
+            assert!(world.usable_in_all(&archive()).as_f64() > 0.8);
         }
     }
 }
@@ -161,7 +158,7 @@
         world.run(pause);
         world.want(processes[6], &archive(), 0.0);
         world.run(1_500.0);
-        let has = world.usable(processes[5], &archive()).fraction();
+        let has = world.usable(processes[5], &archive()).as_f64();
         assert!(has > 0.95, "after {pause} ms it is left with {has}");
     }
 }
@@ -183,7 +180,7 @@
         had.extend(
             processes
                 .iter()
-                .filter(|p| [archive(), room.clone()].iter().all(|b| world.usable(**p, b).fraction() > 0.6)),
+                .filter(|p| [archive(), room.clone()].iter().all(|b| world.usable(**p, b).as_f64() > 0.6)),
         );
     }
     assert_eq!(had.len(), 40, "those who never had both starve");
@@ -242,9 +239,7 @@
     world.run(15_000.0);
     let asker = world.named(hosts - 1).unwrap_or_else(|| world.start_host(hosts - 1));
     world.want(asker, &archive(), 1.0);
-    until(&mut world, 10_000.0, "after a bad stretch", |w| {
-        w.usable(asker, &archive()).fraction() > NEARLY_ALL
-    });
+    until(&mut world, 10_000.0, "after a bad stretch", |w| w.usable(asker, &archive()).as_f64() > NEARLY_ALL);
     world
 }
 
