--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -1,16 +1,19 @@
-//! The holder's thread: asks for parts, and sees to it that whoever sends goes by them.
+//! The holder's thread: requests the host's lease, and sees to it that whoever sends goes by the grants.
 
 use crate::plan::FleetPlan;
 use crate::state::{HeldLine, HolderView, Shared};
 use crate::time::LeaseClock;
 use crate::transport::{HolderEvent, Requester, TransportCommand, TransportHandle, VoterEvent};
+use crate::Context;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
-use pearfork_ledger::{Budget, Fraction, Holder, HostNumber, LeaseOutcome, LeaseResponse, Message, Refusal};
+use pearfork_ledger::{
+    Budget, Fraction, Held, Holder, HostNumber, LeaseOutcome, LeaseRequest, LeaseResponse, Message, Refusal,
+};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// What a host's clients want of a budget.
+/// The demand of a host's clients for a budget.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Demand {
     /// The budget.
@@ -19,7 +22,7 @@
     pub asked: Fraction,
     /// The least fraction that a request can come of.
     pub least: Fraction,
-    /// How long that has to be had for it.
+    /// How long that has to be held for it.
     pub turn: Duration,
 }
 
@@ -28,129 +31,179 @@
 pub struct Portion {
     /// The budget.
     pub budget: Budget,
-    /// For good, without anybody's word.
+    /// What it has for good.
     pub floor: Fraction,
-    /// On top of that.
+    /// What it holds by lease, on top of that.
     pub lent: Fraction,
-    /// Until then. Danger: told as a time from now it would be too late wherever this process stood still meanwhile.
+    /// When the lease expires. Danger: given as a duration it would be too late wherever this process was stopped
+    /// meanwhile.
     pub until: Instant,
 }
 
 /// The host, as the holder sees it.
 pub trait User: Send {
-    /// What is wanted of each budget that this host has, now.
+    /// The present demand for each budget that this host has.
     fn demand(&mut self) -> Vec<Demand>;
-    /// Portions to go by from now on. True once whoever sends does: nothing more goes out by what was before. It may
-    /// wait for that for a moment, but not for ever.
+    /// Portions to go by from now on. True once whoever sends does: nothing more is sent by earlier ones. It may wait for
+    /// that for a moment, but not for ever.
     fn apply(&mut self, portions: &[Portion]) -> bool;
 }
 
+/// Requests without a lease after which another voter is asked.
+const MAX_UNANSWERED: u32 = 3;
+/// A leaving host says so several times: a message may get lost.
+const LEAVE_REPEATS: u32 = 3;
+const LEAVE_INTERVAL: Duration = Duration::from_millis(30);
+/// A fraction that came down is declared so soon: it is of use to others once the ledger hears of it.
+const DECLARE_WITHIN: Duration = Duration::from_millis(5);
+/// The longest turn that is requested, milliseconds.
+const MAX_TURN_MS: u128 = 60_000;
+
 pub(crate) struct LeaseClient<U> {
-    pub(crate) plan: Arc<FleetPlan>,
-    pub(crate) user: U,
-    pub(crate) inbox: Receiver<HolderEvent>,
-    pub(crate) transport: TransportHandle,
-    pub(crate) here: Option<Sender<VoterEvent>>,
-    pub(crate) shared: Arc<Shared>,
-    pub(crate) clock: LeaseClock,
-    pub(crate) nonce: u64,
+    plan: Arc<FleetPlan>,
+    user: U,
+    events: Receiver<HolderEvent>,
+    transport: TransportHandle,
+    /// The voter of this process, where this host is one.
+    local_voter: Option<Sender<VoterEvent>>,
+    shared: Arc<Shared>,
+    clock: LeaseClock,
+    holder: Holder,
+    voters: Vec<HostNumber>,
+    /// Place of the voter that is asked.
+    current: usize,
+    /// Requests without a lease since the last one.
+    unanswered: u32,
+    /// What the user goes by.
+    portions: Vec<Portion>,
+    next_request_at: Instant,
+    requests_sent: u64,
+    leases_received: u64,
+    warned_superseded: bool,
 }
 
-/// Asks without an answer after which another voter is asked.
-const MAX_UNANSWERED: u32 = 3;
-/// How long a leaving host repeats that it goes: the word may get lost.
-const LEAVE_REPEATS: (u32, Duration) = (3, Duration::from_millis(30));
-
 impl<U: User> LeaseClient<U> {
-    /// Asks until told to leave or stop.
+    pub(crate) fn new(
+        context: &Context,
+        user: U,
+        events: Receiver<HolderEvent>,
+        local_voter: Option<Sender<VoterEvent>>,
+    ) -> LeaseClient<U> {
+        let plan = context.plan.clone();
+        let voters: Vec<HostNumber> = plan.voters.iter().map(|v| v.host).collect();
+        // Hosts begin at different voters, and a voter at itself.
+        let own = voters.iter().position(|v| *v == plan.me);
+        LeaseClient {
+            user,
+            events,
+            transport: context.transport.clone(),
+            local_voter,
+            shared: context.shared.clone(),
+            clock: context.clock,
+            holder: Holder::new(plan.me, context.nonce, plan.times),
+            current: own.unwrap_or(usize::from(plan.me.0) % voters.len().max(1)),
+            voters,
+            unanswered: 0,
+            portions: Vec::new(),
+            next_request_at: Instant::now(),
+            requests_sent: 0,
+            leases_received: 0,
+            warned_superseded: false,
+            plan,
+        }
+    }
+
+    /// Requests leases until told to leave or stop.
     pub(crate) fn run(mut self) {
-        let mut holder = Holder::new(self.plan.me, self.nonce, self.plan.times);
-        let voters: Vec<HostNumber> = self.plan.voters.iter().map(|v| v.host).collect();
-        // Hosts begin at different voters, and one that votes at itself.
-        let own = voters.iter().position(|v| *v == self.plan.me);
-        let mut at = own.unwrap_or(usize::from(self.plan.me.0) % voters.len().max(1));
-        let (mut silent, mut asked, mut answered) = (0, 0, 0);
-        let mut portions = self.floors();
-        self.user.apply(&portions);
-        let pause = Duration::from_secs_f64(self.plan.times.renew_ms / 1_000.0);
-        let mut next = Instant::now();
-        let mut told = false;
+        self.portions = self.floors();
+        self.user.apply(&self.portions);
         loop {
-            if Instant::now() >= next {
-                next = Instant::now() + pause;
-                let demand = self.user.demand();
-                demand.iter().for_each(|d| {
-                    holder.set_demand(&d.budget, d.asked, d.least, d.turn.as_millis().min(60_000) as u32)
-                });
-                if holder.should_request() && !voters.is_empty() {
-                    silent += 1;
-                    if silent > MAX_UNANSWERED {
-                        at = (at + 1) % voters.len();
-                    }
-                    asked += 1;
-                    let request = holder.next_request(self.clock.now_ms());
-                    self.say(voters[at], request);
-                }
-                self.show(&holder, &demand, voters.get(at), asked, answered);
+            if Instant::now() >= self.next_request_at {
+                self.request_lease();
             }
-            match self.inbox.recv_deadline(next) {
-                Ok(HolderEvent::LeaseResponse(from, response)) => {
-                    match &response.outcome {
-                        LeaseOutcome::Refused(Refusal::NotLeader(leader)) => {
-                            if let Some(to) = leader.and_then(|l| voters.iter().position(|v| *v == l)) {
-                                if at != to {
-                                    (at, silent, next) = (to, 0, Instant::now());
-                                }
-                            }
-                            continue;
-                        }
-                        LeaseOutcome::Refused(Refusal::Unknown) => next = Instant::now(),
-                        LeaseOutcome::Refused(Refusal::Superseded) if !told => {
-                            told = true;
-                            tracing::error!(
-                                host = self.plan.me.0,
-                                "another process has this host's number in the fleet: this one uses no fleet-wide budget any \
-                                 more; stop one of the two"
-                            );
-                        }
-                        LeaseOutcome::Refused(Refusal::Superseded) => {}
-                        LeaseOutcome::Lease { .. } => {
-                            silent = 0;
-                            if voters.get(at) != Some(&from) {
-                                at = voters.iter().position(|v| *v == from).unwrap_or(at);
-                            }
-                        }
-                    }
-                    if self.take(&mut holder, &response, &mut portions) {
-                        // What came down is of use to others as soon as the ledger hears of it.
-                        next = next.min(Instant::now() + Duration::from_millis(5));
-                    }
-                    answered += u64::from(matches!(response.outcome, LeaseOutcome::Lease { .. }));
-                }
-                Ok(HolderEvent::Leave) => return self.leave(holder, &voters, at),
+            match self.events.recv_deadline(self.next_request_at) {
+                Ok(HolderEvent::LeaseResponse(from, response)) => self.handle_response(from, &response),
+                Ok(HolderEvent::Leave) => return self.leave(),
                 Ok(HolderEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {}
             }
         }
     }
 
-    /// Takes an answer and hands on what it changes; true where something came down.
-    fn take(&mut self, holder: &mut Holder, response: &LeaseResponse, portions: &mut Vec<Portion>) -> bool {
-        holder.handle_response(self.clock.now_ms(), response);
-        let new = self.portions(holder);
-        let unconfirmed = holder.unconfirmed();
-        let before: BTreeMap<&Budget, Fraction> = portions.iter().map(|p| (&p.budget, p.lent)).collect();
-        let down = new.iter().any(|p| before.get(&p.budget).is_some_and(|b| p.lent < *b));
-        if self.user.apply(&new) {
-            for (budget, fraction, at) in unconfirmed {
-                holder.confirm(&budget, fraction, at);
+    fn request_lease(&mut self) {
+        let interval = Duration::from_secs_f64(self.plan.times.renew_ms / 1_000.0);
+        self.next_request_at = Instant::now() + interval;
+        let demand = self.user.demand();
+        for d in &demand {
+            let turn_ms = d.turn.as_millis().min(MAX_TURN_MS) as u32;
+            self.holder.set_demand(&d.budget, d.asked, d.least, turn_ms);
+        }
+        if self.holder.should_request() && !self.voters.is_empty() {
+            self.unanswered += 1;
+            if self.unanswered > MAX_UNANSWERED {
+                self.current = (self.current + 1) % self.voters.len();
+            }
+            self.requests_sent += 1;
+            let request = self.holder.next_request(self.clock.now_ms());
+            self.send(self.voters[self.current], request);
+        }
+        self.publish(&demand);
+    }
+
+    fn handle_response(&mut self, from: HostNumber, response: &LeaseResponse) {
+        match &response.outcome {
+            LeaseOutcome::Refused(Refusal::NotLeader(leader)) => return self.follow_redirect(*leader),
+            LeaseOutcome::Refused(Refusal::Unknown) => self.next_request_at = Instant::now(),
+            LeaseOutcome::Refused(Refusal::Superseded) => self.warn_superseded(),
+            LeaseOutcome::Lease { .. } => {
+                self.unanswered = 0;
+                self.current = self.voters.iter().position(|v| *v == from).unwrap_or(self.current);
+                self.leases_received += 1;
             }
-            *portions = new;
-            return down;
         }
-        false
+        if self.apply_response(response) {
+            self.next_request_at = self.next_request_at.min(Instant::now() + DECLARE_WITHIN);
+        }
+    }
+
+    fn follow_redirect(&mut self, leader: Option<HostNumber>) {
+        let Some(at) = leader.and_then(|l| self.voters.iter().position(|v| *v == l)) else { return };
+        if self.current != at {
+            (self.current, self.unanswered) = (at, 0);
+            self.next_request_at = Instant::now();
+        }
+    }
+
+    fn warn_superseded(&mut self) {
+        if self.warned_superseded {
+            return;
+        }
+        self.warned_superseded = true;
+        tracing::error!(
+            host = self.plan.me.0,
+            "another process has this host's number in the fleet: this one uses no fleet-wide budget any \
+             more; stop one of the two"
+        );
+    }
+
+    /// Handles a response and hands on what it changes; true where a fraction came down.
+    fn apply_response(&mut self, response: &LeaseResponse) -> bool {
+        self.holder.handle_response(self.clock.now_ms(), response);
+        let portions = self.held_portions();
+        let unconfirmed = self.holder.unconfirmed();
+        if !self.user.apply(&portions) {
+            return false;
+        }
+        for (budget, allocation) in unconfirmed {
+            self.holder.confirm(&budget, allocation);
+        }
+        let before: BTreeMap<&Budget, Fraction> = self.portions.iter().map(|p| (&p.budget, p.lent)).collect();
+        let came_down = portions.iter().any(|p| before.get(&p.budget).is_some_and(|lent| p.lent < *lent));
+        self.portions = portions;
+        came_down
     }
 
+    /// What the host has without a lease.
     fn floors(&mut self) -> Vec<Portion> {
         let floor = self.plan.floor();
         let until = Instant::now();
@@ -158,63 +211,66 @@
         self.user.demand().into_iter().map(portion).collect()
     }
 
-    fn portions(&self, holder: &Holder) -> Vec<Portion> {
-        let state = holder.state();
-        // Two processes under one name would use its floor twice.
+    /// What the host has by its present lease.
+    fn held_portions(&self) -> Vec<Portion> {
+        let state = self.holder.state();
+        // Two processes with one number would use its floor twice.
         let floor = if state.superseded { Fraction::ZERO } else { self.plan.floor() };
         let until = self.clock.instant(state.until_ms);
-        let holds = self.clock.now_ms() < state.until_ms;
-        let portion = |(budget, held): (&Budget, pearfork_ledger::Held)| Portion {
+        let is_valid = self.clock.now_ms() < state.until_ms;
+        let portion = |(budget, held): (&Budget, Held)| Portion {
             budget: budget.clone(),
             floor,
-            lent: if holds { held.fraction } else { Fraction::ZERO },
+            lent: if is_valid { held.fraction } else { Fraction::ZERO },
             until,
         };
-        holder.all_held().map(portion).collect()
+        self.holder.all_held().map(portion).collect()
     }
 
-    fn say(&self, to: HostNumber, request: pearfork_ledger::LeaseRequest) {
-        match &self.here {
-            Some(here) if to == self.plan.me => {
-                drop(here.try_send(VoterEvent::LeaseRequest(Requester::Local, request)))
+    fn send(&self, to: HostNumber, request: LeaseRequest) {
+        match &self.local_voter {
+            Some(voter) if to == self.plan.me => {
+                let _ = voter.try_send(VoterEvent::LeaseRequest(Requester::Local, request));
             }
             _ => self.transport.send(TransportCommand::Send(to, Message::LeaseRequest(request))),
         }
     }
 
-    fn show(&self, holder: &Holder, demand: &[Demand], asks: Option<&HostNumber>, asked: u64, answered: u64) {
-        let (state, now) = (holder.state(), self.clock.now_ms());
+    /// Publishes the holder's status.
+    fn publish(&self, demand: &[Demand]) {
+        let (state, now) = (self.holder.state(), self.clock.now_ms());
         let floor = if state.superseded { 0.0 } else { self.plan.floor().as_f64() };
+        let is_valid = now < state.until_ms;
         let line = |d: &Demand| HeldLine {
             budget: d.budget.to_string(),
             floor,
-            lent: if now < state.until_ms { holder.held(&d.budget).fraction.as_f64() } else { 0.0 },
+            lent: if is_valid { self.holder.held(&d.budget).fraction.as_f64() } else { 0.0 },
             demand: d.asked.as_f64(),
         };
         self.shared.holder(HolderView {
             incarnation: state.incarnation.map(|i| i.0),
             lease_ms: Some(state.until_ms - now).filter(|ms| ms.is_finite()),
             superseded: state.superseded,
-            asks: asks.map(|h| h.0),
-            asked,
-            answered,
+            asks: self.voters.get(self.current).map(|v| v.0),
+            asked: self.requests_sent,
+            answered: self.leases_received,
             budgets: demand.iter().map(line).collect(),
         });
     }
 
-    /// Gives all back. Danger: what is given back is lent to others at once, so first nobody here uses it any more.
-    fn leave(&mut self, mut holder: Holder, voters: &[HostNumber], at: usize) {
-        holder.leave();
-        let none = self.portions(&holder);
-        if !self.user.apply(&none) {
+    /// Gives all back. Danger: what is given back is lent to others at once, so first nobody here may use it any more.
+    fn leave(&mut self) {
+        self.holder.leave();
+        let portions = self.held_portions();
+        if !self.user.apply(&portions) {
             return;
         }
-        for _ in 0..LEAVE_REPEATS.0 {
-            let request = holder.next_request(self.clock.now_ms());
-            if let Some(to) = voters.get(at) {
-                self.say(*to, request);
+        for _ in 0..LEAVE_REPEATS {
+            let request = self.holder.next_request(self.clock.now_ms());
+            if let Some(voter) = self.voters.get(self.current) {
+                self.send(*voter, request);
             }
-            std::thread::sleep(LEAVE_REPEATS.1);
+            std::thread::sleep(LEAVE_INTERVAL);
         }
     }
 }
--- a/crates/fleet/src/disk.rs
+++ b/crates/fleet/src/disk.rs
@@ -1,11 +1,11 @@
-//! The disk as the store uses it, and one that can be told to fail.
+//! Access to the disk for the store, and a wrapper that injects faults.
 
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// What the store does with its disk. Each call is whole or fails; what failed may still have written a part.
+/// The store's access to its disk. A call that fails may still have written a part.
 pub trait Disk: Send {
     /// All bytes of a file; none where there is no such file.
     ///
@@ -69,31 +69,31 @@
     }
 }
 
-/// A disk that fails as a file says, for trials: the first word of it is the present trouble.
+/// A disk with injected faults, for trials: the first word of a file names the present fault.
 ///
 /// `full`: nothing can be written. `fsync`: all is written, and then said not to be on disk. `torn`: half of what is
 /// appended is written. `read-only`: no file can be opened for writing. `stall MS`: each write takes so much longer.
 /// Without the file, or with any other word, all is well.
 pub struct FaultyDisk<D> {
     disk: D,
-    trouble: PathBuf,
+    fault_file: PathBuf,
 }
 
 impl<D: Disk> FaultyDisk<D> {
-    /// Another disk, with the troubles that a file tells.
-    pub fn new(disk: D, trouble: PathBuf) -> FaultyDisk<D> {
-        FaultyDisk { disk, trouble }
+    /// Another disk, with the faults that a file names.
+    pub fn new(disk: D, fault_file: PathBuf) -> FaultyDisk<D> {
+        FaultyDisk { disk, fault_file }
     }
 
-    fn trouble(&self) -> (String, u64) {
-        let text = std::fs::read_to_string(&self.trouble).unwrap_or_default();
+    fn fault(&self) -> (String, u64) {
+        let text = std::fs::read_to_string(&self.fault_file).unwrap_or_default();
         let mut words = text.split_whitespace();
         let word = words.next().unwrap_or_default().to_owned();
         (word, words.next().and_then(|w| w.parse().ok()).unwrap_or(0))
     }
 
     fn inject_before_write(&self) -> io::Result<()> {
-        match self.trouble() {
+        match self.fault() {
             (word, _) if word == "full" => Err(io::Error::from(io::ErrorKind::StorageFull)),
             (word, _) if word == "read-only" => Err(io::Error::from(io::ErrorKind::ReadOnlyFilesystem)),
             (word, ms) if word == "stall" => {
@@ -105,7 +105,7 @@
     }
 
     fn inject_after_write(&self) -> io::Result<()> {
-        match self.trouble().0.as_str() {
+        match self.fault().0.as_str() {
             "fsync" => Err(io::Error::other("not known to be on disk")),
             _ => Ok(()),
         }
@@ -119,7 +119,7 @@
 
     fn append(&mut self, file: &Path, bytes: &[u8]) -> io::Result<()> {
         self.inject_before_write()?;
-        if self.trouble().0 == "torn" {
+        if self.fault().0 == "torn" {
             self.disk.append(file, &bytes[..bytes.len() / 2])?;
             return Err(io::Error::other("torn"));
         }
@@ -129,7 +129,7 @@
 
     fn replace(&mut self, file: &Path, bytes: &[u8]) -> io::Result<()> {
         self.inject_before_write()?;
-        if self.trouble().0 == "torn" {
+        if self.fault().0 == "torn" {
             return Err(io::Error::other("torn"));
         }
         self.disk.replace(file, bytes)?;
--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -1,10 +1,10 @@
-//! Runs of bytes with their length and checksum, on sockets and in files alike: four bytes of length, four of CRC-32C,
+//! Frames, on sockets and in files alike: four bytes of length, four of CRC-32C,
 //! then JSON. No I/O.
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-/// Bytes before the body.
+/// Bytes of a frame before its body.
 pub const HEADER_BYTES: usize = 8;
 
 /// Why bytes are no frame. Nothing after them can be read.
@@ -39,9 +39,9 @@
 /// # Errors
 /// The bytes are no frame of at most `most` bytes of body.
 pub fn get<T: DeserializeOwned>(bytes: &[u8], most: usize) -> Result<Option<(T, usize)>, FrameFault> {
-    let word = |at: usize| bytes.get(at..at + 4).and_then(|b| b.try_into().ok()).map(u32::from_be_bytes);
-    let (Some(length), Some(sum)) = (word(0), word(4)) else { return Ok(None) };
-    // Danger: a length is the word of whoever sent it. It is judged before any room is made for it.
+    let read_u32 = |at: usize| bytes.get(at..at + 4).and_then(|b| b.try_into().ok()).map(u32::from_be_bytes);
+    let (Some(length), Some(sum)) = (read_u32(0), read_u32(4)) else { return Ok(None) };
+    // Danger: a length may be anything. It is checked before any memory is allocated for it.
     if length as usize > most {
         return Err(FrameFault::TooLong { length: u64::from(length), most });
     }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -1,10 +1,10 @@
-//! What a host is told of its fleet; valid as a whole.
+//! A host's settings for its fleet, checked as a whole.
 
 use pearfork_ledger::{Fraction, HostNumber, Times};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// A voter as this host reaches it.
+/// The address of a voter, as this host reaches it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VoterAddress {
     /// Its number.
@@ -13,16 +13,16 @@
     pub address: SocketAddr,
 }
 
-/// Trouble that the settings ask for, for trials alone.
+/// Faults to inject, for trials alone.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FaultInjection {
     /// How fast this process's clock runs for its leases; 1 where nothing is said.
     pub clock_rate: Option<f64>,
-    /// A file whose first word is the disk's present trouble.
+    /// A file whose first word names the disk's present fault.
     pub disk: Option<PathBuf>,
 }
 
-/// A host's place in its fleet.
+/// A host's settings for its fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetPlan {
     /// The fleet's name.
@@ -33,7 +33,7 @@
     pub hosts: u32,
     /// Where a voter listens for its fleet; others listen nowhere.
     pub listen: Option<SocketAddr>,
-    /// Where a voter keeps its promises.
+    /// Where a voter keeps its state.
     pub folder: Option<PathBuf>,
     /// All voters, this host perhaps among them.
     pub voters: Vec<VoterAddress>,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,4 +1,4 @@
-//! What a host knows of its fleet, for people and collectors.
+//! What a host knows of its fleet, for status pages and metrics.
 
 use crate::plan::FleetPlan;
 use crate::transport::{LinkStatus, Requester};
@@ -12,7 +12,7 @@
 pub struct MemberLine {
     /// Its host.
     pub host: u16,
-    /// What the ledger calls it.
+    /// Its incarnation.
     pub incarnation: u64,
     /// Milliseconds since it was last heard; none where that was before this leader.
     pub heard_ms: Option<f64>,
@@ -38,11 +38,11 @@
     pub trouble: Option<String>,
     /// The term.
     pub term: u64,
-    /// Who leads.
+    /// The leader.
     pub leader: Option<u16>,
     /// Whether it lends.
     pub lends: bool,
-    /// All up to here is agreed.
+    /// Index of the last committed entry.
     pub commit: u64,
     /// Processes in the table.
     pub members: Vec<MemberLine>,
@@ -51,16 +51,18 @@
 }
 
 impl VoterView {
-    pub(crate) fn note(&mut self, voter: &Voter<Requester>, now: f64) {
-        let (state, accounts) = (voter.state(), voter.lease_manager().map(|l| l.leases()));
+    /// The view of a voter that runs.
+    pub(crate) fn of(voter: &Voter<Requester>, now: f64) -> VoterView {
+        let state = voter.state();
+        let leases = voter.lease_manager().map(|l| l.leases());
         let table = voter.table();
         let member = |(who, m): (&pearfork_ledger::Incarnation, &pearfork_ledger::Member)| {
-            let account = accounts.and_then(|a| a.get(who));
+            let lease = leases.and_then(|a| a.get(who));
             MemberLine {
                 host: m.host.0,
                 incarnation: who.0,
-                heard_ms: account.map(|a| now - a.last_heard_at).filter(|ms| ms.is_finite()),
-                over_in_ms: account.map(|a| a.expires_at - now),
+                heard_ms: lease.map(|a| now - a.last_heard_at).filter(|ms| ms.is_finite()),
+                over_in_ms: lease.map(|a| a.expires_at - now),
             }
         };
         // Danger: several processes of one host, the old one's lease still running, share its line.
@@ -72,15 +74,15 @@
             }
             BudgetLine { budget: b.to_string(), lent: table.total_allocated(b).as_f64(), to }
         };
-        *self = VoterView {
+        VoterView {
             trouble: None,
             term: state.term,
             leader: state.leader.map(|h| h.0),
-            lends: accounts.is_some(),
+            lends: leases.is_some(),
             commit: state.commit,
             members: table.members().iter().map(member).collect(),
             budgets: table.budgets().map(budget).collect(),
-        };
+        }
     }
 }
 
@@ -116,14 +118,14 @@
     pub budgets: Vec<HeldLine>,
 }
 
-/// How the talk with a voter stands.
+/// Status of the link to a voter.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct LinkLine {
     /// The voter.
     pub voter: u16,
     /// Whether it is up.
     pub up: bool,
-    /// Why one of the two will not talk.
+    /// Why one of the two sides refused the other.
     pub refused: Option<String>,
 }
 
--- a/crates/fleet/src/store.rs
+++ b/crates/fleet/src/store.rs
@@ -1,8 +1,8 @@
-//! A voter's promises on disk.
+//! A voter's persistent state on disk.
 //!
-//! One file of frames: an image of all at the time, then records as they came. A frame at the end that is not whole was
-//! being written when the machine stopped: nothing was promised by it, and it is cut off. A frame in the middle that is
-//! spoilt means that promises are lost, and the store is refused.
+//! One file of frames: the whole state at some time, then records as they came. An incomplete frame at the end was
+//! being written when the machine stopped: nothing was promised by it, and it is cut off. A corrupt frame in the middle
+//! means that promises are lost, and the store is refused.
 
 use crate::disk::Disk;
 use crate::frame::{self, FrameFault};
@@ -13,8 +13,9 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-/// Bytes of one frame in a file.
+/// Longest frame in a file.
 const MAX_FRAME_BYTES: usize = 256 << 20;
+/// Version of the file's format.
 const FORMAT: u32 = 1;
 
 /// Why a store can't be used.
@@ -31,7 +32,7 @@
     /// Another process has the folder.
     #[error("{0}: another process uses this folder")]
     Locked(PathBuf),
-    /// Promises are lost.
+    /// The file is corrupt: promises are lost.
     #[error("{file}, byte {at}: {why}; promises of this voter may be lost, and it must not vote by this file. Mend the disk, \
              or remove the folder and let the host join under another number")]
     Corrupt {
@@ -52,10 +53,10 @@
     },
 }
 
-/// Whose promises these are; the first frame of a file.
+/// Whose state this is; the first frame of a file.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Owner {
-    /// Form of the file.
+    /// Version of the file's format.
     pub format: u32,
     /// The fleet's name.
     pub fleet: String,
@@ -85,21 +86,21 @@
     /// # Errors
     /// The machine does not allow it, or another process has it.
     pub fn take(path: &Path) -> Result<Folder, StoreError> {
-        let told = |file: &Path| {
+        let disk_error = |file: &Path| {
             let file = file.to_owned();
             move |source| StoreError::Disk { file, source }
         };
-        std::fs::create_dir_all(path).map_err(told(path))?;
+        std::fs::create_dir_all(path).map_err(disk_error(path))?;
         let name = path.join("lock");
         let lock = match File::create(&name) {
             Ok(lock) => lock,
             // A folder that can only be read is still somebody's: the lock is had on what is there.
-            Err(e) => File::open(&name).map_err(|_| told(&name)(e))?,
+            Err(e) => File::open(&name).map_err(|_| disk_error(&name)(e))?,
         };
         match lock.try_lock() {
             Ok(()) => Ok(Folder { path: path.to_owned(), _lock: lock }),
             Err(TryLockError::WouldBlock) => Err(StoreError::Locked(path.to_owned())),
-            Err(TryLockError::Error(e)) => Err(told(&name)(e)),
+            Err(TryLockError::Error(e)) => Err(disk_error(&name)(e)),
         }
     }
 
@@ -108,7 +109,7 @@
     }
 }
 
-/// A voter's promises, open for writing.
+/// A voter's state file, open for writing.
 pub struct Store {
     file: PathBuf,
     disk: Box<dyn Disk>,
@@ -130,8 +131,8 @@
         lendable: Fraction,
     ) -> Result<(Store, PersistentState), StoreError> {
         let file = folder.state_file();
-        let told = |source| StoreError::Disk { file: file.clone(), source };
-        let image = match disk.read(&file).map_err(told)? {
+        let disk_error = |source| StoreError::Disk { file: file.clone(), source };
+        let image = match disk.read(&file).map_err(disk_error)? {
             Some(bytes) => read(&file, &bytes, &owner)?,
             None => None,
         };
@@ -184,11 +185,11 @@
 /// # Errors
 /// It is spoilt, or somebody else's.
 pub fn read(file: &Path, bytes: &[u8], owner: &Owner) -> Result<Option<PersistentState>, StoreError> {
-    let spoilt = |at: usize, why: String| StoreError::Corrupt { file: file.to_owned(), at, why };
-    let fault = |at: usize| move |e: FrameFault| spoilt(at, e.to_string());
+    let corrupt = |at: usize, why: String| StoreError::Corrupt { file: file.to_owned(), at, why };
+    let fault = |at: usize| move |e: FrameFault| corrupt(at, e.to_string());
     let Some((found, mut at)) = frame::get::<Owner>(bytes, MAX_FRAME_BYTES).map_err(fault(0))? else {
         // The file is put in place whole: a short one was never ours.
-        return if bytes.is_empty() { Ok(None) } else { Err(spoilt(0, "it ends in its head".to_owned())) };
+        return if bytes.is_empty() { Ok(None) } else { Err(corrupt(0, "it ends in its head".to_owned())) };
     };
     if found != *owner {
         let what = format!("format {} of host {} of fleet `{}`", found.format, found.host, found.fleet);
@@ -199,26 +200,28 @@
             at += length;
             image
         }
-        _ => return Err(spoilt(at, "no image comes first".to_owned())),
+        _ => return Err(corrupt(at, "no image comes first".to_owned())),
     };
     while at < bytes.len() {
         match frame::get::<StoredFrame>(&bytes[at..], MAX_FRAME_BYTES) {
             Ok(Some((StoredFrame::Record(record), length))) => {
                 if !image.add(record) {
-                    return Err(spoilt(at, "a record does not follow on the one before".to_owned()));
+                    return Err(corrupt(at, "a record does not follow on the one before".to_owned()));
                 }
                 at += length;
             }
             Ok(Some((StoredFrame::PersistentState(_), _))) => {
-                return Err(spoilt(at, "a second image".to_owned()))
+                return Err(corrupt(at, "a second image".to_owned()))
             }
             // A length that was spoilt reads as a frame that is not whole.
-            Ok(None) if followed(&bytes[at..]) => return Err(spoilt(at, "a frame has no end".to_owned())),
+            Ok(None) if is_followed_by_frame(&bytes[at..]) => {
+                return Err(corrupt(at, "a frame has no end".to_owned()))
+            }
             // Not whole: it was being written when the machine stopped.
             Ok(None) => break,
             // Of the last write some blocks may be there and others not. Only what is followed by a whole frame was
             // certainly on disk before it.
-            Err(e) if followed(&bytes[at..]) => return Err(spoilt(at, e.to_string())),
+            Err(e) if is_followed_by_frame(&bytes[at..]) => return Err(corrupt(at, e.to_string())),
             Err(_) => break,
         }
     }
@@ -226,7 +229,7 @@
 }
 
 /// Whether any whole frame begins after the first byte: then what comes before it was once promised.
-fn followed(bytes: &[u8]) -> bool {
+fn is_followed_by_frame(bytes: &[u8]) -> bool {
     (1..bytes.len().saturating_sub(frame::HEADER_BYTES))
         .any(|at| matches!(frame::get::<StoredFrame>(&bytes[at..], MAX_FRAME_BYTES), Ok(Some(_))))
 }
--- /dev/null
+++ b/crates/fleet/src/transport/connection.rs
@@ -0,0 +1,144 @@
+//! One connection: its socket, its buffers, and what is known of the other side.
+
+use crate::frame;
+use pearfork_ledger::{HostNumber, Message};
+use pearfork_net::Want;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::Instant;
+
+/// Bytes read at once.
+const READ_BYTES: usize = 16 << 10;
+/// An empty input buffer that is larger than this is freed.
+const KEPT_INPUT_BYTES: usize = 64 << 10;
+
+/// Messages out of the input buffer.
+pub(super) struct Decoded {
+    pub(super) messages: Vec<Message>,
+    /// Why the bytes after them are no message.
+    pub(super) fault: Option<String>,
+}
+
+pub(super) struct Connection {
+    pub(super) stream: TcpStream,
+    /// The voter that was dialed; none where the other side dialed.
+    pub(super) dialed: Option<HostNumber>,
+    /// The other side, once its handshake was accepted.
+    pub(super) peer: Option<HostNumber>,
+    /// A dialed connection is not up yet.
+    pub(super) connecting: bool,
+    /// What the poller watches for.
+    pub(super) watched: Want,
+    pub(super) opened_at: Instant,
+    pub(super) last_heard_at: Instant,
+    pub(super) keepalive_sent_at: Instant,
+    /// It is closed once its output is sent.
+    pub(super) closing: bool,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    /// Bytes of `output` that are sent.
+    sent: usize,
+}
+
+impl Connection {
+    pub(super) fn new(stream: TcpStream, dialed: Option<HostNumber>, now: Instant) -> Connection {
+        Connection {
+            stream,
+            dialed,
+            peer: None,
+            connecting: dialed.is_some(),
+            watched: if dialed.is_some() { Want::Write } else { Want::Read },
+            opened_at: now,
+            last_heard_at: now,
+            keepalive_sent_at: now,
+            closing: false,
+            input: Vec::new(),
+            output: Vec::new(),
+            sent: 0,
+        }
+    }
+
+    /// Whether the connection was dialed here, and the handshake is done.
+    pub(super) fn is_link(&self) -> bool {
+        self.dialed.is_some() && self.peer.is_some()
+    }
+
+    /// Notes that a dialed connection is up; false where it failed.
+    pub(super) fn finish_connecting(&mut self) -> bool {
+        if self.connecting && !matches!(self.stream.take_error(), Ok(None)) {
+            return false;
+        }
+        self.connecting = false;
+        true
+    }
+
+    /// Bytes that wait to be sent.
+    pub(super) fn queued_bytes(&self) -> usize {
+        self.output.len() - self.sent
+    }
+
+    pub(super) fn has_output(&self) -> bool {
+        !self.output.is_empty()
+    }
+
+    /// Adds a message to what waits to be sent.
+    pub(super) fn enqueue(&mut self, message: &Message) {
+        frame::put(&mut self.output, message);
+    }
+
+    /// Sends as much as the socket takes at once.
+    pub(super) fn flush(&mut self) -> io::Result<()> {
+        while self.sent < self.output.len() {
+            match (&self.stream).write(&self.output[self.sent..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => self.sent += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.output.drain(..self.sent);
+                    self.sent = 0;
+                    return Ok(());
+                }
+                Err(e) => return Err(e),
+            }
+        }
+        self.output = Vec::new();
+        self.sent = 0;
+        Ok(())
+    }
+
+    /// Reads what is there, up to one message of `max_bytes` and a little more; whether the other side closed.
+    pub(super) fn read(&mut self, max_bytes: usize) -> bool {
+        let mut buffer = [0u8; READ_BYTES];
+        while self.input.len() <= max_bytes + frame::HEADER_BYTES {
+            match (&self.stream).read(&mut buffer) {
+                Ok(0) => return true,
+                Ok(n) => self.input.extend_from_slice(&buffer[..n]),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                Err(_) => return true,
+            }
+        }
+        false
+    }
+
+    /// Takes all complete messages of at most `max_bytes` out of the input.
+    pub(super) fn decode(&mut self, max_bytes: usize) -> Decoded {
+        let mut taken = 0;
+        let mut messages = Vec::new();
+        let fault = loop {
+            match frame::get::<Message>(&self.input[taken..], max_bytes) {
+                Ok(Some((message, length))) => {
+                    messages.push(message);
+                    taken += length;
+                }
+                Ok(None) => break None,
+                Err(e) => break Some(e.to_string()),
+            }
+        };
+        self.input.drain(..taken);
+        if self.input.is_empty() && self.input.capacity() > KEPT_INPUT_BYTES {
+            self.input = Vec::new();
+        }
+        Decoded { messages, fault }
+    }
+}
--- a/crates/fleet/src/voter_thread.rs
+++ b/crates/fleet/src/voter_thread.rs
@@ -1,4 +1,4 @@
-//! The voter's thread: hears, writes, and only then speaks.
+//! The voter's thread: handles events, writes to disk, and only then sends.
 
 use crate::disk::{Disk, FaultyDisk, RealDisk};
 use crate::plan::FleetPlan;
@@ -14,68 +14,65 @@
 
 /// How often a disk that failed is tried again.
 const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
-/// Messages taken before what they led to is written: one write serves them all.
+/// Most events that are handled before one write for all of them.
 const BATCH: usize = 64;
 
 pub(crate) struct VoterThread {
     pub(crate) plan: Arc<FleetPlan>,
     pub(crate) folder: Folder,
-    pub(crate) inbox: Receiver<VoterEvent>,
+    pub(crate) events: Receiver<VoterEvent>,
     pub(crate) transport: TransportHandle,
-    pub(crate) here: Sender<HolderEvent>,
+    /// The holder of this process.
+    pub(crate) holder: Sender<HolderEvent>,
     pub(crate) shared: Arc<Shared>,
     pub(crate) clock: LeaseClock,
     pub(crate) seed: u64,
 }
 
 impl VoterThread {
-    pub(crate) fn disk(plan: &FleetPlan) -> Box<dyn Disk> {
+    fn disk(plan: &FleetPlan) -> Box<dyn Disk> {
         match &plan.fault_injection.disk {
-            Some(trouble) => Box::new(FaultyDisk::new(RealDisk::default(), trouble.clone())),
+            Some(file) => Box::new(FaultyDisk::new(RealDisk::default(), file.clone())),
             None => Box::<RealDisk>::default(),
         }
     }
 
-    fn open(&self) -> Result<(Store, PersistentState), StoreError> {
-        let owner = owner(&self.plan.name, self.plan.me.0);
-        Store::open(&self.folder, VoterThread::disk(&self.plan), owner, self.plan.lendable())
+    /// Opens the store of a voter in its folder.
+    pub(crate) fn open(plan: &FleetPlan, folder: &Folder) -> Result<(Store, PersistentState), StoreError> {
+        let owner = owner(&plan.name, plan.me.0);
+        Store::open(folder, VoterThread::disk(plan), owner, plan.lendable())
     }
 
-    /// Votes until told to stop; while the disk fails it neither votes nor lends, and tries again now and then.
-    pub(crate) fn run(mut self, mut open: Option<(Store, PersistentState)>) {
+    /// Votes until told to stop. While the disk fails it neither votes nor lends, and tries again now and then.
+    pub(crate) fn run(mut self, mut opened: Option<(Store, PersistentState)>) {
         loop {
-            if let Some((store, image)) = open.take() {
-                match self.vote(store, image) {
-                    None => return,
-                    Some(why) => {
-                        tracing::error!(%why, "this voter stops voting and lending until its disk is well");
-                        self.shared.voter(|v| {
-                            *v = VoterView { trouble: Some(why.to_string()), ..VoterView::default() }
-                        });
-                    }
-                }
+            if let Some((store, state)) = opened.take() {
+                let Err(why) = self.vote(store, state) else { return };
+                tracing::error!(%why, "this voter stops voting and lending until its disk is well");
+                let trouble = Some(why.to_string());
+                self.shared.voter(|view| *view = VoterView { trouble, ..VoterView::default() });
             }
             if self.reject_requests_until(Instant::now() + DISK_RETRY_INTERVAL) {
                 return;
             }
-            match self.open() {
+            match VoterThread::open(&self.plan, &self.folder) {
                 Ok(again) => {
                     tracing::warn!("the disk is well again, this voter votes");
-                    open = Some(again);
+                    opened = Some(again);
                 }
-                Err(why) => self.shared.voter(|v| v.trouble = Some(why.to_string())),
+                Err(why) => self.shared.voter(|view| view.trouble = Some(why.to_string())),
             }
         }
     }
 
-    /// Hears nobody for a while, but tells those who ask to go elsewhere; true where it is to stop.
+    /// Ignores other voters for a while, and tells hosts to ask another one; true where the thread is to stop.
     fn reject_requests_until(&self, until: Instant) -> bool {
         loop {
-            match self.inbox.recv_deadline(until) {
+            match self.events.recv_deadline(until) {
                 Ok(VoterEvent::Stop) | Err(RecvTimeoutError::Disconnected) => return true,
                 Ok(VoterEvent::LeaseRequest(requester, request)) => {
                     let outcome = LeaseOutcome::Refused(Refusal::NotLeader(None));
-                    self.answer(requester, LeaseResponse { nonce: request.nonce, seq: request.seq, outcome });
+                    self.respond(requester, LeaseResponse::to(&request, outcome));
                 }
                 Ok(VoterEvent::Raft(..)) => {}
                 Err(RecvTimeoutError::Timeout) => return false,
@@ -83,64 +80,74 @@
         }
     }
 
-    fn answer(&self, requester: Requester, response: LeaseResponse) {
+    fn respond(&self, requester: Requester, response: LeaseResponse) {
         match requester {
-            Requester::Connection(id) => self.transport.send(TransportCommand::LeaseResponse(id, response)),
-            Requester::Local => drop(self.here.try_send(HolderEvent::LeaseResponse(self.plan.me, response))),
+            Requester::Connection(id) => self.transport.send(TransportCommand::Respond(id, response)),
+            Requester::Local => {
+                let _ = self.holder.try_send(HolderEvent::LeaseResponse(self.plan.me, response));
+            }
         }
     }
 
-    /// Votes while the disk takes what has to be written: the fault that ended it, or none where it was told to stop.
-    fn vote(&mut self, mut store: Store, image: PersistentState) -> Option<StoreError> {
+    /// Votes until told to stop.
+    ///
+    /// # Errors
+    /// The disk does not take what has to be written.
+    fn vote(&mut self, mut store: Store, state: PersistentState) -> Result<(), StoreError> {
         let voters: Vec<HostNumber> = self.plan.voters.iter().map(|v| v.host).collect();
         self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
         let mut voter: Voter<Requester> =
-            Voter::new(self.plan.me, &voters, self.plan.times, self.seed, image, self.clock.now_ms());
+            Voter::new(self.plan.me, &voters, self.plan.times, self.seed, state, self.clock.now_ms());
+        while self.handle_events(&mut voter) {
+            voter.tick(self.clock.now_ms());
+            self.write_and_send(&mut voter, &mut store)?;
+            self.shared.voter(|view| *view = VoterView::of(&voter, self.clock.now_ms()));
+        }
+        Ok(())
+    }
+
+    /// Waits for events, at most until the voter has something to do, and hands them to it; false where it is to stop.
+    fn handle_events(&self, voter: &mut Voter<Requester>) -> bool {
+        let first = match self.events.recv_deadline(self.clock.instant(voter.next_deadline())) {
+            Ok(event) => Some(event),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return false,
+        };
+        for event in first.into_iter().chain(self.events.try_iter().take(BATCH)) {
+            let now = self.clock.now_ms();
+            match event {
+                VoterEvent::Raft(from, message) => voter.handle_message(now, from, message),
+                VoterEvent::LeaseRequest(requester, request) => voter.handle_request(now, requester, request),
+                VoterEvent::Stop => return false,
+            }
+        }
+        true
+    }
+
+    /// Writes and sends until the voter has nothing more to write or to send.
+    fn write_and_send(&self, voter: &mut Voter<Requester>, store: &mut Store) -> Result<(), StoreError> {
         loop {
-            let first = match self.inbox.recv_deadline(self.clock.instant(voter.next_deadline())) {
-                Ok(m) => Some(m),
-                Err(RecvTimeoutError::Timeout) => None,
-                Err(RecvTimeoutError::Disconnected) => return None,
-            };
-            for message in first.into_iter().chain(self.inbox.try_iter().take(BATCH)) {
-                let now = self.clock.now_ms();
-                match message {
-                    VoterEvent::Raft(from, m) => voter.handle_message(now, from, m),
-                    VoterEvent::LeaseRequest(requester, request) => {
-                        voter.handle_request(now, requester, request)
-                    }
-                    VoterEvent::Stop => return None,
-                }
+            let ready = voter.take_output();
+            let writes = ready.raft.rewrite || !ready.raft.records.is_empty();
+            let sends = !ready.raft.messages.is_empty() || !ready.responses.is_empty();
+            // Danger: a message that is sent before what it promises is on disk is a promise that a crash forgets.
+            if ready.raft.rewrite {
+                store.rewrite(&voter.raft().persistent_state())?;
+            } else if writes {
+                store.append(ready.raft.records)?;
             }
-            voter.tick(self.clock.now_ms());
-            loop {
-                let ready = voter.take_output();
-                let writes = ready.raft.rewrite || !ready.raft.records.is_empty();
-                // Danger: a word that goes out before what it promises is on disk is a promise that a crash forgets.
-                let written = match (ready.raft.rewrite, writes) {
-                    (true, _) => store.rewrite(&voter.raft().persistent_state()),
-                    (false, true) => store.append(ready.raft.records),
-                    (false, false) => Ok(()),
-                };
-                if let Err(why) = written {
-                    return Some(why);
-                }
-                let done = !writes && ready.raft.messages.is_empty() && ready.responses.is_empty();
-                for (to, message) in ready.raft.messages {
-                    self.transport.send(TransportCommand::Send(to, Message::Raft(message)));
-                }
-                ready
-                    .responses
-                    .into_iter()
-                    .for_each(|(requester, response)| self.answer(requester, response));
-                if done {
-                    break;
-                }
-                if writes {
-                    voter.persisted(self.clock.now_ms());
-                }
+            for (to, message) in ready.raft.messages {
+                self.transport.send(TransportCommand::Send(to, Message::Raft(message)));
+            }
+            for (requester, response) in ready.responses {
+                self.respond(requester, response);
+            }
+            if !writes && !sends {
+                return Ok(());
+            }
+            if writes {
+                voter.persisted(self.clock.now_ms());
             }
-            self.shared.voter(|v| v.note(&voter, self.clock.now_ms()));
         }
     }
 }
--- a/crates/ledger/src/divide.rs
+++ b/crates/ledger/src/divide.rs
@@ -1,116 +1,165 @@
-//! How a whole is divided among those who want some of it.
+//! Division of a budget among the processes that want some of it.
 
-use crate::budget::{Fraction, Incarnation};
+use crate::budget::Incarnation;
+use crate::fraction::Fraction;
 
-/// What one process wants of a budget.
+/// What one process claims of a budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Claim {
-    /// Who.
+    /// The process.
     pub who: Incarnation,
-    /// What its clients asked for of late; more than the whole counts as the whole.
+    /// The demand of its clients of late; more than the whole counts as the whole.
     pub demand: Fraction,
     /// The least fraction that holds its largest request: less is of no use to it.
     pub least: Fraction,
-    /// How long it has to have its least fraction for a request to come of it, milliseconds.
+    /// How long it has to hold that for a request to come of it, milliseconds.
     pub turn_ms: f64,
-    /// What it has now.
+    /// What it holds now.
     pub held: Fraction,
-    /// Since when it has had some, or has been waiting for some, milliseconds.
+    /// Since when it has held some, or has been waiting for some, milliseconds.
     pub since_ms: f64,
 }
 
-/// What is left for whoever comes next, as a part of what there is: it starts with this, until others have come down.
+/// What is left for the next process that wants some, as a fraction of what there is: it begins with this, until the
+/// others have come down.
 const RESERVE: f64 = 0.01;
 /// Demand is met with so much to spare: what comes next is seldom less than what came.
-const AHEAD: f64 = 1.25;
-/// Where not all can have what holds a request, those who have it keep it for so long at the least, milliseconds.
-const TURN_MS: f64 = 1_000.0;
-/// A part is not lowered by less than this part of itself.
-const STEADY_DOWN: f64 = 0.1;
-/// Nor raised by less than this part of the whole, or of itself where that is less. Danger: where hundreds have a fraction,
-/// what is little of the whole is all that one of them has.
-const STEADY_UP: (f64, f64) = (0.005, 0.03);
+const HEADROOM: f64 = 1.25;
+/// Where not all can hold a request at once, those that do keep their turn for so long at least, milliseconds.
+const MIN_TURN_MS: f64 = 1_000.0;
+/// A fraction is not lowered by less than this fraction of itself.
+const MIN_DECREASE: f64 = 0.1;
+/// Nor raised by less than this fraction of the whole, ...
+const MIN_INCREASE_OF_WHOLE: f64 = 0.005;
+/// ... or of itself where that is less. Danger: where hundreds hold some, what is little of the whole is all that one of
+/// them has.
+const MIN_INCREASE_OF_TARGET: f64 = 0.03;
 
 /// Targets in the order of the claims. They add up to no more than `lendable`; a claim without demand gets nothing.
 ///
-/// Each gets its demand with something to spare, the smallest demands first and none less than its least; what is left
-/// is dealt out by demand, and where it does not suffice, the larger ones share evenly. Where even the least
-/// parts of all are too much, as many as fit have theirs in turn.
+/// Each gets its demand with headroom, the smallest demands first and none less than its least. What is left is
+/// distributed in proportion; where it does not suffice, the larger demands share evenly. Where not even the least
+/// fractions of all fit, as many as fit take turns.
 pub fn divide(lendable: Fraction, claims: &[Claim], now: f64) -> Vec<Fraction> {
-    let mut targets = vec![Fraction::ZERO; claims.len()];
-    let mut askers: Vec<usize> = (0..claims.len()).filter(|i| claims[*i].demand > Fraction::ZERO).collect();
     let reserve = Fraction::from_f64(lendable.as_f64() * RESERVE);
-    let whole = lendable.saturating_sub(reserve);
-    // Danger: a least fraction above all that there is would let nobody have any.
-    let least = |i: usize| claims[i].least.min(whole).max(Fraction(1));
-    let needed: Fraction = askers.iter().map(|i| least(*i)).sum();
-    if needed > whole {
-        // Those in their turn go first, then those who have waited longest.
-        let order = |i: &usize| {
-            let c = &claims[*i];
-            let in_turn = c.held >= least(*i) && now - c.since_ms < c.turn_ms.max(TURN_MS);
-            let fresh = c.held > Fraction::ZERO;
-            (!in_turn, !in_turn && fresh, c.since_ms)
-        };
-        askers.sort_by(|a, b| {
-            let (a, b) = (order(a), order(b));
-            (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2))
+    let division = Division { claims, whole: lendable.saturating_sub(reserve) };
+    let mut targets = vec![Fraction::ZERO; claims.len()];
+    let mut served = division.served(now);
+    let spare = division.fill_demands(&mut served, &mut targets);
+    distribute(spare, &served, &mut targets);
+    division.keep_small_changes(&mut targets);
+    targets
+}
+
+/// One division. Claims are named by their place.
+struct Division<'a> {
+    claims: &'a [Claim],
+    /// What there is to divide.
+    whole: Fraction,
+}
+
+impl Division<'_> {
+    /// The least fraction that is of use. Danger: one above all that there is would let nobody have any.
+    fn least(&self, claim: usize) -> Fraction {
+        self.claims[claim].least.min(self.whole).max(Fraction(1))
+    }
+
+    /// What meets the demand.
+    fn wanted(&self, claim: usize) -> Fraction {
+        let demand = self.claims[claim].demand.as_f64().min(1.0) * HEADROOM;
+        Fraction::from_f64(demand).max(self.least(claim)).min(self.whole)
+    }
+
+    /// The claims that get some: all with demand, or as many of them as fit.
+    fn served(&self, now: f64) -> Vec<usize> {
+        let has_demand = |claim: &usize| self.claims[*claim].demand > Fraction::ZERO;
+        let mut served: Vec<usize> = (0..self.claims.len()).filter(has_demand).collect();
+        let needed: Fraction = served.iter().map(|claim| self.least(*claim)).sum();
+        if needed <= self.whole {
+            return served;
+        }
+        served.sort_by(|a, b| {
+            self.turn_order(*a, now).cmp(&self.turn_order(*b, now)).then_with(|| {
+                let (a, b) = (&self.claims[*a], &self.claims[*b]);
+                a.since_ms.total_cmp(&b.since_ms)
+            })
         });
-        let mut left = whole;
-        askers.retain(|i| {
-            let fits = least(*i) <= left;
+        let mut left = self.whole;
+        served.retain(|claim| {
+            let fits = self.least(*claim) <= left;
             if fits {
-                left = left.saturating_sub(least(*i));
+                left = left.saturating_sub(self.least(*claim));
             }
             fits
         });
+        served
     }
-    // Water fills up to the demands, from the smallest on.
-    let want = |i: usize| {
-        let demand = claims[i].demand.as_f64().min(1.0) * AHEAD;
-        Fraction::from_f64(demand).max(least(i)).min(whole)
-    };
-    askers.sort_by_key(|i| (want(*i), claims[*i].who));
-    let mut left = whole;
-    let mut floor_left: Fraction = askers.iter().map(|i| least(*i)).sum();
-    for (n, i) in askers.iter().enumerate() {
-        floor_left = floor_left.saturating_sub(least(*i));
-        let fair = Fraction(left.0 / (askers.len() - n) as u64);
-        // What those after it need at the least stays.
-        targets[*i] = want(*i).min(fair.max(least(*i))).min(left.saturating_sub(floor_left));
-        left = left.saturating_sub(targets[*i]);
-    }
-    let all: f64 = askers.iter().map(|i| targets[*i].as_f64()).sum();
-    if all > 0.0 {
-        let spare = left;
-        for i in &askers {
-            let more = Fraction::from_f64(spare.as_f64() * targets[*i].as_f64() / all).min(left);
-            targets[*i] = targets[*i].saturating_add(more);
-            left = left.saturating_sub(more);
+
+    /// Those in their turn come first, then those that wait, and those whose turn is over last.
+    fn turn_order(&self, claim: usize, now: f64) -> (bool, bool) {
+        let c = &self.claims[claim];
+        let in_turn = c.held >= self.least(claim) && now - c.since_ms < c.turn_ms.max(MIN_TURN_MS);
+        let holds_some = c.held > Fraction::ZERO;
+        (!in_turn, !in_turn && holds_some)
+    }
+
+    /// Meets demands, the smallest first, and shares evenly among the others what does not suffice; what is left over.
+    fn fill_demands(&self, served: &mut [usize], targets: &mut [Fraction]) -> Fraction {
+        served.sort_by_key(|claim| (self.wanted(*claim), self.claims[*claim].who));
+        let mut left = self.whole;
+        // What those that follow need at least.
+        let mut reserved: Fraction = served.iter().map(|claim| self.least(*claim)).sum();
+        for (n, claim) in served.iter().enumerate() {
+            let least = self.least(*claim);
+            reserved = reserved.saturating_sub(least);
+            let even_share = Fraction(left.0 / (served.len() - n) as u64);
+            let target = self.wanted(*claim).min(even_share.max(least));
+            targets[*claim] = target.min(left.saturating_sub(reserved));
+            left = left.saturating_sub(targets[*claim]);
+        }
+        left
+    }
+
+    /// Leaves alone what would hardly change, where that still adds up.
+    fn keep_small_changes(&self, targets: &mut [Fraction]) {
+        let mut total: Fraction = targets.iter().copied().sum();
+        for (claim, target) in self.claims.iter().zip(targets.iter_mut()) {
+            let with_held = total.saturating_sub(*target).saturating_add(claim.held);
+            let is_useful = claim.held >= claim.least.min(self.whole);
+            let is_small = (claim.held.0.abs_diff(target.0) as f64) < self.min_change(claim, *target);
+            if *target > Fraction::ZERO && is_useful && is_small && with_held <= self.whole {
+                (total, *target) = (with_held, claim.held);
+            }
         }
     }
-    steady(claims, &mut targets, whole);
-    targets
-}
 
-/// Leaves alone what hardly changed, where that still adds up.
-fn steady(claims: &[Claim], targets: &mut [Fraction], whole: Fraction) {
-    let mut all: Fraction = targets.iter().copied().sum();
-    for (claim, target) in claims.iter().zip(targets.iter_mut()) {
-        let apart = claim.held.0.abs_diff(target.0) as f64;
-        // What is left idle for steadiness is lost; what is left with its holder is not.
-        let little = match *target > claim.held {
-            true => (STEADY_UP.0 * whole.0 as f64).min(STEADY_UP.1 * target.0 as f64),
-            false => STEADY_DOWN * target.0 as f64,
-        };
-        let kept = all.saturating_sub(*target).saturating_add(claim.held);
-        let useful = claim.held >= claim.least.min(whole);
-        if *target > Fraction::ZERO && useful && apart < little && kept <= whole {
-            (all, *target) = (kept, claim.held);
+    /// The least change that is made, in billionths. What is left free for steadiness is lost; what is left with its
+    /// holder is not.
+    fn min_change(&self, claim: &Claim, target: Fraction) -> f64 {
+        if target > claim.held {
+            let of_whole = MIN_INCREASE_OF_WHOLE * self.whole.0 as f64;
+            of_whole.min(MIN_INCREASE_OF_TARGET * target.0 as f64)
+        } else {
+            MIN_DECREASE * target.0 as f64
         }
     }
 }
 
+/// Adds what is spare to the targets, in proportion to them.
+fn distribute(spare: Fraction, served: &[usize], targets: &mut [Fraction]) {
+    let total: f64 = served.iter().map(|claim| targets[*claim].as_f64()).sum();
+    if total <= 0.0 {
+        return;
+    }
+    let mut left = spare;
+    for claim in served {
+        let share = spare.as_f64() * targets[*claim].as_f64() / total;
+        let more = Fraction::from_f64(share).min(left);
+        targets[*claim] = targets[*claim].saturating_add(more);
+        left = left.saturating_sub(more);
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/ledger/src/holder.rs
+++ b/crates/ledger/src/holder.rs
@@ -1,7 +1,9 @@
-//! A host's side of leases: what it may use now, and what it tells the ledger.
+//! A host's side of leases: what it may use now, and what it requests of the ledger.
 
-use crate::budget::{Budget, Fraction, HostNumber, Incarnation};
-use crate::message::{BudgetRequest, LeaseOutcome, LeaseRequest, LeaseResponse, Refusal};
+use crate::budget::{Budget, HostNumber, Incarnation};
+use crate::fraction::Fraction;
+use crate::lease_table::Allocation;
+use crate::message::{BudgetRequest, Grant, LeaseOutcome, LeaseRequest, LeaseResponse, Refusal};
 use crate::Times;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
@@ -11,34 +13,71 @@
 pub struct Held {
     /// How much.
     pub fraction: Fraction,
-    /// Nothing of it from this moment on, by the holder's clock.
+    /// When the lease expires, by the holder's clock. From then on nothing of it may be used.
     pub until_ms: f64,
 }
 
+/// What the holder keeps of one budget.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct HeldBudget {
     demand: Fraction,
     least: Fraction,
     turn_ms: u32,
-    /// What it may use by the last grant, and what it came down to since.
-    fraction: Fraction,
-    version: u64,
-    /// What whoever uses the part has confirmed, and may be declared.
-    confirmed: Option<(Fraction, u64)>,
+    /// What may be used: the last grant, less what it came down by since.
+    current: Allocation,
+    /// What the user of the budget has confirmed to go by, and may be declared to the ledger.
+    confirmed: Option<Allocation>,
 }
 
-/// How a holder stands, for people.
+impl HeldBudget {
+    fn request(&self, budget: &Budget) -> BudgetRequest {
+        // What was confirmed under the present version. Version 0 declares nothing: no allocation has it.
+        let undeclared = Allocation { version: 0, ..self.current };
+        let declared = self.confirmed.filter(|c| c.version == self.current.version).unwrap_or(undeclared);
+        BudgetRequest {
+            budget: budget.clone(),
+            demand: self.demand,
+            least: self.least,
+            turn_ms: self.turn_ms,
+            using: declared.fraction,
+            version: declared.version,
+        }
+    }
+
+    fn apply(&mut self, grant: &Grant) {
+        let wanted = self.demand > Fraction::ZERO || self.current.fraction > Fraction::ZERO;
+        match grant.version.cmp(&self.current.version) {
+            Ordering::Greater => {
+                // A grant that is not wanted is given back with the next request.
+                let fraction = if wanted { grant.fraction.min(grant.target) } else { Fraction::ZERO };
+                self.current = Allocation { fraction, version: grant.version };
+            }
+            // Danger: under one version a fraction only comes down; what was declared once is never exceeded.
+            Ordering::Equal => self.current.fraction = self.current.fraction.min(grant.target),
+            Ordering::Less => {}
+        }
+    }
+}
+
+/// Status of a holder, for status pages.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HolderState {
-    /// What the ledger calls this process.
+    /// The number that the ledger gave this process.
     pub incarnation: Option<Incarnation>,
-    /// Until when its lease holds; minus infinity where it never had one.
+    /// When its lease expires; minus infinity where it never had one.
     pub until_ms: f64,
-    /// Another process has its name.
+    /// A later process has its host's number.
     pub superseded: bool,
 }
 
-/// One process's leases.
+/// A request without a response.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Unanswered {
+    seq: u64,
+    sent_at: f64,
+}
+
+/// One process's lease.
 #[derive(Clone, Debug)]
 pub struct Holder {
     host: HostNumber,
@@ -46,16 +85,17 @@
     times: Times,
     incarnation: Option<Incarnation>,
     budgets: BTreeMap<Budget, HeldBudget>,
+    /// Number of the last request.
     seq: u64,
-    /// Requests without a response yet: number and time of sending.
-    unanswered: VecDeque<(u64, f64)>,
+    unanswered: VecDeque<Unanswered>,
+    /// Number of the last request that got a lease.
     answered: u64,
     expires_at: f64,
     superseded: bool,
     leaving: bool,
 }
 
-/// Unanswered requests that are remembered; responses to older ones come too late in any case.
+/// Unanswered requests that are remembered. Responses to older ones come too late in any case.
 const MAX_UNANSWERED: usize = 64;
 
 impl Holder {
@@ -76,13 +116,13 @@
         }
     }
 
-    /// How it stands.
+    /// Its status.
     pub fn state(&self) -> HolderState {
         HolderState { incarnation: self.incarnation, until_ms: self.expires_at, superseded: self.superseded }
     }
 
-    /// What is asked of a budget by this host's clients: as a fraction of the whole, the least fraction that is of use, and for
-    /// how long it has to be had for that, milliseconds.
+    /// Sets the demand of this host's clients for a budget, the least fraction that is of use to them, and how long that
+    /// has to be held for it, milliseconds.
     pub fn set_demand(&mut self, budget: &Budget, demand: Fraction, least: Fraction, turn_ms: u32) {
         let held = self.budgets.entry(budget.clone()).or_default();
         (held.demand, held.least, held.turn_ms) = (demand, least, turn_ms);
@@ -90,34 +130,32 @@
 
     /// What may be used of a budget beyond the floor, and until when.
     pub fn held(&self, budget: &Budget) -> Held {
-        let fraction = self.budgets.get(budget).map_or(Fraction::ZERO, |l| l.fraction);
+        let fraction = self.budgets.get(budget).map_or(Fraction::ZERO, |b| b.current.fraction);
         Held { fraction, until_ms: self.expires_at }
     }
 
-    /// All that may be used, beyond floors.
+    /// The same of all budgets.
     pub fn all_held(&self) -> impl Iterator<Item = (&Budget, Held)> {
-        self.budgets.iter().map(|(b, l)| (b, Held { fraction: l.fraction, until_ms: self.expires_at }))
+        let until_ms = self.expires_at;
+        self.budgets.iter().map(move |(b, held)| (b, Held { fraction: held.current.fraction, until_ms }))
     }
 
-    /// Whoever uses the parts says that it goes by these now: only this can be declared to the ledger.
+    /// The user of the budget confirms that it goes by this allocation now: only that can be declared to the ledger.
     ///
-    /// Danger: a part that was told down, but not yet heard of by whoever sends, would be lent to another host.
-    pub fn confirm(&mut self, budget: &Budget, fraction: Fraction, version: u64) {
-        if let Some(held) =
-            self.budgets.get_mut(budget).filter(|l| (l.fraction, l.version) == (fraction, version))
-        {
-            held.confirmed = Some((fraction, version));
+    /// Danger: a fraction that was lowered here, but not yet by whoever sends, would be lent to another host.
+    pub fn confirm(&mut self, budget: &Budget, allocation: Allocation) {
+        if let Some(held) = self.budgets.get_mut(budget).filter(|held| held.current == allocation) {
+            held.confirmed = Some(allocation);
         }
     }
 
-    /// What has to be used from now on and was not confirmed yet: budget, fraction, version.
-    pub fn unconfirmed(&self) -> Vec<(Budget, Fraction, u64)> {
-        let differs = |l: &&HeldBudget| l.confirmed != Some((l.fraction, l.version));
-        let budgets = self.budgets.iter().filter(|(_, l)| differs(l));
-        budgets.map(|(b, l)| (b.clone(), l.fraction, l.version)).collect()
+    /// Allocations to go by from now on that were not confirmed yet.
+    pub fn unconfirmed(&self) -> Vec<(Budget, Allocation)> {
+        let unconfirmed = self.budgets.iter().filter(|(_, held)| held.confirmed != Some(held.current));
+        unconfirmed.map(|(budget, held)| (budget.clone(), held.current)).collect()
     }
 
-    /// It goes: from now on it asks for nothing, and uses nothing beyond its floors.
+    /// The process leaves: from now on it requests nothing, and may use nothing beyond its floors.
     pub fn leave(&mut self) {
         self.leaving = true;
         self.drop_lease();
@@ -125,88 +163,50 @@
 
     fn drop_lease(&mut self) {
         self.expires_at = f64::NEG_INFINITY;
-        self.budgets.values_mut().for_each(|l| (l.fraction, l.version) = (Fraction::ZERO, 0));
+        self.budgets.values_mut().for_each(|held| held.current = Allocation::NONE);
     }
 
-    /// Whether it has something to ask for. A process whose name a later one has asks no more: the two would take the
-    /// name from each other without end.
+    /// Whether it sends requests. A process that was superseded does not: the two would take the host's number from each
+    /// other without end.
     pub fn should_request(&self) -> bool {
         !self.superseded
     }
 
-    /// The next ask, sent now. Danger: the lease counts from here, before the ask goes out; a process that stands still
-    /// between sending and hearing the answer has used that time up.
+    /// The next request, sent now. Danger: the lease is counted from here, before the request is sent; a process that is
+    /// stopped between sending it and reading the response has used that time up.
     pub fn next_request(&mut self, now: f64) -> LeaseRequest {
         self.seq += 1;
-        self.unanswered.push_back((self.seq, now));
+        self.unanswered.push_back(Unanswered { seq: self.seq, sent_at: now });
         if self.unanswered.len() > MAX_UNANSWERED {
             self.unanswered.pop_front();
         }
-        let request = |(budget, l): (&Budget, &HeldBudget)| {
-            // What was confirmed under the present version, or nothing said: under version 0 the table has nothing.
-            let (using, version) = l.confirmed.filter(|c| c.1 == l.version).unwrap_or((l.fraction, 0));
-            BudgetRequest {
-                budget: budget.clone(),
-                demand: l.demand,
-                least: l.least,
-                turn_ms: l.turn_ms,
-                using,
-                version,
-            }
-        };
         LeaseRequest {
             host: self.host,
             nonce: self.nonce,
             incarnation: self.incarnation,
             seq: self.seq,
             leaving: self.leaving,
-            requests: self.budgets.iter().map(request).collect(),
+            requests: self.budgets.iter().map(|(budget, held)| held.request(budget)).collect(),
         }
     }
 
-    /// Handles a response. True where something is to be confirmed.
+    /// Handles a response. True where there may be something to confirm.
     pub fn handle_response(&mut self, now: f64, response: &LeaseResponse) -> bool {
-        let Some(sent_at) = self.unanswered.iter().find(|(seq, _)| *seq == response.seq).map(|(_, at)| *at)
-        else {
+        let Some(request) = self.unanswered.iter().copied().find(|u| u.seq == response.seq) else {
             return false;
         };
-        // Danger: an answer that was overtaken tells of a table that has changed since.
+        // Danger: a response that was overtaken tells of a table that has changed since.
         if response.nonce != self.nonce || response.seq <= self.answered || self.leaving {
             return false;
         }
         match &response.outcome {
             LeaseOutcome::Lease { incarnation, grants } => {
-                self.answered = response.seq;
-                self.unanswered.retain(|(seq, _)| *seq > response.seq);
-                if self.incarnation != Some(*incarnation) {
-                    self.drop_lease();
-                    self.incarnation = Some(*incarnation);
-                }
-                self.expires_at = self.expires_at.max(sent_at + self.times.lease_ms);
-                for (budget, held) in &mut self.budgets {
-                    if !grants.iter().any(|g| g.budget == *budget) {
-                        // Removed, at its own request.
-                        (held.fraction, held.version) = (Fraction::ZERO, 0);
-                    }
-                }
-                for g in grants {
-                    // What was granted and is not wanted has an entry too: it is given back with the next ask.
-                    let held = self.budgets.entry(g.budget.clone()).or_default();
-                    let wanted = held.demand > Fraction::ZERO || held.fraction > Fraction::ZERO;
-                    match g.version.cmp(&held.version) {
-                        Ordering::Greater if wanted => {
-                            (held.fraction, held.version) = (g.fraction.min(g.target), g.version)
-                        }
-                        Ordering::Greater => (held.fraction, held.version) = (Fraction::ZERO, g.version),
-                        // Danger: under one version a part only comes down; what was declared once is never exceeded.
-                        Ordering::Equal => held.fraction = held.fraction.min(g.target),
-                        Ordering::Less => {}
-                    }
-                }
+                self.handle_lease(request.seq, *incarnation, grants);
+                self.expires_at = self.expires_at.max(request.sent_at + self.times.lease_ms);
                 now < self.expires_at
             }
             LeaseOutcome::Refused(Refusal::Unknown) => {
-                // Its lease is over for the leader, and so it is here: the leader waited longer.
+                // The lease expired for the leader, and so it did here: the leader waited longer.
                 self.incarnation = None;
                 self.drop_lease();
                 true
@@ -219,4 +219,22 @@
             LeaseOutcome::Refused(Refusal::NotLeader(_)) => false,
         }
     }
+
+    fn handle_lease(&mut self, seq: u64, incarnation: Incarnation, grants: &[Grant]) {
+        self.answered = seq;
+        self.unanswered.retain(|u| u.seq > seq);
+        if self.incarnation != Some(incarnation) {
+            self.drop_lease();
+            self.incarnation = Some(incarnation);
+        }
+        for (budget, held) in &mut self.budgets {
+            if !grants.iter().any(|g| g.budget == *budget) {
+                // Given back at its own request.
+                held.current = Allocation::NONE;
+            }
+        }
+        for grant in grants {
+            self.budgets.entry(grant.budget.clone()).or_default().apply(grant);
+        }
+    }
 }
--- a/crates/ledger/src/lease_table.rs
+++ b/crates/ledger/src/lease_table.rs
@@ -1,39 +1,41 @@
-//! The agreed state: who is in the fleet and what is lent to whom. Every voter that applied the same entries has the same.
+//! The replicated state: which processes are members, and what is allocated to each. All voters that applied the same
+//! entries have the same table.
 
-use crate::budget::{Budget, Fraction, HostNumber, Incarnation};
+use crate::budget::{Budget, HostNumber, Incarnation};
+use crate::fraction::Fraction;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// A change of the table, as entries of the log hold it. One that no longer fits when it is applied changes nothing.
+/// A change of the table, as entries of the log hold it. One that no longer applies changes nothing.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Change {
-    /// A process joins; it gets the next incarnation. Asked again by the same process it changes nothing.
+    /// A process joins and gets the next incarnation. Repeated for the same process it changes nothing.
     Join {
-        /// Of which host.
+        /// Its host.
         host: HostNumber,
         /// A number that this process drew and no other has.
         nonce: u64,
     },
-    /// What a process holds of a budget from now on.
+    /// Sets what a process holds of a budget.
     #[serde(rename = "lend")]
     Allocate {
-        /// Which process.
+        /// The process.
         to: Incarnation,
-        /// Of what.
+        /// The budget.
         budget: Budget,
-        /// How much.
+        /// How much of it.
         #[serde(rename = "part")]
         fraction: Fraction,
-        /// The version of what it holds now; 0 where it holds nothing. Danger: a change thought out before another one
-        /// was applied would strike out what was lent in between.
+        /// The version of the allocation that this replaces; 0 where there is none. Danger: a change computed before
+        /// another one was applied would undo that one.
         #[serde(rename = "after")]
         expected_version: u64,
     },
-    /// A process is gone, or its lease is over: all it held is free.
+    /// A process left, or its lease expired: all that it held is free.
     #[serde(rename = "forget")]
     Remove {
-        /// Which.
+        /// The process.
         who: Incarnation,
     },
 }
@@ -41,24 +43,29 @@
 /// A process that joined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Member {
-    /// Of which host.
+    /// Its host.
     pub host: HostNumber,
-    /// Its own number.
+    /// The number that it drew.
     pub nonce: u64,
 }
 
 /// What a process holds of a budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Allocation {
-    /// How much.
+    /// How much of it.
     #[serde(rename = "part")]
     pub fraction: Fraction,
-    /// Version of this line; no other line ever has it.
+    /// Version of this allocation; no other one ever has it. 0 where the process holds nothing.
     #[serde(rename = "at")]
     pub version: u64,
 }
 
-/// The agreed state.
+impl Allocation {
+    /// What a process holds that has no allocation.
+    pub const NONE: Allocation = Allocation { fraction: Fraction::ZERO, version: 0 };
+}
+
+/// The replicated state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct LeaseTable {
     lendable: Fraction,
@@ -72,30 +79,30 @@
 }
 
 impl LeaseTable {
-    /// Nothing is lent yet; `lendable` is what all floors leave of each whole.
+    /// An empty table; `lendable` is what the floors of all hosts leave of each budget.
     pub fn new(lendable: Fraction) -> LeaseTable {
         LeaseTable { lendable: lendable.min(Fraction::WHOLE), ..LeaseTable::default() }
     }
 
-    /// What all floors leave.
+    /// What the floors of all hosts leave of each budget.
     pub fn lendable(&self) -> Fraction {
         self.lendable
     }
 
-    /// All processes that joined and were not forgotten.
+    /// All processes that joined and were not removed.
     pub fn members(&self) -> &BTreeMap<Incarnation, Member> {
         &self.members
     }
 
-    /// Budgets of which something is lent.
+    /// Budgets of which something is allocated, with all allocations.
     pub fn budgets(&self) -> impl Iterator<Item = (&Budget, &BTreeMap<Incarnation, Allocation>)> {
         self.allocations.iter()
     }
 
-    /// What a process holds of a budget; version 0 where that is nothing.
+    /// What a process holds of a budget.
     pub fn allocation(&self, who: Incarnation, budget: &Budget) -> Allocation {
-        let line = self.allocations.get(budget).and_then(|holders| holders.get(&who));
-        line.copied().unwrap_or(Allocation { fraction: Fraction::ZERO, version: 0 })
+        let allocation = self.allocations.get(budget).and_then(|holders| holders.get(&who));
+        allocation.copied().unwrap_or(Allocation::NONE)
     }
 
     /// All that a process holds.
@@ -103,17 +110,16 @@
         self.allocations.iter().filter_map(move |(budget, holders)| Some((budget, *holders.get(&who)?)))
     }
 
-    /// What is lent of a budget in all.
+    /// What all processes hold of a budget.
     pub fn total_allocated(&self, budget: &Budget) -> Fraction {
-        self.allocations
-            .get(budget)
-            .map_or(Fraction::ZERO, |holders| holders.values().map(|l| l.fraction).sum())
+        let Some(holders) = self.allocations.get(budget) else { return Fraction::ZERO };
+        holders.values().map(|allocation| allocation.fraction).sum()
     }
 
     /// The incarnation of a process that joined.
     pub fn incarnation(&self, host: HostNumber, nonce: u64) -> Option<Incarnation> {
-        let of_it = |m: &Member| m.host == host && m.nonce == nonce;
-        self.members.iter().find(|(_, m)| of_it(m)).map(|(who, _)| *who)
+        let is_it = |m: &Member| m.host == host && m.nonce == nonce;
+        self.members.iter().find(|(_, m)| is_it(m)).map(|(who, _)| *who)
     }
 
     /// The latest process of a host.
@@ -124,43 +130,55 @@
     /// Applies a change; whether it changed anything.
     pub fn apply(&mut self, change: &Change) -> bool {
         match change {
-            Change::Join { host, nonce } => {
-                if self.incarnation(*host, *nonce).is_some() {
-                    return false;
-                }
-                self.last_incarnation += 1;
-                let member = Member { host: *host, nonce: *nonce };
-                self.members.insert(Incarnation(self.last_incarnation), member);
-                true
-            }
+            Change::Join { host, nonce } => self.join(*host, *nonce),
             Change::Allocate { to, budget, fraction, expected_version } => {
-                let held = self.allocation(*to, budget);
-                let all =
-                    self.total_allocated(budget).saturating_sub(held.fraction).saturating_add(*fraction);
-                // Danger: whatever a leader thought, more than the whole is never written down as lent.
-                if !self.members.contains_key(to) || held.version != *expected_version || all > self.lendable
-                {
-                    return false;
-                }
-                self.last_version += 1;
-                let holders = self.allocations.entry(budget.clone()).or_default();
-                if *fraction == Fraction::ZERO {
-                    holders.remove(to);
-                } else {
-                    holders.insert(*to, Allocation { fraction: *fraction, version: self.last_version });
-                }
-                self.drop_empty_budgets();
-                true
-            }
-            Change::Remove { who } => {
-                let known = self.members.remove(who).is_some();
-                for holders in self.allocations.values_mut() {
-                    holders.remove(who);
-                }
-                self.drop_empty_budgets();
-                known
+                self.allocate(*to, budget, *fraction, *expected_version)
             }
+            Change::Remove { who } => self.remove(*who),
+        }
+    }
+
+    fn join(&mut self, host: HostNumber, nonce: u64) -> bool {
+        if self.incarnation(host, nonce).is_some() {
+            return false;
+        }
+        self.last_incarnation += 1;
+        let member = Member { host, nonce };
+        self.members.insert(Incarnation(self.last_incarnation), member);
+        true
+    }
+
+    fn allocate(
+        &mut self,
+        to: Incarnation,
+        budget: &Budget,
+        fraction: Fraction,
+        expected_version: u64,
+    ) -> bool {
+        let held = self.allocation(to, budget);
+        let total = self.total_allocated(budget).saturating_sub(held.fraction).saturating_add(fraction);
+        // Danger: whatever a leader proposes, more than the whole is never allocated.
+        if !self.members.contains_key(&to) || held.version != expected_version || total > self.lendable {
+            return false;
+        }
+        self.last_version += 1;
+        let holders = self.allocations.entry(budget.clone()).or_default();
+        if fraction == Fraction::ZERO {
+            holders.remove(&to);
+        } else {
+            holders.insert(to, Allocation { fraction, version: self.last_version });
+        }
+        self.drop_empty_budgets();
+        true
+    }
+
+    fn remove(&mut self, who: Incarnation) -> bool {
+        let known = self.members.remove(&who).is_some();
+        for holders in self.allocations.values_mut() {
+            holders.remove(&who);
         }
+        self.drop_empty_budgets();
+        known
     }
 
     fn drop_empty_budgets(&mut self) {
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -1,22 +1,24 @@
-//! What hosts say to each other. The forms are those of `serde`; fields that a release does not know are skipped.
+//! Messages between hosts. Their form on the wire is fixed: see `tests/formats.rs`. Fields that a release does not know
+//! are skipped.
 
-use crate::budget::{Budget, Fraction, HostNumber, Incarnation};
+use crate::budget::{Budget, HostNumber, Incarnation};
+use crate::fraction::Fraction;
 use crate::raft::RaftMessage;
 use serde::{Deserialize, Serialize};
 
-/// Version of the talk. A host of another one is refused in words.
+/// Version of the protocol. A host with another one is refused, and told why.
 pub const VERSION: u32 = 1;
 
-/// First word of each connection.
+/// The handshake: first message of each connection, from both sides.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
-    /// [`VERSION`] of whoever speaks.
+    /// [`VERSION`] of the sender.
     pub version: u32,
     /// The fleet's name.
     pub fleet: String,
-    /// Checksum of what all hosts of a fleet must have alike.
+    /// Checksum of the settings that all hosts of a fleet must share.
     pub settings: String,
-    /// Who speaks.
+    /// The sender.
     pub host: HostNumber,
 }
 
@@ -24,9 +26,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Message {
-    /// Who speaks; the first message of a connection, and in answer to it.
+    /// The first message of a connection, the response to it, and a keepalive.
     Hello(Hello),
-    /// Why nothing more will be said on this connection.
+    /// Why the sender closes the connection.
     Refused(String),
     /// From voter to voter.
     Raft(RaftMessage),
@@ -38,93 +40,100 @@
     LeaseResponse(LeaseResponse),
 }
 
-/// What a host says of one budget.
+/// What a host requests of one budget.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetRequest {
-    /// Which.
+    /// The budget.
     pub budget: Budget,
-    /// What its clients asked for of late, as a fraction of the whole; may be more than that.
+    /// The demand of its clients of late; may be more than the whole.
     pub demand: Fraction,
     /// The least fraction that is of use: what holds its largest request.
     pub least: Fraction,
-    /// How long it has to have that for a request to come of it, milliseconds.
+    /// How long that has to be held for a request to come of it, milliseconds.
     #[serde(default)]
     pub turn_ms: u32,
-    /// It uses no more than this, on top of its floor, until a grant of a later version lets it.
+    /// The host uses no more than this, on top of its floor, until a grant of a later version allows it.
     pub using: Fraction,
-    /// Version of the grant that `using` is under; 0 where it never had one.
+    /// Version of the grant that `using` is under; 0 where there was none.
     #[serde(rename = "at")]
     pub version: u64,
 }
 
-/// A host asks.
+/// A host requests a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRequest {
-    /// Which host.
+    /// The host.
     pub host: HostNumber,
-    /// Which process of it, by its own number.
+    /// The number that its process drew.
     pub nonce: u64,
-    /// The same as the ledger calls it, once it did.
+    /// The number that the ledger gave the process, once it did.
     pub incarnation: Option<Incarnation>,
-    /// Counts its asks.
+    /// Counts the process's requests.
     pub seq: u64,
-    /// It goes: all it held may be lent to others at once.
+    /// The process leaves: all that it held may be lent to others at once.
     pub leaving: bool,
     /// Every budget that it holds or wants some of.
     #[serde(rename = "wants")]
     pub requests: Vec<BudgetRequest>,
 }
 
-/// A line of the table, told to its holder.
+/// An allocation, as its holder is told of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
-    /// Of what.
+    /// The budget.
     pub budget: Budget,
-    /// What the table has.
+    /// The fraction that is allocated.
     #[serde(rename = "part")]
     pub fraction: Fraction,
-    /// Version of that line.
+    /// Version of the allocation.
     #[serde(rename = "at")]
     pub version: u64,
-    /// What the holder should come down to; the same as `part` where it need not.
+    /// What the holder should come down to; the same as `fraction` where it need not.
     pub target: Fraction,
 }
 
-/// Why an ask was not answered with grants.
+/// Why a request got no lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refusal {
-    /// This voter does not lead; perhaps that one does.
+    /// This voter is not the leader; perhaps that one is.
     NotLeader(Option<HostNumber>),
-    /// This process is not, or no longer, in the table: it has to join anew.
+    /// The process is no member, or no longer: it has to join anew.
     Unknown,
-    /// A later process has the host's name.
+    /// A later process has the host's number.
     Superseded,
 }
 
-/// What is said to an ask.
+/// The outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LeaseOutcome {
-    /// The lease holds from when this ask was sent, with these parts and no others.
+    /// A lease, counted from when the request was sent, with these grants and no others.
     Lease {
         /// The process.
         incarnation: Incarnation,
         /// All that it holds.
         grants: Vec<Grant>,
     },
-    /// Nothing is lent by this answer.
+    /// No lease.
     Refused(Refusal),
 }
 
-/// A voter answers.
+/// A voter's response to a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseResponse {
-    /// To which process.
+    /// The process that sent the request.
     pub nonce: u64,
-    /// To which ask.
+    /// The request.
     pub seq: u64,
-    /// What.
+    /// Its outcome.
     #[serde(rename = "said")]
     pub outcome: LeaseOutcome,
 }
+
+impl LeaseResponse {
+    /// The response to a request.
+    pub fn to(request: &LeaseRequest, outcome: LeaseOutcome) -> LeaseResponse {
+        LeaseResponse { nonce: request.nonce, seq: request.seq, outcome }
+    }
+}
--- a/crates/ledger/src/meter.rs
+++ b/crates/ledger/src/meter.rs
@@ -1,51 +1,59 @@
-//! What clients ask for of late, as a part of a whole.
+//! Measures the demand for a budget.
 
-use crate::budget::Fraction;
+use crate::fraction::Fraction;
 use std::collections::VecDeque;
 
-/// The span over which demand is counted at the least, milliseconds: a few asks of the ledger.
-const SPAN_MS: f64 = 600.0;
-/// And at the most.
-const SPAN_MOST_MS: f64 = 10_000.0;
+/// The least span over which demand is counted, milliseconds: a few requests of the holder.
+const MIN_SPAN_MS: f64 = 600.0;
+/// The longest such span.
+const MAX_SPAN_MS: f64 = 10_000.0;
 /// Counts within a span are kept in so many steps.
 const STEPS: f64 = 16.0;
+/// The least rate that is reckoned with, units a second.
+const MIN_RATE: f64 = 1e-6;
 
-/// Counts what is asked of one budget. Nothing fades: what was asked before the span is forgotten whole, so that a load
-/// that has gone elsewhere frees all it had.
+/// Units that were requested from a moment on, for one step.
+#[derive(Clone, Copy, Debug)]
+struct Count {
+    at_ms: f64,
+    units: f64,
+}
+
+/// Counts what is requested of one budget, in a sliding window. What is older than the window counts for nothing, so
+/// that a load that moved to another host frees all that it had.
 #[derive(Clone, Debug)]
 pub struct Meter {
     rate: f64,
     span_ms: f64,
-    counts: VecDeque<(f64, f64)>,
+    counts: VecDeque<Count>,
 }
 
 impl Meter {
-    /// For a whole of so many units a second, of which one request may ask for `largest`.
+    /// For a budget of so many units a second, of which one request may take `largest`.
     pub fn new(rate: f64, largest: f64) -> Meter {
         // Danger: where the whole is a unit a second, requests are seconds apart, and each pause would look like an end.
-        let apart_ms = 1_000.0 * largest.max(0.0) / rate.max(1e-6);
-        Meter { rate, span_ms: (SPAN_MS + apart_ms).min(SPAN_MOST_MS), counts: VecDeque::new() }
+        let apart_ms = 1_000.0 * largest.max(0.0) / rate.max(MIN_RATE);
+        Meter { rate, span_ms: (MIN_SPAN_MS + apart_ms).min(MAX_SPAN_MS), counts: VecDeque::new() }
     }
 
-    /// So much was asked up to now since the last call; the demand, as a fraction of the whole.
+    /// Counts the units that were requested since the last call; the demand, as a fraction of the whole.
     pub fn count(&mut self, now: f64, units: f64) -> Fraction {
         if units > 0.0 {
             match self.counts.back_mut() {
-                Some((at, sum)) if now - *at < self.span_ms / STEPS => *sum += units,
-                _ => self.counts.push_back((now, units)),
+                Some(last) if now - last.at_ms < self.span_ms / STEPS => last.units += units,
+                _ => self.counts.push_back(Count { at_ms: now, units }),
             }
         }
-        while self.counts.front().is_some_and(|(at, _)| now - *at > self.span_ms) {
+        while self.counts.front().is_some_and(|first| now - first.at_ms > self.span_ms) {
             self.counts.pop_front();
         }
-        let asked: f64 = self.counts.iter().map(|(_, units)| units).sum();
-        // What is asked once at least is some demand, however large the whole.
-        let fraction = Fraction::from_f64(asked * 1_000.0 / self.span_ms / self.rate.max(1e-6));
-        if asked > 0.0 {
-            fraction.max(Fraction(1))
-        } else {
-            Fraction::ZERO
+        let requested: f64 = self.counts.iter().map(|count| count.units).sum();
+        if requested <= 0.0 {
+            return Fraction::ZERO;
         }
+        // Any request at all is some demand, however large the whole.
+        let demand = requested * 1_000.0 / self.span_ms / self.rate.max(MIN_RATE);
+        Fraction::from_f64(demand).max(Fraction(1))
     }
 }
 
--- a/crates/ledger/src/random.rs
+++ b/crates/ledger/src/random.rs
@@ -1,6 +1,6 @@
-//! Draws from a seed.
+//! A seeded generator of random numbers.
 
-/// Numbers from the seed alone (splitmix64).
+/// splitmix64: the numbers depend on the seed alone.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Random(pub(crate) u64);
 
--- a/crates/ledger/src/voter.rs
+++ b/crates/ledger/src/voter.rs
@@ -1,130 +1,226 @@
-//! A voter: its part in the agreement, the agreed state, and while it leads the lending.
+//! A voter: its replica of the log and of the state, and while it leads the management of leases.
 
 use crate::budget::{HostNumber, Incarnation};
 use crate::lease_manager::LeaseManager;
-use crate::lease_table::LeaseTable;
+use crate::lease_table::{Change, LeaseTable};
 use crate::message::{LeaseOutcome, LeaseRequest, LeaseResponse, Refusal};
 use crate::raft::{Output, PersistentState, Raft, RaftMessage};
-use crate::{Change, Times};
+use crate::Times;
 
-/// Entries after which the log is cut and the state written in their place, where nothing else is said.
+/// Entries after which the log is compacted into a snapshot, by default.
 const COMPACT_AFTER: u64 = 2_048;
-/// The least time between two divisions, milliseconds: what is asked within is divided together.
+/// The least time between two divisions, milliseconds: requests that come within it are handled together.
 const BATCH_WINDOW_MS: f64 = 20.0;
-
-/// Asks of one process that wait for an answer at the most.
+/// Most requests of one process that wait for a response.
 const MAX_PENDING_REQUESTS: usize = 4;
 
-/// What is to be written, then said to voters and to those who asked.
+/// What is to be written, then sent to voters and to those who sent requests.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Ready<T> {
     /// For the other voters, with what has to be on disk before.
     pub raft: Output,
-    /// For those who asked, by the token of their ask.
+    /// Responses, by the token of their request.
     pub responses: Vec<(T, LeaseResponse)>,
 }
 
-/// How a voter stands, for people.
+/// Status of a voter, for status pages.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VoterState {
     /// The term.
     pub term: u64,
-    /// Who leads.
+    /// The leader.
     pub leader: Option<HostNumber>,
-    /// All up to here is agreed.
+    /// Index of the last committed entry that it knows of.
     pub commit: u64,
-    /// The last entry that it has.
+    /// Index of the last entry that it has.
     pub last: u64,
 }
 
+/// What has to happen before a response is sent.
+#[derive(Clone, Copy, Debug)]
+struct Condition {
+    /// A quorum has received this heartbeat, which was sent after the request came: this voter still led then.
+    heartbeat: u64,
+    /// The entry of this index is applied: what the request led to is in its response.
+    index: u64,
+}
+
 #[derive(Clone, Debug)]
 struct PendingRequest<T> {
     token: T,
     request: LeaseRequest,
-    /// The word of the leader that a majority has to have heard: sent after the ask came.
-    heartbeat: u64,
-    /// Entries that have to be applied before: what this ask led to is in its answer.
-    index: u64,
+    /// None until a division has looked at the request.
+    condition: Option<Condition>,
+}
+
+/// A request that gets no lease.
+struct Rejected {
+    nonce: u64,
+    seq: u64,
+    /// None where it gets no response at all.
+    refusal: Option<Refusal>,
 }
 
+/// State of a voter while it leads.
 #[derive(Clone, Debug)]
-struct LeaderState<T> {
+struct Leadership<T> {
     lease_manager: LeaseManager,
     pending: Vec<PendingRequest<T>>,
-    /// The last proposal; no other is made before it is applied.
+    /// Index of the last proposal. No other is made before it is applied.
     proposed: u64,
     divide_at: f64,
-    /// Asks came that no division has looked at.
-    requested: bool,
+    /// Requests came that no division has looked at.
+    has_new_requests: bool,
+}
+
+impl<T> Leadership<T> {
+    fn new(times: Times, table: &LeaseTable, now: f64) -> Leadership<T> {
+        Leadership {
+            lease_manager: LeaseManager::new(times, table, now),
+            pending: Vec::new(),
+            proposed: 0,
+            divide_at: now,
+            has_new_requests: false,
+        }
+    }
+
+    fn add(&mut self, token: T, request: LeaseRequest) {
+        // Danger: were each request to replace the one before, with a slow disk none would get a response.
+        let nonce = request.nonce;
+        let of_process = |p: &PendingRequest<T>| p.request.nonce == nonce;
+        if self.pending.iter().filter(|p| of_process(p)).count() >= MAX_PENDING_REQUESTS {
+            if let Some(oldest) = self.pending.iter().position(of_process) {
+                self.pending.remove(oldest);
+            }
+        }
+        self.pending.push(PendingRequest { token, request, condition: None });
+        self.has_new_requests = true;
+    }
+
+    fn next_division(&self) -> f64 {
+        let for_requests = if self.has_new_requests { self.divide_at } else { f64::INFINITY };
+        for_requests.min((self.lease_manager.next_deadline() + 1.0).max(self.divide_at))
+    }
+
+    fn is_division_due(&self, now: f64, applied: u64) -> bool {
+        let has_work = self.has_new_requests || now > self.lease_manager.next_deadline();
+        has_work && now >= self.divide_at && self.proposed <= applied
+    }
+
+    /// Hands new requests to the lease manager. Processes that are to join, and requests that get no lease.
+    fn admit_new_requests(&mut self, now: f64, table: &LeaseTable) -> (Vec<Change>, Vec<Rejected>) {
+        let mut joins = Vec::new();
+        let mut rejected = Vec::new();
+        for PendingRequest { request, .. } in self.pending.iter().filter(|p| p.condition.is_none()) {
+            let mut reject =
+                |refusal| rejected.push(Rejected { nonce: request.nonce, seq: request.seq, refusal });
+            match admit(table, request) {
+                Admission::Member(who) => {
+                    if !self.lease_manager.handle_request(now, who, request) {
+                        reject(None);
+                    }
+                }
+                Admission::Join => joins.push(Change::Join { host: request.host, nonce: request.nonce }),
+                Admission::Refused(refusal) => reject(Some(refusal)),
+            }
+        }
+        (joins, rejected)
+    }
+
+    fn set_condition_of_new_requests(&mut self, condition: Condition) {
+        for pending in self.pending.iter_mut().filter(|p| p.condition.is_none()) {
+            pending.condition = Some(condition);
+        }
+    }
+
+    /// Removes one request. Danger: a process may have several here; the others stay.
+    fn remove(&mut self, rejected: &Rejected) -> Option<PendingRequest<T>> {
+        let is_it =
+            |p: &PendingRequest<T>| (p.request.nonce, p.request.seq) == (rejected.nonce, rejected.seq);
+        let at = self.pending.iter().position(is_it)?;
+        Some(self.pending.swap_remove(at))
+    }
+
+    /// Takes the requests whose condition is met.
+    fn take_confirmed(&mut self, confirmed_heartbeat: u64, applied: u64) -> Vec<PendingRequest<T>> {
+        let is_met = |c: Condition| c.heartbeat <= confirmed_heartbeat && c.index <= applied;
+        let (confirmed, rest) =
+            std::mem::take(&mut self.pending).into_iter().partition(|p| p.condition.is_some_and(is_met));
+        self.pending = rest;
+        confirmed
+    }
 }
 
-/// One voter. `T` names asks.
+/// One voter. `T` names requests to whoever hands them in.
 #[derive(Clone, Debug)]
 pub struct Voter<T> {
     raft: Raft,
     times: Times,
     table: LeaseTable,
+    /// Index of the last entry that `table` has.
     applied: u64,
-    leading: Option<LeaderState<T>>,
+    leadership: Option<Leadership<T>>,
     responses: Vec<(T, LeaseResponse)>,
     compact_after: u64,
 }
 
 impl<T: Clone> Voter<T> {
-    /// A voter that goes on from what it has on disk. `image.table` of a new one is an empty [`LeaseTable::new`].
+    /// A voter that continues from what it has on disk. The `table` of a new one is an empty [`LeaseTable::new`].
     pub fn new(
         me: HostNumber,
         voters: &[HostNumber],
         times: Times,
         seed: u64,
-        image: PersistentState,
+        state: PersistentState,
         now: f64,
     ) -> Voter<T> {
-        let (table, applied) = (image.table.clone(), image.base.0);
-        let raft = Raft::new(me, voters, times, seed, image, now);
-        let responses = Vec::new();
-        Voter { raft, times, table, applied, leading: None, responses, compact_after: COMPACT_AFTER }
+        Voter {
+            times,
+            table: state.table.clone(),
+            applied: state.snapshot.index,
+            raft: Raft::new(me, voters, times, seed, state, now),
+            leadership: None,
+            responses: Vec::new(),
+            compact_after: COMPACT_AFTER,
+        }
     }
 
-    /// The same, whose log is cut after so many entries.
+    /// The same voter, whose log is compacted after so many entries.
     pub fn compacting_after(self, entries: u64) -> Voter<T> {
         Voter { compact_after: entries, ..self }
     }
 
-    /// The agreed state, as far as this voter knows it.
+    /// The replicated state, as far as this voter knows it.
     pub fn table(&self) -> &LeaseTable {
         &self.table
     }
 
-    /// What the agreement stands at.
+    /// The consensus on the log.
     pub fn raft(&self) -> &Raft {
         &self.raft
     }
 
-    /// The accounts, while it leads and knows all that was agreed.
+    /// The leases, while this voter leads and knows all that was committed.
     pub fn lease_manager(&self) -> Option<&LeaseManager> {
-        self.leading.as_ref().map(|l| &l.lease_manager)
+        self.leadership.as_ref().map(|l| &l.lease_manager)
     }
 
-    /// How it stands.
+    /// Its status.
     pub fn state(&self) -> VoterState {
         VoterState {
             term: self.raft.term(),
             leader: self.raft.leader(),
             commit: self.raft.commit(),
-            last: self.raft.log().last(),
+            last: self.raft.log().last_index(),
         }
     }
 
-    /// When something is due next.
+    /// When [`Voter::tick`] has something to do next.
     pub fn next_deadline(&self) -> f64 {
-        // While a proposal waits to be agreed on, words of others move things on, and no clock does.
-        let idle = self.leading.as_ref().filter(|l| l.proposed <= self.applied);
-        let divide = idle.map_or(f64::INFINITY, |l| {
-            let next = if l.requested { l.divide_at } else { f64::INFINITY };
-            next.min((l.lease_manager.next_deadline() + 1.0).max(l.divide_at))
-        });
-        self.raft.next_deadline().min(divide)
+        // While a proposal waits to be committed, messages move things on, and no clock does.
+        let idle = self.leadership.as_ref().filter(|l| l.proposed <= self.applied);
+        let next_division = idle.map_or(f64::INFINITY, Leadership::next_division);
+        self.raft.next_deadline().min(next_division)
     }
 
     /// Does what is due.
@@ -133,56 +229,59 @@
         self.process(now);
     }
 
-    /// Takes a message of another voter.
+    /// Handles a message of another voter.
     pub fn handle_message(&mut self, now: f64, from: HostNumber, message: RaftMessage) {
         self.raft.handle_message(now, from, message);
         self.process(now);
     }
 
-    /// Takes an ask. It is answered at once, or once this voter is sure that it still leads.
+    /// Handles a request. The response follows at once, or when it is sure that this voter still leads.
     pub fn handle_request(&mut self, now: f64, token: T, request: LeaseRequest) {
-        let Some(leading) = &mut self.leading else {
-            let leader = self.raft.leader().filter(|_| !self.raft.is_leader());
-            return self.refuse(token, &request, Refusal::NotLeader(leader));
-        };
-        // Danger: were each ask to take the place of the one before, a slow disk would leave all without an answer.
-        if leading.pending.iter().filter(|p| p.request.nonce == request.nonce).count() >= MAX_PENDING_REQUESTS
-        {
-            if let Some(oldest) = leading.pending.iter().position(|p| p.request.nonce == request.nonce) {
-                leading.pending.remove(oldest);
+        match &mut self.leadership {
+            Some(leadership) => {
+                leadership.add(token, request);
+                self.process(now);
             }
+            None => self.refuse(token, &request, Refusal::NotLeader(self.other_leader())),
         }
-        leading.pending.push(PendingRequest { token, request, heartbeat: u64::MAX, index: u64::MAX });
-        leading.requested = true;
-        self.process(now);
     }
 
-    fn refuse(&mut self, token: T, request: &LeaseRequest, refusal: Refusal) {
-        let outcome = LeaseOutcome::Refused(refusal);
-        self.responses.push((token, LeaseResponse { nonce: request.nonce, seq: request.seq, outcome }));
-    }
-
-    /// What was taken before is on disk.
+    /// Called once what was taken before is on disk.
     pub fn persisted(&mut self, now: f64) {
         self.raft.persisted();
         self.process(now);
     }
 
-    /// Takes what there is to write and to say.
+    /// Takes what there is to write and to send.
     pub fn take_output(&mut self) -> Ready<T> {
         Ready { raft: self.raft.take_output(), responses: std::mem::take(&mut self.responses) }
     }
 
+    /// The leader, where that is another voter.
+    fn other_leader(&self) -> Option<HostNumber> {
+        self.raft.leader().filter(|_| !self.raft.is_leader())
+    }
+
+    fn respond(&mut self, token: T, request: &LeaseRequest, outcome: LeaseOutcome) {
+        self.responses.push((token, LeaseResponse::to(request, outcome)));
+    }
+
+    fn refuse(&mut self, token: T, request: &LeaseRequest, refusal: Refusal) {
+        self.respond(token, request, LeaseOutcome::Refused(refusal));
+    }
+
     fn process(&mut self, now: f64) {
-        self.apply();
-        self.lead(now);
-        self.answer_confirmed_requests(now);
+        self.apply_committed();
+        self.update_leadership(now);
+        self.divide_if_due(now);
+        self.respond_to_confirmed(now);
     }
 
-    fn apply(&mut self) {
-        if self.raft.log().base().0 > self.applied {
-            // A leader sent the state in place of entries that it no longer has.
-            (self.table, self.applied) = (self.raft.base().clone(), self.raft.log().base().0);
+    fn apply_committed(&mut self) {
+        if self.raft.log().snapshot().index > self.applied {
+            // The leader sent a snapshot in place of entries that it no longer has.
+            self.table = self.raft.snapshot_table().clone();
+            self.applied = self.raft.log().snapshot().index;
         }
         while self.applied < self.raft.commit() {
             let Some(entry) = self.raft.log().get(self.applied + 1) else { break };
@@ -191,124 +290,102 @@
             }
             self.applied += 1;
         }
-        if self.applied - self.raft.log().base().0 > self.compact_after {
+        if self.applied - self.raft.log().snapshot().index > self.compact_after {
             self.raft.compact(self.applied, &self.table);
         }
     }
 
-    /// Begins or ends to lend, and divides when it is time.
-    fn lead(&mut self, now: f64) {
-        if !self.raft.has_committed_in_term() {
-            let Some(leading) = self.leading.take() else { return };
-            let leader = self.raft.leader().filter(|_| !self.raft.is_leader());
-            for p in leading.pending {
+    /// Begins to manage leases once this voter leads and knows all that was committed, and ends it when it leads no more.
+    fn update_leadership(&mut self, now: f64) {
+        if self.raft.has_committed_in_term() {
+            self.leadership.get_or_insert_with(|| Leadership::new(self.times, &self.table, now));
+        } else if let Some(leadership) = self.leadership.take() {
+            let leader = self.other_leader();
+            for p in leadership.pending {
                 self.refuse(p.token, &p.request, Refusal::NotLeader(leader));
             }
-            return;
-        }
-        if self.leading.is_none() {
-            self.leading = Some(LeaderState {
-                lease_manager: LeaseManager::new(self.times, &self.table, now),
-                pending: Vec::new(),
-                proposed: 0,
-                divide_at: now,
-                requested: false,
-            });
         }
-        let Some(l) = &mut self.leading else { return };
-        let due = l.requested || now > l.lease_manager.next_deadline();
-        if !due || now < l.divide_at || l.proposed > self.applied {
+    }
+
+    fn divide_if_due(&mut self, now: f64) {
+        let Some(leadership) = &mut self.leadership else { return };
+        if !leadership.is_division_due(now, self.applied) {
             return;
         }
-        (l.divide_at, l.requested) = (now + BATCH_WINDOW_MS, false);
-        let mut joins = Vec::new();
-        let mut refused = Vec::new();
-        for p in l.pending.iter_mut().filter(|p| p.heartbeat == u64::MAX) {
-            let found = p.request.incarnation.or(self.table.incarnation(p.request.host, p.request.nonce));
-            match admit(&self.table, &p.request, found) {
-                Admitted::Yes(who) => {
-                    if !l.lease_manager.handle_request(now, who, &p.request) {
-                        refused.push((p.request.nonce, p.request.seq, None));
-                    }
-                }
-                Admitted::Join => {
-                    joins.push(Change::Join { host: p.request.host, nonce: p.request.nonce });
-                }
-                Admitted::No(refusal) => refused.push((p.request.nonce, p.request.seq, Some(refusal))),
-            }
+        (leadership.divide_at, leadership.has_new_requests) = (now + BATCH_WINDOW_MS, false);
+        let (mut changes, rejected) = leadership.admit_new_requests(now, &self.table);
+        changes.extend(leadership.lease_manager.propose_changes(now, &self.table));
+        let mut index = 0;
+        if !changes.is_empty() {
+            index = self.raft.propose(changes).unwrap_or(0);
+            leadership.proposed = index;
         }
-        let mut changes = joins;
-        changes.extend(l.lease_manager.propose_changes(now, &self.table));
-        let proposes = !changes.is_empty();
-        if proposes {
-            l.proposed = self.raft.propose(changes).unwrap_or(0);
-        }
-        // One word to all: it carries the entries, and makes sure that it still leads.
+        // One heartbeat carries the entries to all, and makes sure that this voter still leads.
         let heartbeat = self.raft.send_heartbeat(now);
-        let fresh = l.pending.iter_mut().filter(|p| p.heartbeat == u64::MAX);
-        fresh.for_each(|p| (p.heartbeat, p.index) = (heartbeat, if proposes { l.proposed } else { 0 }));
-        let mut turned_away = Vec::new();
-        for (nonce, seq, refusal) in refused {
-            // Danger: a process may have several asks here; the one that was refused goes, and no other.
-            if let Some(at) = l.pending.iter().position(|p| (p.request.nonce, p.request.seq) == (nonce, seq))
-            {
-                turned_away.push((l.pending.swap_remove(at), refusal));
+        leadership.set_condition_of_new_requests(Condition { heartbeat, index });
+        self.reject(rejected);
+    }
+
+    fn reject(&mut self, rejected: Vec<Rejected>) {
+        for r in rejected {
+            let Some(leadership) = &mut self.leadership else { return };
+            let Some(pending) = leadership.remove(&r) else { continue };
+            if let Some(refusal) = r.refusal {
+                self.refuse(pending.token, &pending.request, refusal);
             }
         }
-        for (p, refusal) in turned_away {
-            if let Some(refusal) = refusal {
-                self.refuse(p.token, &p.request, refusal);
+    }
+
+    fn respond_to_confirmed(&mut self, now: f64) {
+        let confirmed_heartbeat = self.raft.confirmed_heartbeat();
+        let Some(leadership) = &mut self.leadership else { return };
+        for p in leadership.take_confirmed(confirmed_heartbeat, self.applied) {
+            if let Some(outcome) = self.outcome(now, &p.request) {
+                self.respond(p.token, &p.request, outcome);
             }
         }
     }
 
-    fn answer_confirmed_requests(&mut self, now: f64) {
-        let confirmed_heartbeat = self.raft.confirmed_heartbeat();
-        let Some(l) = &mut self.leading else { return };
-        let applied = self.applied;
-        let ripe = |p: &PendingRequest<T>| p.heartbeat <= confirmed_heartbeat && p.index <= applied;
-        let (ripe, rest) = std::mem::take(&mut l.pending).into_iter().partition(ripe);
-        l.pending = rest;
-        for p in ripe {
-            let found = p.request.incarnation.or(self.table.incarnation(p.request.host, p.request.nonce));
-            let outcome = match admit(&self.table, &p.request, found) {
-                Admitted::Yes(who) => {
-                    // One that has just joined is asked for no more than its name in its first answer.
-                    if !l.lease_manager.leases().contains_key(&who) {
-                        l.lease_manager.handle_request(now, who, &p.request);
-                        l.requested = true;
-                    }
-                    if !l.lease_manager.is_open(who) {
-                        continue;
-                    }
-                    l.lease_manager.renew_lease(now, who);
-                    LeaseOutcome::Lease { incarnation: who, grants: l.lease_manager.grants(who, &self.table) }
-                }
-                Admitted::Join => LeaseOutcome::Refused(Refusal::Unknown),
-                Admitted::No(refusal) => LeaseOutcome::Refused(refusal),
-            };
-            self.responses
-                .push((p.token, LeaseResponse { nonce: p.request.nonce, seq: p.request.seq, outcome }));
+    /// The outcome of a request by the present table; none where it gets no response.
+    fn outcome(&mut self, now: f64, request: &LeaseRequest) -> Option<LeaseOutcome> {
+        let leadership = self.leadership.as_mut()?;
+        let who = match admit(&self.table, request) {
+            Admission::Member(who) => who,
+            Admission::Join => return Some(LeaseOutcome::Refused(Refusal::Unknown)),
+            Admission::Refused(refusal) => return Some(LeaseOutcome::Refused(refusal)),
+        };
+        let leases = &mut leadership.lease_manager;
+        if !leases.leases().contains_key(&who) {
+            // It has just joined: its first response has its incarnation, the next division its grants.
+            leases.handle_request(now, who, request);
+            leadership.has_new_requests = true;
+        }
+        if !leases.is_open(who) {
+            return None;
         }
+        leases.renew_lease(now, who);
+        Some(LeaseOutcome::Lease { incarnation: who, grants: leases.grants(who, &self.table) })
     }
 }
 
-enum Admitted {
-    Yes(Incarnation),
+/// What the table says of the sender of a request.
+enum Admission {
+    Member(Incarnation),
+    /// It has to join first.
     Join,
-    No(Refusal),
+    Refused(Refusal),
 }
 
-/// Who an ask is from, by the table.
-fn admit(table: &LeaseTable, request: &LeaseRequest, found: Option<Incarnation>) -> Admitted {
-    let Some(who) = found else { return Admitted::Join };
-    let sane = table.members().get(&who).is_some_and(|m| m.host == request.host && m.nonce == request.nonce);
-    if !sane {
-        return Admitted::No(Refusal::Unknown);
+fn admit(table: &LeaseTable, request: &LeaseRequest) -> Admission {
+    let (host, nonce) = (request.host, request.nonce);
+    let Some(who) = request.incarnation.or(table.incarnation(host, nonce)) else { return Admission::Join };
+    let is_member = table.members().get(&who).is_some_and(|m| m.host == host && m.nonce == nonce);
+    if !is_member {
+        return Admission::Refused(Refusal::Unknown);
     }
-    // The older of two processes under one name gives way: the later one came after it, and perhaps instead of it.
-    if table.latest(request.host) != Some(who) {
-        return Admitted::No(Refusal::Superseded);
+    // Of two processes with one number the older gives way: the later one came after it, and perhaps in its place.
+    if table.latest(host) != Some(who) {
+        return Admission::Refused(Refusal::Superseded);
     }
-    Admitted::Yes(who)
+    Admission::Member(who)
 }
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -154,8 +154,8 @@
             Said::LeaseResponse(to, answer) => {
                 let holder = &mut self.holders[to];
                 holder.handle_response(self.now, &answer);
-                for (b, fraction, at) in holder.unconfirmed() {
-                    holder.confirm(&b, fraction, at);
+                for (b, allocation) in holder.unconfirmed() {
+                    holder.confirm(&b, allocation);
                 }
             }
         }
--- a/crates/ledger/tests/raft.rs
+++ b/crates/ledger/tests/raft.rs
@@ -33,7 +33,7 @@
 
 fn append(previous: (u64, u64), entries: Vec<Entry>, commit: u64) -> RaftPayload {
     RaftPayload::AppendRequest {
-        previous: previous.0,
+        previous_index: previous.0,
         previous_term: previous.1,
         entries,
         commit,
@@ -45,16 +45,16 @@
 fn a_vote_outlives_a_crash() {
     let mut image = PersistentState::default();
     let mut v = voter(&image, 0.0);
-    send(&mut v, 0, 1, RaftPayload::VoteRequest { last: 0, last_term: 0 });
+    send(&mut v, 0, 1, RaftPayload::VoteRequest { last_index: 0, last_term: 0 });
     assert_eq!(kept(&mut image, &mut v)[0].1.payload, RaftPayload::VoteResponse(true));
     let mut again = voter(&image, 1.0);
-    send(&mut again, 1, 1, RaftPayload::VoteRequest { last: 0, last_term: 0 });
+    send(&mut again, 1, 1, RaftPayload::VoteRequest { last_index: 0, last_term: 0 });
     assert_eq!(
         kept(&mut image, &mut again)[0].1.payload,
         RaftPayload::VoteResponse(false),
         "two leaders of one term"
     );
-    send(&mut again, 0, 1, RaftPayload::VoteRequest { last: 0, last_term: 0 });
+    send(&mut again, 0, 1, RaftPayload::VoteRequest { last_index: 0, last_term: 0 });
     assert_eq!(
         kept(&mut image, &mut again)[0].1.payload,
         RaftPayload::VoteResponse(true),
@@ -68,7 +68,7 @@
     let mut v = voter(&image, 0.0);
     send(&mut v, 0, 1, append((0, 0), vec![entry(1, 1), entry(1, 2)], 0));
     kept(&mut image, &mut v);
-    send(&mut v, 1, 2, RaftPayload::VoteRequest { last: 1, last_term: 1 });
+    send(&mut v, 1, 2, RaftPayload::VoteRequest { last_index: 1, last_term: 1 });
     assert_eq!(kept(&mut image, &mut v)[0].1.payload, RaftPayload::VoteResponse(false));
 }
 
@@ -84,9 +84,9 @@
         let table = LeaseTable::new(Fraction::from_f64(0.5));
         send(&mut v, 0, 1, RaftPayload::InstallSnapshot { index, index_term, table, heartbeat: 2 });
         kept(&mut image, &mut v);
-        assert_eq!((v.log().last(), v.commit()), (4, 3), "after a snapshot of {index}");
+        assert_eq!((v.log().last_index(), v.commit()), (4, 3), "after a snapshot of {index}");
     }
-    assert_eq!(voter(&image, 1.0).log().last(), 4);
+    assert_eq!(voter(&image, 1.0).log().last_index(), 4);
 }
 
 #[test]
@@ -102,9 +102,9 @@
         RaftPayload::InstallSnapshot { index: 9, index_term: 3, table: table.clone(), heartbeat: 2 },
     );
     kept(&mut image, &mut v);
-    assert_eq!((v.log().last(), v.commit(), v.base()), (9, 9, &table));
+    assert_eq!((v.log().last_index(), v.commit(), v.snapshot_table()), (9, 9, &table));
     let again = voter(&image, 1.0);
-    assert_eq!((again.log().last(), again.log().last_term(), again.term()), (9, 3, 3));
+    assert_eq!((again.log().last_index(), again.log().last_term(), again.term()), (9, 3, 3));
 }
 
 #[test]
@@ -122,7 +122,7 @@
     );
     send(&mut v, 1, 2, append((1, 1), vec![entry(2, 9)], 2));
     kept(&mut image, &mut v);
-    assert_eq!((v.log().last(), v.log().last_term(), v.commit()), (2, 2, 2));
+    assert_eq!((v.log().last_index(), v.log().last_term(), v.commit()), (2, 2, 2));
     assert_eq!(voter(&image, 1.0).log().last_term(), 2);
     // An earlier leader that wakes is told that it is none.
     send(&mut v, 0, 1, append((3, 1), Vec::new(), 3));
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -5,7 +5,8 @@
 
 use pearfork_ledger::raft::{PersistentState, RaftMessage};
 use pearfork_ledger::{
-    Budget, Fraction, Holder, HostNumber, Kind, LeaseRequest, LeaseResponse, LeaseTable, Times, Voter,
+    Allocation, Budget, Fraction, Holder, HostNumber, Kind, LeaseRequest, LeaseResponse, LeaseTable, Times,
+    Voter,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -51,7 +52,7 @@
     LeaseResponse { to: (usize, u64), answer: LeaseResponse },
     VoterDue { voter: usize, life: u64 },
     HolderDue { process: u64 },
-    Adopt { process: u64, budget: Budget, fraction: Fraction, at: u64 },
+    Adopt { process: u64, budget: Budget, allocation: Allocation },
     DiskAgain { voter: usize },
 }
 
@@ -396,12 +397,12 @@
         }
         p.holder.handle_response(local, answer);
         let adopt = p.holder.unconfirmed();
-        for (budget, fraction, at) in adopt {
+        for (budget, allocation) in adopt {
             let later = self.now + self.draw.between(0.0, self.adopt_ms);
             let Some(p) = self.processes.get_mut(&id) else { return };
             p.adopts_at = p.adopts_at.max(later);
             let when = p.adopts_at;
-            self.at(when, What::Adopt { process: id, budget, fraction, at });
+            self.at(when, What::Adopt { process: id, budget, allocation });
         }
     }
 
@@ -440,13 +441,13 @@
                 _ => self.answered(to.1, &answer),
             },
             What::HolderDue { process } => self.holder_due(process),
-            What::Adopt { process, budget, fraction, at } => {
+            What::Adopt { process, budget, allocation } => {
                 let still = self.processes.get(&process).map_or(0.0, |p| p.still_until);
                 if still > self.now {
-                    self.at(still, What::Adopt { process, budget, fraction, at });
+                    self.at(still, What::Adopt { process, budget, allocation });
                 } else if let Some(p) = self.processes.get_mut(&process) {
-                    p.used.insert(budget.clone(), fraction);
-                    p.holder.confirm(&budget, fraction, at);
+                    p.used.insert(budget.clone(), allocation.fraction);
+                    p.holder.confirm(&budget, allocation);
                 }
             }
             What::DiskAgain { voter } => {
@@ -513,7 +514,7 @@
         }
         for seat in &self.seats {
             let Some(v) = &seat.voter else { continue };
-            let (base, commit) = (v.raft().log().base().0, v.raft().commit());
+            let (base, commit) = (v.raft().log().snapshot().index, v.raft().commit());
             if seat.seen.replace((seat.life, commit)) == (seat.life, commit) {
                 continue;
             }
