Fleet: the choice of the voter to ask is a state machine of its own, with tests

It stood in variables of the holder's loop: the place of the voter, a count of requests without a lease, and when to ask again.

--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -4,6 +4,7 @@
 use crate::state::{HeldLine, HolderView, Shared};
 use crate::time::LeaseClock;
 use crate::transport::{HolderEvent, Requester, TransportCommand, TransportHandle, VoterEvent};
+use crate::voter_selection::VoterSelection;
 use crate::Context;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use pearfork_ledger::{
@@ -49,8 +50,6 @@
     fn apply(&mut self, portions: &[Portion]) -> bool;
 }
 
-/// Requests without a lease after which another voter is asked.
-const MAX_UNANSWERED: u32 = 3;
 /// A leaving host says so several times: a message may get lost.
 const LEAVE_REPEATS: u32 = 3;
 const LEAVE_INTERVAL: Duration = Duration::from_millis(30);
@@ -69,11 +68,7 @@
     shared: Arc<Shared>,
     clock: LeaseClock,
     holder: Holder,
-    voters: Vec<HostNumber>,
-    /// Place of the voter that is asked.
-    current: usize,
-    /// Requests without a lease since the last one.
-    unanswered: u32,
+    voters: VoterSelection,
     /// What the user goes by.
     portions: Vec<Portion>,
     next_request_at: Instant,
@@ -90,9 +85,6 @@
         local_voter: Option<Sender<VoterEvent>>,
     ) -> LeaseClient<U> {
         let plan = context.plan.clone();
-        let voters: Vec<HostNumber> = plan.voters.iter().map(|v| v.host).collect();
-        // Hosts begin at different voters, and a voter at itself.
-        let own = voters.iter().position(|v| *v == plan.me);
         LeaseClient {
             user,
             events,
@@ -101,9 +93,7 @@
             shared: context.shared.clone(),
             clock: context.clock,
             holder: Holder::new(plan.me, context.nonce, plan.times),
-            current: own.unwrap_or(usize::from(plan.me.0) % voters.len().max(1)),
-            voters,
-            unanswered: 0,
+            voters: VoterSelection::new(plan.me, plan.voters.iter().map(|v| v.host).collect()),
             portions: Vec::new(),
             next_request_at: Instant::now(),
             requests_sent: 0,
@@ -138,26 +128,28 @@
             let turn_ms = d.turn.as_millis().min(MAX_TURN_MS) as u32;
             self.holder.set_demand(&d.budget, d.asked, d.least, turn_ms);
         }
-        if self.holder.should_request() && !self.voters.is_empty() {
-            self.unanswered += 1;
-            if self.unanswered > MAX_UNANSWERED {
-                self.current = (self.current + 1) % self.voters.len();
+        if self.holder.should_request() {
+            if let Some(voter) = self.voters.select() {
+                self.requests_sent += 1;
+                let request = self.holder.next_request(self.clock.now_ms());
+                self.send(voter, request);
             }
-            self.requests_sent += 1;
-            let request = self.holder.next_request(self.clock.now_ms());
-            self.send(self.voters[self.current], request);
         }
         self.publish(&demand);
     }
 
     fn handle_response(&mut self, from: HostNumber, response: &LeaseResponse) {
         match &response.outcome {
-            LeaseOutcome::Refused(Refusal::NotLeader(leader)) => return self.follow_redirect(*leader),
+            LeaseOutcome::Refused(Refusal::NotLeader(leader)) => {
+                if self.voters.handle_redirect(*leader) {
+                    self.next_request_at = Instant::now();
+                }
+                return;
+            }
             LeaseOutcome::Refused(Refusal::Unknown) => self.next_request_at = Instant::now(),
             LeaseOutcome::Refused(Refusal::Superseded) => self.warn_superseded(),
             LeaseOutcome::Lease { .. } => {
-                self.unanswered = 0;
-                self.current = self.voters.iter().position(|v| *v == from).unwrap_or(self.current);
+                self.voters.handle_lease(from);
                 self.leases_received += 1;
             }
         }
@@ -166,14 +158,6 @@
         }
     }
 
-    fn follow_redirect(&mut self, leader: Option<HostNumber>) {
-        let Some(at) = leader.and_then(|l| self.voters.iter().position(|v| *v == l)) else { return };
-        if self.current != at {
-            (self.current, self.unanswered) = (at, 0);
-            self.next_request_at = Instant::now();
-        }
-    }
-
     fn warn_superseded(&mut self) {
         if self.warned_superseded {
             return;
@@ -251,7 +235,7 @@
             incarnation: state.incarnation.map(|i| i.0),
             lease_ms: Some(state.until_ms - now).filter(|ms| ms.is_finite()),
             superseded: state.superseded,
-            asks: self.voters.get(self.current).map(|v| v.0),
+            asks: self.voters.current().map(|voter| voter.0),
             asked: self.requests_sent,
             answered: self.leases_received,
             budgets: demand.iter().map(line).collect(),
@@ -267,8 +251,8 @@
         }
         for _ in 0..LEAVE_REPEATS {
             let request = self.holder.next_request(self.clock.now_ms());
-            if let Some(voter) = self.voters.get(self.current) {
-                self.send(*voter, request);
+            if let Some(voter) = self.voters.current() {
+                self.send(voter, request);
             }
             std::thread::sleep(LEAVE_INTERVAL);
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod store;
 pub mod time;
 pub mod transport;
+pub mod voter_selection;
 mod voter_thread;
 
 pub use client::{Demand, Portion, User};
