The socket of a client that left is asked before anything is begun for it

Cause: an attempt was begun for a client whose end stood in its socket while the reader had not come to it, since the engine looked at a flag that the reader set.

Change: the engine asks the client's socket (poll for RDHUP) where it takes a request and where it writes an attempt; the flag is gone. New tests of a whole host hold the order at each place where a request can wait: a retry's pause, a volume's limit, a cold node, a connection that comes up late, the write buffer (begun and not begun), the engine's queue, unread requests with the end behind them. Second copies and pauses of terms, which the platform's settings cannot ask for, are tested at the driver.

--- a/crates/drive/tests/driver.rs
+++ b/crates/drive/tests/driver.rs
@@ -6,6 +6,10 @@
 use pearfork_drive::{AttemptId, Driver, Step, Told};
 
 fn driver(effect: Effect) -> Driver {
+    driver_over(settings(effect), &[7])
+}
+
+fn settings(effect: Effect) -> Settings {
     let class = Class {
         aim_ms: 120.0,
         deadline_ms: 1000.0,
@@ -19,7 +23,7 @@
     };
     let plan =
         Plan { nominal: 10.0, reserve: 5.0, weight: 1.0, pays: 1.0, limit: 0.0, burst: 0.0, slack: 0.0 };
-    let settings = Settings {
+    Settings {
         hosts: 3,
         classes: vec![class],
         plans: vec![plan],
@@ -42,10 +46,14 @@
         share_worth: 0.4,
         spare_worth: 0.05,
         meter_ms: 1000.0,
-    };
+    }
+}
+
+/// A driver over nodes of shard 0.
+fn driver_over(settings: Settings, nodes: &[u32]) -> Driver {
     let mut driver = Driver::new(settings, 1).unwrap();
-    let node = |node| NodeEntry { node, shard: 0, zone: 0, condition: Condition::Ready, started_ms: 0.0 };
-    driver.list(ListKind::Full, vec![node(7)]);
+    let entry = |node| NodeEntry { node, shard: 0, zone: 0, condition: Condition::Ready, started_ms: 0.0 };
+    driver.list(ListKind::Full, nodes.iter().map(|node| entry(*node)).collect());
     driver.drive(0.0, &mut Vec::new());
     driver
 }
@@ -175,3 +183,71 @@
     }
     assert_eq!(driver.out(), limit, "all places are there again");
 }
+
+/// Settings under which a second copy is due 50 ms after the first attempt, or a retry 50 ms after the end of it.
+fn further_after_50_ms() -> Settings {
+    let mut settings = settings(Effect::Safe);
+    settings.second_copies = true;
+    settings.classes[0].terms = Terms { pause_ms: 50.0, second_after_ms: 50.0, ..Terms::default() };
+    settings
+}
+
+/// A request whose first attempt is out.
+fn first_is_out(driver: &mut Driver) -> AttemptId {
+    let id = driver.allot();
+    driver.request(Request {
+        id,
+        valid_until_ms: 1000.0,
+        volume: 9,
+        units: 2.0,
+        shard: Some(0),
+        volume_hosts: 1.0,
+        ..Request::default()
+    });
+    let mut steps = Vec::new();
+    driver.drive(0.0, &mut steps);
+    let [Step::Send { attempt, .. }] = steps[..] else { panic!("{steps:?}") };
+    attempt
+}
+
+/// What is sent between two moments.
+fn sent_within(driver: &mut Driver, moments: std::ops::Range<u32>) -> Vec<AttemptId> {
+    let mut steps = Vec::new();
+    moments.for_each(|now| driver.ring(f64::from(now), &mut steps));
+    let sent = steps.into_iter().filter_map(|step| match step {
+        Step::Send { attempt, .. } => Some(attempt),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn a_second_copy_that_is_due_after_its_client_left_is_not_sent() {
+    for stays in [true, false] {
+        let mut driver = driver_over(further_after_50_ms(), &[7, 8]);
+        let attempt = first_is_out(&mut driver);
+        assert_eq!(sent_within(&mut driver, 0..50), []);
+        if !stays {
+            driver.abandon(attempt.request);
+        }
+        let sent = sent_within(&mut driver, 50..400);
+        assert_eq!(sent.len(), usize::from(stays), "{sent:?}");
+        assert!(driver.is_out(attempt));
+    }
+}
+
+#[test]
+fn a_retry_whose_pause_ends_after_its_client_left_is_not_sent() {
+    for stays in [true, false] {
+        let mut driver = driver_over(further_after_50_ms(), &[7, 8]);
+        let attempt = first_is_out(&mut driver);
+        assert!(!driver.ended(10.0, attempt, Verdict::Error, Told::default()));
+        driver.drive(10.0, &mut Vec::new());
+        assert_eq!(sent_within(&mut driver, 10..60), []);
+        if !stays {
+            driver.abandon(attempt.request);
+        }
+        let sent = sent_within(&mut driver, 60..200);
+        assert_eq!(sent.len(), usize::from(stays), "{sent:?}");
+    }
+}
--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -6,6 +6,7 @@
 use crate::stream::{lock, spawn_small};
 use bytes::{Buf, Bytes};
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::net::{RecvFlags, SendFlags};
 use std::collections::VecDeque;
 use std::io;
@@ -151,6 +152,14 @@
         }
     }
 
+    /// Whether the other end sends no more or the connection is lost, whatever waits unread before its end.
+    pub fn has_ended(&self) -> bool {
+        let mut sockets = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+        let told = poll(&mut sockets, Some(&at_once));
+        told.is_ok() && !sockets[0].revents().is_empty()
+    }
+
     /// Reads what is there into a buffer, without waiting: the number of bytes, or `None` where there are none yet.
     ///
     /// # Errors
--- a/crates/serving/src/client.rs
+++ b/crates/serving/src/client.rs
@@ -4,7 +4,6 @@
 use pearfork_net::{lock, Poller, Waiting, WriteBuffer};
 use pearfork_platform::clients::ClientId;
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 /// Commands of one connection without an answer; beyond it no more is read from it.
@@ -38,7 +37,6 @@
     pub(crate) id: ClientId,
     pub(crate) write_buffer: Arc<WriteBuffer>,
     slots: Mutex<Slots>,
-    gone: AtomicBool,
     mailbox: Arc<Mailbox>,
 }
 
@@ -56,7 +54,7 @@
 
 impl Client {
     pub(crate) fn new(id: ClientId, write_buffer: Arc<WriteBuffer>, mailbox: Arc<Mailbox>) -> Client {
-        Client { id, write_buffer, slots: Mutex::default(), gone: AtomicBool::new(false), mailbox }
+        Client { id, write_buffer, slots: Mutex::default(), mailbox }
     }
 
     /// Whether one more command may be taken; if not, the mailbox is told when it may.
@@ -111,13 +109,16 @@
         self.write_buffer.waiting() == Waiting::Bytes
     }
 
-    /// The client is gone. Told at once and past all queues: what the engine has not looked at yet is not begun.
+    /// The client is gone, or has to go: its connection is over in both directions.
     pub(crate) fn left(&self) {
-        self.gone.store(true, Ordering::SeqCst);
         self.write_buffer.abort();
     }
 
+    /// Whether the client closed its connection, ended its sending side, or had its connection ended by [`Client::left`].
+    ///
+    /// The socket itself is asked. Danger: the reader of client connections may not have come to this end yet, and its
+    /// word stands in the engine's queue behind everything else; an attempt begun meanwhile is begun for nobody.
     pub(crate) fn is_gone(&self) -> bool {
-        self.gone.load(Ordering::SeqCst)
+        self.write_buffer.has_ended()
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,5 +15,5 @@
 mod watch;
 
 #[cfg(feature = "pauses")]
-pub use pauses::{Hold, Point};
+pub use pauses::{Hold, Point, Prepare};
 pub use serving::{Serving, ServingError};
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -1,6 +1,7 @@
 //! Connections to nodes: one thread sees them come up and reads them all.
 
 use crate::engine::Message;
+use crate::pauses::Pauses;
 use bytes::Bytes;
 use crossbeam_channel::Sender;
 use pearfork::Verdict;
@@ -126,11 +127,13 @@
     poller: Poller,
     links: Mutex<HashMap<LinkId, Arc<Link>>>,
     stopped: AtomicBool,
+    pub(crate) pauses: Pauses,
 }
 
 impl Nodes {
     pub(crate) fn new(engine: Sender<Message>, clock: Clock, flusher: Flusher, poller: Poller) -> Nodes {
-        Nodes { engine, clock, flusher, poller, links: Mutex::default(), stopped: AtomicBool::new(false) }
+        let (links, stopped, pauses) = (Mutex::default(), AtomicBool::new(false), Pauses::default());
+        Nodes { engine, clock, flusher, poller, links, stopped, pauses }
     }
 
     /// Begins to connect; the engine is told what became of it. False: it can't.
@@ -143,6 +146,7 @@
             }
         };
         let _ = stream.set_nodelay(true);
+        self.pauses.connects(&stream);
         let state = State {
             replies: Replies::new(answer::REPLY),
             coming: true,
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -94,7 +94,16 @@
     /// As [`Serving::start`].
     #[cfg(feature = "pauses")]
     pub fn start_held(config: Config, hold: crate::pauses::Hold) -> Result<Serving, ServingError> {
-        Serving::start_with(config, Pauses { hold: Some(hold) })
+        Serving::start_with(config, Pauses { hold: Some(hold), prepare: None })
+    }
+
+    /// The same, with each connection to a node prepared before it carries anything.
+    ///
+    /// # Errors
+    /// As [`Serving::start`].
+    #[cfg(feature = "pauses")]
+    pub fn start_prepared(config: Config, prepare: crate::pauses::Prepare) -> Result<Serving, ServingError> {
+        Serving::start_with(config, Pauses { hold: None, prepare: Some(prepare) })
     }
 
     fn start_with(config: Config, pauses: Pauses) -> Result<Serving, ServingError> {
@@ -107,7 +116,9 @@
         let (engine, messages) = bounded(ENGINE_QUEUE);
         let table = Arc::new(Mutex::new(ClientTable::new(client_room(config.limits.sockets))));
         let pool = Pool::new(config.links, node_room(config.limits.sockets));
-        let nodes = Arc::new(Nodes::new(engine.clone(), clock, flusher.clone(), Poller::new()?));
+        let mut nodes = Nodes::new(engine.clone(), clock, flusher.clone(), Poller::new()?);
+        nodes.pauses = pauses.clone();
+        let nodes = Arc::new(nodes);
         let reads = nodes.clone();
         spawn_small("nodes", move || reads.run())?;
         let mut running = Engine::new(driver, pool, clock, table.clone(), nodes, config.links.connect_ms);
--- a/crates/serving/tests/crossings/held.rs
+++ b/crates/serving/tests/crossings/held.rs
@@ -2,9 +2,9 @@
 
 use pearfork_platform::config::Config;
 use pearfork_serving::{Point, Serving};
-use rustix::net::sockopt::set_socket_linger;
+use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -63,6 +63,44 @@
     (host, address, gate)
 }
 
+/// A host whose connections to nodes hold a few thousand bytes that their nodes have not taken; the rest waits in its
+/// write buffers.
+pub fn host_with_small_buffers(config: &serde_json::Value) -> (Serving, SocketAddr) {
+    let prepare = Arc::new(|stream: &TcpStream| set_socket_send_buffer_size(stream, 4 * 1024).unwrap());
+    let config = Config::parse(config.to_string().as_bytes()).unwrap();
+    let host = Serving::start_prepared(config, prepare).unwrap();
+    let address = host.address().unwrap();
+    (host, address)
+}
+
+/// How a client leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Departure {
+    /// It closes its connection.
+    Close,
+    /// It ends its sending side and goes on reading.
+    EndSending,
+    /// Its connection is reset.
+    Reset,
+}
+
+impl Departure {
+    pub const ALL: [Departure; 3] = [Departure::Close, Departure::EndSending, Departure::Reset];
+
+    /// Leaves; what is left of the connection, which stays open until it is dropped.
+    pub fn leave(self, stream: TcpStream) -> Option<TcpStream> {
+        match self {
+            Departure::Close => drop(stream),
+            Departure::EndSending => {
+                stream.shutdown(Shutdown::Write).unwrap();
+                return Some(stream);
+            }
+            Departure::Reset => reset(stream),
+        }
+        None
+    }
+}
+
 /// A node to which connections come up only when the test lets them.
 pub struct LateNode {
     listener: TcpListener,
@@ -79,6 +117,11 @@
         self.listener.local_addr().unwrap()
     }
 
+    /// Its connections take a few thousand bytes until they are read.
+    pub fn small_window(&self) {
+        set_socket_recv_buffer_size(&self.listener, 4 * 1024).unwrap();
+    }
+
     /// The next connection that came up, unless it is one that fills the queue. Danger: a wait without an end holds up all tests.
     pub fn accept(&self) -> TcpStream {
         let ours: Vec<SocketAddr> = self.filling.iter().map(|s| s.local_addr().unwrap()).collect();
--- a/crates/serving/tests/crossings/main.rs
+++ b/crates/serving/tests/crossings/main.rs
@@ -7,5 +7,6 @@
 mod held;
 
 mod clients;
+mod departures;
 mod lists;
 mod nodes;
