Descriptors of connections that are over count until they are closed

Cause: a connection that is over left the table at once, while its requests in the engine's queue still held its descriptor; newcomers in their places took those that are kept for nodes and discovery (found by reading, Front::closed). Change: the table counts the descriptors of connections, and a newcomer waits in the accept queue while none is free. Test: departures::a_newcomer_waits_until_the_descriptors... on real sockets, with the engine held.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -65,12 +65,14 @@
 pub struct ClientTable {
     room: usize,
     clients: BTreeMap<ClientId, Entry>,
+    /// Descriptors of connections, those included that are over and whose requests are still in somebody's hands.
+    descriptors: usize,
 }
 
 impl ClientTable {
     /// Room for so many.
     pub fn new(room: usize) -> ClientTable {
-        ClientTable { room: room.max(1), clients: BTreeMap::new() }
+        ClientTable { room: room.max(1), clients: BTreeMap::new(), descriptors: 0 }
     }
 
     /// Connections that are held.
@@ -83,6 +85,24 @@
         self.room
     }
 
+    /// A connection's descriptor is held from now on.
+    pub fn descriptor_opened(&mut self) {
+        self.descriptors += 1;
+    }
+
+    /// A connection's descriptor was closed.
+    pub fn descriptor_closed(&mut self) {
+        self.descriptors = self.descriptors.saturating_sub(1);
+    }
+
+    /// Whether no place is left.
+    ///
+    /// Danger: a connection that is over leaves the table at once, and its descriptor stays open while a request of it waits
+    /// for its turn. Counted by the table alone, newcomers would take the descriptors that are kept for nodes and discovery.
+    fn is_full(&self) -> bool {
+        self.clients.len().max(self.descriptors) >= self.room
+    }
+
     /// A connection came. Where there is no room, one has to go: one that has said nothing, the longest silent first;
     /// then one of which half a command came; then an idle one, the longest idle first; otherwise the newcomer itself, of
     /// which nothing was taken yet. It is still held where there is room for it to end in order; where there is none, the
@@ -90,7 +110,7 @@
     pub fn arrived(&mut self, now: f64, id: ClientId) -> Option<ClientId> {
         let entry = Entry { since: now, last: None, open: 0, partial: None, faults: 0, ending: None };
         let next = self.next_to_go(now);
-        if self.clients.len() >= self.room {
+        if self.is_full() {
             let victim = self.oldest(|c| c.ending).or(next).unwrap_or(id);
             self.clients.insert(id, entry);
             self.clients.remove(&victim);
@@ -108,7 +128,7 @@
     pub fn next_to_go(&self, now: f64) -> Option<ClientId> {
         let ending = self.clients.values().filter(|c| c.ending.is_some()).count();
         let staying = self.clients.len() - ending;
-        let is_full = self.clients.len() >= self.room;
+        let is_full = self.is_full();
         let is_crowded = staying >= self.room - self.room / LINGER_PART;
         if (is_full && ending == 0) || (!is_full && is_crowded) {
             return self.dispensable(now);
@@ -122,7 +142,7 @@
     /// not taken yet waits in the system's queue, for less than the time of a request.
     pub fn has_room(&self, now: f64) -> bool {
         let any_ending = || self.clients.values().any(|c| c.ending.is_some());
-        self.clients.len() < self.room || any_ending() || self.dispensable(now).is_some()
+        !self.is_full() || any_ending() || self.dispensable(now).is_some()
     }
 
     fn oldest(&self, pick: impl Fn(&Entry) -> Option<f64>) -> Option<ClientId> {
--- a/crates/serving/src/client.rs
+++ b/crates/serving/src/client.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use pearfork_net::{lock, Poller, Waiting, WriteBuffer};
-use pearfork_platform::clients::ClientId;
+use pearfork_platform::clients::{ClientId, ClientTable};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 
@@ -32,12 +32,30 @@
     }
 }
 
+/// Counts a descriptor in the table of client connections for as long as it lives.
+struct CountedDescriptor(Arc<Mutex<ClientTable>>);
+
+impl CountedDescriptor {
+    fn new(table: Arc<Mutex<ClientTable>>) -> CountedDescriptor {
+        lock(&table).descriptor_opened();
+        CountedDescriptor(table)
+    }
+}
+
+impl Drop for CountedDescriptor {
+    fn drop(&mut self) {
+        lock(&self.0).descriptor_closed();
+    }
+}
+
 /// One connection.
 pub(crate) struct Client {
     pub(crate) id: ClientId,
     pub(crate) write_buffer: Arc<WriteBuffer>,
     slots: Mutex<Slots>,
     mailbox: Arc<Mailbox>,
+    /// Dropped behind `write_buffer`, which closes the descriptor.
+    _descriptor: CountedDescriptor,
 }
 
 /// Answers in the order of their commands.
@@ -53,8 +71,14 @@
 }
 
 impl Client {
-    pub(crate) fn new(id: ClientId, write_buffer: Arc<WriteBuffer>, mailbox: Arc<Mailbox>) -> Client {
-        Client { id, write_buffer, slots: Mutex::default(), mailbox }
+    pub(crate) fn new(
+        id: ClientId,
+        write_buffer: Arc<WriteBuffer>,
+        mailbox: Arc<Mailbox>,
+        table: Arc<Mutex<ClientTable>>,
+    ) -> Client {
+        let _descriptor = CountedDescriptor::new(table);
+        Client { id, write_buffer, slots: Mutex::default(), mailbox, _descriptor }
     }
 
     /// Whether one more command may be taken; if not, the mailbox is told when it may.
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -257,7 +257,7 @@
         // Danger: small writes that the system holds back go with a connection that is reset.
         let _ = stream.set_nodelay(true);
         let write_buffer = WriteBuffer::new(stream, &self.flusher);
-        let client = Arc::new(Client::new(id, write_buffer, self.mailbox.clone()));
+        let client = Arc::new(Client::new(id, write_buffer, self.mailbox.clone(), self.table.clone()));
         if self.mailbox.poller.add(client.write_buffer.stream(), id, Want::Read).is_err() {
             lock(&self.table).left(id);
             return;
--- a/crates/serving/tests/crossings/departures.rs
+++ b/crates/serving/tests/crossings/departures.rs
@@ -7,7 +7,7 @@
 use crate::common::{config, discovery, is_error, node, until, value, Client, Heard, Reaction};
 use crate::held::{
     answer, host_held, host_with_small_buffers, is_silent, line, list, read_command, reset, Agent, Departure,
-    Gate, LateNode,
+    Gate, LateNode, LONG,
 };
 use bytes::Bytes;
 use pearfork_resp::{CommandLimits, Commands};
@@ -457,3 +457,27 @@
     assert_eq!(theirs(&heard), 0, "begun for clients that had left");
     drop(left);
 }
+
+/// Danger: connections that are over still hold descriptors while their requests wait in the engine's queue. Newcomers in their
+/// places would take those that are kept for nodes and discovery.
+#[test]
+fn a_newcomer_waits_until_the_descriptors_of_clients_that_left_are_closed() {
+    let (node, _) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let mut config = patient(told.address(), &[node]);
+    // Room for 25 connections of clients.
+    config["limits"]["sockets"] = json!(64);
+    let (host, address, gate) = host_held(&config, Point::EngineTakes);
+    gate.shut();
+    let leaving: Vec<Client> = come(address, 0..25);
+    until("all are there", || host.clients() == 25);
+    gate.held();
+    drop(leaving);
+    until("they are seen to have left", || host.clients() == 0);
+    let mut newcomer = Client::connect(address);
+    newcomer.send(&["PING"]);
+    assert!(is_silent(&mut newcomer.stream), "taken while the descriptors of 25 others are open");
+    gate.open();
+    newcomer.stream.set_read_timeout(Some(LONG)).unwrap();
+    assert!(newcomer.reply().is_some());
+}
