Tests of departures: each client is being read before it sends, and a connection to the node rests

Cause: two guards were not missed, since the attempt waited for its first connection; and a command on a connection that nobody had accepted was read behind a later one, once in a trial.

--- a/crates/serving/tests/crossings/departures.rs
+++ b/crates/serving/tests/crossings/departures.rs
@@ -77,6 +77,15 @@
     assert!(marker.reply().is_some());
 }
 
+/// A client whose connection is being read. Danger: what stands on one that nobody has accepted yet is read after what comes
+/// later on others; and a second command behind one without a word would be held back by its own system for 40 ms.
+fn connected(address: SocketAddr) -> Client {
+    let mut client = Client::connect(address);
+    client.stream.set_nodelay(true).unwrap();
+    reader_is_past(&mut client);
+    client
+}
+
 fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
@@ -117,8 +126,11 @@
     agent.tell(&list(2, true, std::slice::from_ref(&ready)));
     // The next call says that the list stands in the engine's queue.
     let (_, call) = agent.call();
-    let mut usual = Client::connect(address);
-    let mut leaver = Client::connect(address);
+    let mut usual = connected(address);
+    // A connection to the node rests: what is begun goes out at once.
+    get(&mut usual, USUAL, UNLIMITED, 1);
+    assert_eq!(usual.served(), Some(USUAL));
+    let mut leaver = connected(address);
     get(&mut leaver, LEAVER, LIMITED, wait.units);
     if turned_away {
         until("its first attempt is with the node", || heard_of(&heard, LEAVER) > 0);
@@ -197,13 +209,14 @@
     nothing_is_begun_behind(&LIMIT, Departure::Reset, First::Departure);
 }
 
-/// The host's part of what a cold node bears: 2 units at the start and one by chance, and 1 unit a second.
+/// The host's part of what a cold node bears: 2 units at the start, of which the usual client has one, and a part of one by
+/// chance; then 1 unit a second.
 const COLD: Wait = Wait {
     settings: |s| {
         s["Domain"]["ColdUnits"] = json!(13.34);
         s["Domain"]["MeanUnits"] = json!(1.0);
     },
-    units: 5,
+    units: 4,
     turned_away: false,
     cold: true,
     over_after: Duration::from_millis(3_500),
@@ -223,8 +236,8 @@
         let mut node = LateNode::new();
         let agent = Agent::new();
         let (host, address, gate) = host_held(&patient(agent.address, &[node.address()]), Point::EngineTakes);
-        let mut usual = Client::connect(address);
-        let mut leaver = Client::connect(address);
+        let mut usual = connected(address);
+        let mut leaver = connected(address);
         get(&mut leaver, LEAVER, UNLIMITED, 1);
         let mut first = node.accept();
         read_command(&mut first);
@@ -292,8 +305,8 @@
         node.small_window();
         let agent = Agent::new();
         let (host, address) = host_with_small_buffers(&patient(agent.address, &[node.address()]));
-        let mut usual = Client::connect(address);
-        let mut leaver = Client::connect(address);
+        let mut usual = connected(address);
+        let mut leaver = connected(address);
         put(&mut leaver, LEAVER);
         let mut stream = node.accept();
         let mut got = first_bytes(&mut stream).to_vec();
@@ -325,9 +338,9 @@
         // Room for three connections of clients and two to nodes.
         config["limits"]["sockets"] = json!(29);
         let (host, address) = host_with_small_buffers(&config);
-        let mut stays = Client::connect(address);
-        let mut marker = Client::connect(address);
-        let mut leaver = Client::connect(address);
+        let mut stays = connected(address);
+        let mut marker = connected(address);
+        let mut leaver = connected(address);
         put(&mut stays, 1);
         put(&mut stays, 2);
         let mut streams = [node.accept(), node.accept()];
@@ -359,7 +372,7 @@
 /// A part of the crowd comes: each connects and sends its requests, under ids of its own.
 fn come(address: SocketAddr, members: std::ops::Range<u64>) -> Vec<Client> {
     let one = |member: u64| {
-        let mut client = Client::connect(address);
+        let mut client = connected(address);
         ask_all(&mut client, member);
         client
     };
@@ -406,7 +419,7 @@
     let mut config = patient(told.address(), &[node]);
     config["limits"]["sockets"] = json!(1024);
     let (host, address, gate) = host_held(&config, Point::EngineTakes);
-    let mut usual = Client::connect(address);
+    let mut usual = connected(address);
     reader_is_past(&mut usual);
     let mut crowd = come(address, 0..CROWD / 3);
     until("the first are there", || host.clients() as u64 == 1 + CROWD / 3);
@@ -439,10 +452,10 @@
     let mut config = patient(told.address(), &[node]);
     config["limits"]["sockets"] = json!(1024);
     let (host, address, gate) = host_held(&config, Point::ReaderLooks);
-    let mut usual = Client::connect(address);
+    let mut usual = connected(address);
     // A connection to the node rests: what is begun goes out at once.
     usual_is_served(&mut usual);
-    let mut crowd: Vec<Client> = (0..CROWD).map(|_| Client::connect(address)).collect();
+    let mut crowd: Vec<Client> = (0..CROWD).map(|_| connected(address)).collect();
     until("all are there", || host.clients() as u64 == 1 + CROWD);
     gate.shut();
     gate.held();
