Tests of when a lease ends force the late response; drawn fleets found it by chance

Change: one test asks a holder for the end of its lease after responses of five delays; one stops a host while a lease is on its way to it, until the leader has given all it held to another, and lets it read the lease then.

--- a/crates/ledger/tests/leases.rs
+++ b/crates/ledger/tests/leases.rs
@@ -1,8 +1,9 @@
-//! The second lines of defence: what no order of events reaches while the first ones hold.
+//! When a lease ends for its holder, and the second lines of defence: what no order of events reaches while the first
+//! ones hold.
 
 use pearfork_ledger::{
-    Budget, BudgetRequest, Change, Fraction, HostNumber, Incarnation, Kind, LeaseManager, LeaseRequest,
-    LeaseTable, Times,
+    Budget, BudgetRequest, Change, Fraction, Holder, HostNumber, Incarnation, Kind, LeaseManager,
+    LeaseOutcome, LeaseRequest, LeaseResponse, LeaseTable, Times,
 };
 
 fn archive() -> Budget {
@@ -78,3 +79,20 @@
     assert!(!lease_manager.is_open(Incarnation(1)));
     assert!(!lease_manager.handle_request(late, Incarnation(1), &request(6, 0.5, 1)));
 }
+
+#[test]
+fn a_lease_ends_as_long_after_its_request_was_sent_however_late_the_response_comes() {
+    let times = Times::default();
+    let lease = LeaseOutcome::Lease { incarnation: Incarnation(1), grants: Vec::new() };
+    for delay_ms in [0.0, 1.0, times.lease_ms - 1.0, times.lease_ms, 10.0 * times.lease_ms] {
+        let sent_at = 100.0;
+        let mut holder = Holder::new(HostNumber(0), 7, times);
+        let request = holder.next_request(sent_at);
+        // A later request that has no response yet moves nothing.
+        holder.next_request(sent_at + delay_ms);
+        let response = LeaseResponse::to(&request, lease.clone());
+        let holds = holder.handle_response(sent_at + delay_ms, &response);
+        assert_eq!(holder.state().until_ms, sent_at + times.lease_ms, "response after {delay_ms} ms");
+        assert_eq!(holds, delay_ms < times.lease_ms, "response after {delay_ms} ms");
+    }
+}
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -5,8 +5,8 @@
 
 use pearfork_ledger::raft::{PersistentState, RaftMessage};
 use pearfork_ledger::{
-    Allocation, Budget, Fraction, Holder, HostNumber, Kind, LeaseRequest, LeaseResponse, LeaseTable, Times,
-    Voter,
+    Allocation, Budget, Fraction, Holder, HostNumber, Kind, LeaseOutcome, LeaseRequest, LeaseResponse,
+    LeaseTable, Times, Voter,
 };
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -387,7 +387,7 @@
     }
 
     fn answered(&mut self, id: u64, answer: &LeaseResponse) {
-        use pearfork_ledger::{LeaseOutcome, Refusal};
+        use pearfork_ledger::Refusal;
         let Some(p) = self.processes.get_mut(&id) else { return };
         let local = self.now * self.rates[p.host];
         match &answer.outcome {
@@ -481,6 +481,17 @@
         self.now = until;
     }
 
+    /// Whether a lease is on its way to a process.
+    pub fn is_lease_under_way(&self, process: u64) -> bool {
+        let is_it = |what: &What| match what {
+            What::LeaseResponse { to, answer } => {
+                to.1 == process && matches!(answer.outcome, LeaseOutcome::Lease { .. })
+            }
+            _ => false,
+        };
+        self.events.iter().any(|Reverse(Event(.., what))| is_it(what))
+    }
+
     /// What a process may use of a budget now, beyond its floor.
     pub fn usable(&self, id: u64, budget: &Budget) -> Fraction {
         let Some(p) = self.processes.get(&id) else { return Fraction::ZERO };
--- a/crates/ledger/tests/simulated.rs
+++ b/crates/ledger/tests/simulated.rs
@@ -91,6 +91,30 @@
     until(&mut world, 4_000.0, "the restart", |w| w.usable(again, &archive()).as_f64() > NEARLY_ALL);
 }
 
+/// A host stops while a lease is on its way to it, and reads that once the leader has given all it held to another.
+#[test]
+fn a_lease_that_is_read_after_its_end_lets_nothing_be_used() {
+    let (mut world, processes) = fleet(37, 8, 3);
+    let (stopped, other) = (processes[5], processes[6]);
+    world.want(stopped, &archive(), 1.0);
+    world.run(3_000.0);
+    assert!(world.usable(stopped, &archive()).as_f64() > NEARLY_ALL);
+    let began = world.now;
+    while !world.is_lease_under_way(stopped) {
+        assert!(world.now - began < 2.0 * world.times.renew_ms, "no lease is renewed");
+        assert!(world.step(), "nothing happens any more");
+    }
+    world.stand_still(5, 2.0 * world.times.lease_with_drift_ms());
+    world.want(other, &archive(), 1.0);
+    until(&mut world, 4_000.0, "the stopped one's lease expires", |w| {
+        w.usable(other, &archive()).as_f64() > NEARLY_ALL
+    });
+    assert!(world.is_lease_under_way(stopped), "it has not read the lease yet");
+    // The sum of what is in use is checked at every step, also at the one at which the lease is read.
+    until(&mut world, 4_000.0, "the lease is read", |w| !w.is_lease_under_way(stopped));
+    assert_eq!(world.usable(stopped, &archive()), Fraction::ZERO);
+}
+
 #[test]
 fn of_two_processes_with_one_name_the_later_one_has_it() {
     let (mut world, processes) = fleet(17, 4, 3);
