--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A host on a bench of one's own hand: no servers are modelled, events are given.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use pearfork::*;
 
 pub fn class(effect: Effect, group: Group) -> Class {
