--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -55,6 +55,8 @@
                 weights: (0..self.hosts).map(weight).collect(),
                 shifts_ms: Vec::new(),
                 few: BTreeMap::new(),
+                hot: BTreeMap::new(),
+                hot_from_ms: 0.0,
             },
             cold_from: self.cold_from,
             multiple: self.multiple,
