Who goes for a newcomer is as it was: reading before it cost newcomers their turn

Cause: read what had come from the connection that would go for a newcomer, and let half a command go after those that said nothing. The count of descriptors stays.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -104,58 +104,47 @@
     }
 
     /// A connection came. Where there is no room, one has to go: one that has said nothing, the longest silent first;
-    /// then one of which half a command came; then an idle one, the longest idle first; otherwise the newcomer itself, of
-    /// which nothing was taken yet. It is still held where there is room for it to end in order; where there is none, the
-    /// one that has been ending longest goes before all others, and none is held that was told.
+    /// then an idle one, the longest idle first; otherwise the newcomer itself, of which nothing was taken yet. It is
+    /// still held where there is room for it to end in order; where there is none, the one that has been ending longest
+    /// goes before all others, and none is held that was told.
     pub fn arrived(&mut self, now: f64, id: ClientId) -> Option<ClientId> {
         let entry = Entry { since: now, last: None, open: 0, partial: None, faults: 0, ending: None };
-        let next = self.next_to_go(now);
-        if self.is_full() {
-            let victim = self.oldest(|c| c.ending).or(next).unwrap_or(id);
-            self.clients.insert(id, entry);
+        let is_full = self.is_full();
+        self.clients.insert(id, entry);
+        let ending = self.clients.values().filter(|c| c.ending.is_some()).count();
+        if is_full {
+            let victim = self.oldest(id, |c| c.ending).or_else(|| self.dispensable(now, id)).unwrap_or(id);
             self.clients.remove(&victim);
             return Some(victim);
         }
-        self.clients.insert(id, entry);
-        let victim = next?;
+        if self.clients.len() - ending <= self.room - self.room / LINGER_PART {
+            return None;
+        }
+        let victim = self.dispensable(now, id)?;
         self.ending(now, victim);
         Some(victim)
     }
 
-    /// Which connection would go for one that came now, if one has to that the host does not end already.
-    ///
-    /// Danger: what this one sent may not have been looked at yet; whoever asks reads it first, and asks again.
-    pub fn next_to_go(&self, now: f64) -> Option<ClientId> {
-        let ending = self.clients.values().filter(|c| c.ending.is_some()).count();
-        let staying = self.clients.len() - ending;
-        let is_full = self.is_full();
-        let is_crowded = staying >= self.room - self.room / LINGER_PART;
-        if (is_full && ending == 0) || (!is_full && is_crowded) {
-            return self.dispensable(now);
-        }
-        None
-    }
-
     /// Whether a newcomer would find room, be it in another's place.
     ///
     /// Danger: one that is taken and turned away has written its request by then, and is answered by a reset. One that is
     /// not taken yet waits in the system's queue, for less than the time of a request.
     pub fn has_room(&self, now: f64) -> bool {
         let any_ending = || self.clients.values().any(|c| c.ending.is_some());
-        !self.is_full() || any_ending() || self.dispensable(now).is_some()
+        !self.is_full() || any_ending() || self.dispensable(now, ClientId::MAX).is_some()
     }
 
-    fn oldest(&self, pick: impl Fn(&Entry) -> Option<f64>) -> Option<ClientId> {
-        let times = self.clients.iter().filter_map(|(id, c)| pick(c).map(|t| (t, *id)));
-        times.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id)
+    fn oldest(&self, but: ClientId, pick: impl Fn(&Entry) -> Option<f64>) -> Option<ClientId> {
+        let times = self.clients.iter().filter(|(other, _)| **other != but);
+        let times = times.filter_map(|(other, c)| pick(c).map(|t| (t, *other)));
+        times.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, other)| other)
     }
 
-    fn dispensable(&self, now: f64) -> Option<ClientId> {
+    fn dispensable(&self, now: f64, but: ClientId) -> Option<ClientId> {
         let rests = |c: &Entry| c.open == 0 && c.ending.is_none();
         let silent = |c: &Entry| (c.last.is_none() && rests(c)).then_some(c.since);
-        let unheard = |c: &Entry| silent(c).filter(|_| c.partial.is_none());
         let idle = |c: &Entry| c.last.filter(|last| rests(c) && c.partial.is_none() && now - last >= IDLE_MS);
-        self.oldest(unheard).or_else(|| self.oldest(silent)).or_else(|| self.oldest(idle))
+        self.oldest(but, silent).or_else(|| self.oldest(but, idle))
     }
 
     /// The host ends one: it takes no more commands, and is held until it is gone.
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -136,7 +136,7 @@
             self.pauses.at(Point::ReaderLooks);
             for one in &ready {
                 match one.token {
-                    LISTENER => self.accept(listener, &mut piece),
+                    LISTENER => self.accept(listener),
                     _ => self.ready(*one, &mut piece),
                 }
             }
@@ -205,9 +205,8 @@
         }
     }
 
-    fn accept(&mut self, listener: &TcpListener, piece: &mut [u8]) {
+    fn accept(&mut self, listener: &TcpListener) {
         for _ in 0..AT_ONCE {
-            self.read_next_to_go(piece);
             // Danger: with no descriptor left the listener stays ready, and this thread would turn without end.
             if !lock(&self.table).has_room(self.clock.now_ms()) {
                 return self.pause(listener);
@@ -221,19 +220,6 @@
         }
     }
 
-    /// Reads what came from the connection that would go for a newcomer, until nothing waits at the one that would.
-    ///
-    /// Danger: many are taken at once, and the first command of each may be in its socket where nobody has looked yet. One
-    /// that goes as silent then is reset without an answer.
-    fn read_next_to_go(&mut self, piece: &mut [u8]) {
-        for _ in 0..AT_ONCE {
-            let next = lock(&self.table).next_to_go(self.clock.now_ms());
-            let unread = |id: &ClientId| self.clients.get(id).is_some_and(|r| r.client.has_unread());
-            let Some(token) = next.filter(unread) else { return };
-            self.ready(Ready { token, broken: false, ended: false }, piece);
-        }
-    }
-
     /// Takes no connection for a moment.
     fn pause(&mut self, listener: &TcpListener) {
         self.pause = Some(self.clock.now_ms() + NO_ROOM_MS);
