--- a/crates/gateway/tests/program/mod.rs
+++ b/crates/gateway/tests/program/mod.rs
@@ -74,18 +74,6 @@
         kill_process(Pid::from_child(&self.child), signal).unwrap();
     }
 
-    /// Holds all of its threads where they are; [`Signal::CONT`] lets them go on.
-    pub fn stop(&self) {
-        self.signal(Signal::STOP);
-        until("all of its threads are stopped", || {
-            let tasks = std::fs::read_dir(format!("/proc/{}/task", self.id())).unwrap();
-            tasks.flatten().all(|task| {
-                let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
-                stat.rsplit(") ").next().is_some_and(|after_name| after_name.starts_with('T'))
-            })
-        });
-    }
-
     /// Waits until its log has these words.
     pub fn says(&self, words: &str) {
         until(words, || self.has_said(words));
