--- a/crates/gateway/tests/routes.rs
+++ b/crates/gateway/tests/routes.rs
@@ -134,14 +134,15 @@
     let a = w.asker(0, 0);
     w.fleet.node(1).fault(Fault::Hang(true));
     w.fleet.node(3).fault(Fault::Hang(true));
+    let asked_ms = w.recorder.elapsed_us() as f64 / 1e3;
     let d = a.read(0, 16);
     // Two attempts timed out: a read may be tried again, and is refused.
     assert!(matches!(d.status, status::BUSY | status::TASK_SET_FULL), "{:?}", ended(&d));
     let all = attempts(&w);
     assert_eq!((all.len(), all[0].len()), (1, 2), "{all:?}");
-    // Of its time-out the note is a little late, and the next attempt's too; no earlier than asked, by more than that.
-    let apart = all[0][1].at_ms - all[0][0].at_ms;
-    assert!(apart >= 290.0, "{apart}");
+    // From the client's word, which is before the first attempt: a busy node may note that late, and nothing early.
+    let second = all[0][1].at_ms - asked_ms;
+    assert!(second >= 300.0, "the attempt's time and the pause: {second}: {all:?}");
     // What is of no route has neither.
     a.send(MediaOp::Read, 0, 8, Vec::new());
     std::thread::sleep(ms(600));
