Scale rig: real voters and hollow hosts on loopback, costs counted by role

Sizes that do not fit are refused before anything starts. The fleet's transport counts its traffic; /fleet shows it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub use client::{Demand, Portion, User};
 pub use plan::{FaultInjection, FleetPlan, VoterAddress};
 pub use state::FleetView;
+pub use transport::TrafficCounts;
 
 use crate::client::LeaseClient;
 use crate::state::Shared;
@@ -140,7 +141,8 @@
     ) -> Result<JoinHandle<()>, FleetError> {
         let shared = self.shared.clone();
         let observer = Box::new(move |statuses: &_| shared.links(statuses));
-        let transport = Transport::new(self.plan.clone(), listener, poller, channels, observer)?;
+        let traffic = self.shared.traffic.clone();
+        let transport = Transport::new(self.plan.clone(), listener, poller, channels, observer, traffic)?;
         Ok(spawn_small("fleet-hub", move || transport.run())?)
     }
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,11 +1,11 @@
 //! What a host knows of its fleet, for status pages and metrics.
 
 use crate::plan::FleetPlan;
-use crate::transport::{LinkStatus, Requester};
+use crate::transport::{LinkStatus, Requester, Traffic, TrafficCounts};
 use pearfork_ledger::{HostNumber, Voter};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// A process in the table, as a leader sees it.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -144,29 +144,36 @@
     pub voter: Option<VoterView>,
     /// Links to voters.
     pub links: Vec<LinkLine>,
+    /// What went over its sockets.
+    pub traffic: TrafficCounts,
 }
 
 /// The view, as the threads keep it.
-pub(crate) struct Shared(Mutex<FleetView>);
+pub(crate) struct Shared {
+    view: Mutex<FleetView>,
+    pub(crate) traffic: Arc<Traffic>,
+}
 
 impl Shared {
     pub(crate) fn new(plan: &FleetPlan) -> Shared {
-        Shared(Mutex::new(FleetView {
+        let view = FleetView {
             fleet: plan.name.clone(),
             settings: plan.fingerprint(),
             host: plan.me.0,
             holder: HolderView::default(),
             voter: plan.votes().then(VoterView::default),
             links: Vec::new(),
-        }))
+            traffic: TrafficCounts::default(),
+        };
+        Shared { view: Mutex::new(view), traffic: Arc::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, FleetView> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(crate) fn view(&self) -> FleetView {
-        self.lock().clone()
+        FleetView { traffic: self.traffic.counts(), ..self.lock().clone() }
     }
 
     pub(crate) fn voter(&self, change: impl FnOnce(&mut VoterView)) {
--- a/crates/fleet/src/transport.rs
+++ b/crates/fleet/src/transport.rs
@@ -8,9 +8,11 @@
 mod connection;
 mod links;
 mod receive;
+mod traffic;
 
 pub use channel::{HolderEvent, Requester, TransportCommand, TransportHandle, VoterEvent};
 pub use links::{LinkObserver, LinkStatus};
+pub use traffic::{Traffic, TrafficCounts};
 
 use crate::plan::FleetPlan;
 use connection::Connection;
@@ -55,6 +57,7 @@
     /// When links are to be maintained next.
     maintain_at: Instant,
     observer: LinkObserver,
+    traffic: Arc<Traffic>,
 }
 
 impl Transport {
@@ -68,6 +71,7 @@
         poller: Arc<Poller>,
         channels: Channels,
         observer: LinkObserver,
+        traffic: Arc<Traffic>,
     ) -> io::Result<Transport> {
         if let Some(listener) = &listener {
             listener.set_nonblocking(true)?;
@@ -89,6 +93,7 @@
             links,
             maintain_at: now,
             observer,
+            traffic,
         })
     }
 
@@ -151,7 +156,7 @@
             && self.poller.add(&stream, id, Want::Read).is_ok();
         if is_kept {
             let _ = stream.set_nodelay(true);
-            self.connections.insert(id, Connection::new(stream, None, Instant::now()));
+            self.connections.insert(id, Connection::new(stream, None, Instant::now(), self.traffic.clone()));
             self.next_connection += 1;
         }
     }
--- a/crates/fleet/src/transport/connection.rs
+++ b/crates/fleet/src/transport/connection.rs
@@ -1,10 +1,12 @@
 //! One connection: its socket, its buffers, and what is known of the other side.
 
+use super::traffic::Traffic;
 use crate::frame;
 use pearfork_ledger::{HostNumber, Message};
 use pearfork_net::Want;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::Instant;
 
 /// Bytes read at once.
@@ -38,10 +40,16 @@
     output: Vec<u8>,
     /// Bytes of `output` that are sent.
     sent: usize,
+    traffic: Arc<Traffic>,
 }
 
 impl Connection {
-    pub(super) fn new(stream: TcpStream, dialed: Option<HostNumber>, now: Instant) -> Connection {
+    pub(super) fn new(
+        stream: TcpStream,
+        dialed: Option<HostNumber>,
+        now: Instant,
+        traffic: Arc<Traffic>,
+    ) -> Connection {
         Connection {
             stream,
             dialed,
@@ -55,6 +63,7 @@
             input: Vec::new(),
             output: Vec::new(),
             sent: 0,
+            traffic,
         }
     }
 
@@ -84,6 +93,7 @@
     /// Adds a message to what waits to be sent.
     pub(super) fn enqueue(&mut self, message: &Message) {
         frame::put(&mut self.output, message);
+        self.traffic.add_sent_message();
     }
 
     /// Sends as much as the socket takes at once.
@@ -91,7 +101,10 @@
         while self.sent < self.output.len() {
             match (&self.stream).write(&self.output[self.sent..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => self.sent += n,
+                Ok(n) => {
+                    self.sent += n;
+                    self.traffic.add_sent_bytes(n);
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.output.drain(..self.sent);
@@ -112,7 +125,10 @@
         while self.input.len() <= max_bytes + frame::HEADER_BYTES {
             match (&self.stream).read(&mut buffer) {
                 Ok(0) => return true,
-                Ok(n) => self.input.extend_from_slice(&buffer[..n]),
+                Ok(n) => {
+                    self.input.extend_from_slice(&buffer[..n]);
+                    self.traffic.add_received_bytes(n);
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
                 Err(_) => return true,
@@ -136,6 +152,7 @@
             }
         };
         self.input.drain(..taken);
+        self.traffic.add_received_messages(messages.len());
         if self.input.is_empty() && self.input.capacity() > KEPT_INPUT_BYTES {
             self.input = Vec::new();
         }
--- a/crates/fleet/src/transport/links.rs
+++ b/crates/fleet/src/transport/links.rs
@@ -137,7 +137,7 @@
         }
         if let Ok(stream) = stream {
             self.next_connection += 1;
-            let mut connection = Connection::new(stream, Some(host), now);
+            let mut connection = Connection::new(stream, Some(host), now, self.traffic.clone());
             connection.enqueue(&Message::Hello(self.hello.clone()));
             self.connections.insert(id, connection);
         }
--- /dev/null
+++ b/crates/scale/src/run.rs
@@ -0,0 +1,345 @@
+//! Starts the processes of a run, measures them, and ends them.
+
+use crate::child::{Assignment, Command, Sample};
+use crate::hollow::RunClock;
+use crate::measure::{quantile, Usage};
+use crate::report::{LeaderLoss, MoveTimes, Report, RoleCost};
+use crate::size::{Size, SizeError, HOSTS_PER_PROCESS, MAX_MEMORY_BYTES};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::process::{Child as Process, ChildStdin, ChildStdout, Stdio};
+use std::time::{Duration, Instant};
+
+/// Longest time until every host has a lease.
+const READY_TIMEOUT: Duration = Duration::from_secs(120);
+/// How often processes are asked how they stand while something is waited for.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// The same while the loss of the leader is timed.
+const LOSS_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time until every host has a lease after the loss of the leader.
+const LOSS_TIMEOUT: Duration = Duration::from_secs(60);
+/// Ports of voters: below those that the system gives to connections, of which one may be taken when a voter begins to listen.
+const PORTS: std::ops::Range<u16> = 15_000..32_000;
+
+/// Why a run has no result.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The size is refused.
+    #[error(transparent)]
+    Size(#[from] SizeError),
+    /// The machine refuses a process, a port or a folder.
+    #[error("the machine: {0}")]
+    Machine(#[from] io::Error),
+    /// A process of the run ended or said nothing of use.
+    #[error("process {process}: {why}")]
+    Process {
+        /// Its place among the processes of the run.
+        process: usize,
+        /// What it did.
+        why: String,
+    },
+    /// Memory grew beyond what is allowed.
+    #[error("all processes have {used_mib} MiB, {most_mib} are allowed: the run was ended")]
+    Memory {
+        /// What they have.
+        used_mib: u64,
+        /// What is allowed.
+        most_mib: u64,
+    },
+    /// Not every host had a lease in time.
+    #[error("{leased} of {hosts} hosts had a lease after {seconds} s")]
+    NotReady {
+        /// Hosts with a lease.
+        leased: usize,
+        /// All hosts.
+        hosts: u32,
+        /// How long was waited.
+        seconds: u64,
+    },
+}
+
+/// One process of the run.
+struct Worker {
+    process: Process,
+    input: ChildStdin,
+    output: BufReader<ChildStdout>,
+    is_alive: bool,
+}
+
+impl Worker {
+    fn start(program: &Path, assignment: &Assignment) -> io::Result<Worker> {
+        let mut process = std::process::Command::new(program)
+            .arg("serve")
+            .arg(serde_json::to_string(assignment)?)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let missing = || io::Error::other("no pipe to a process");
+        let input = process.stdin.take().ok_or_else(missing)?;
+        let output = process.stdout.take().ok_or_else(missing)?;
+        Ok(Worker { process, input, output: BufReader::new(output), is_alive: true })
+    }
+
+    fn read(&mut self) -> io::Result<Sample> {
+        let mut line = String::new();
+        self.output.read_line(&mut line)?;
+        Ok(serde_json::from_str(&line)?)
+    }
+
+    fn ask(&mut self, command: Command) -> io::Result<Sample> {
+        writeln!(self.input, "{}", serde_json::to_string(&command)?)?;
+        self.read()
+    }
+
+    fn kill(&mut self) {
+        self.is_alive = false;
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// How a process stood at a moment.
+struct Observation {
+    sample: Sample,
+    usage: Usage,
+}
+
+/// Processes of a run, voters first.
+struct Workers {
+    all: Vec<Worker>,
+    size: Size,
+}
+
+fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
+    let first = std::process::id() as usize * 211 % PORTS.len();
+    let ports = PORTS.cycle().skip(first).take(PORTS.len());
+    let held: Vec<TcpListener> =
+        ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok()).take(count).collect();
+    if held.len() < count {
+        return Err(io::ErrorKind::AddrNotAvailable.into());
+    }
+    held.iter().map(TcpListener::local_addr).collect()
+}
+
+impl Workers {
+    fn start(program: &Path, size: &Size, folder: &Path) -> Result<Workers, RunError> {
+        let voters = free_addresses(usize::from(size.voters))?;
+        let assignment = |first_host: u32, hosts: u32| Assignment {
+            size: size.clone(),
+            first_host,
+            hosts,
+            voters: voters.clone(),
+            folder: folder.to_owned(),
+            began_unix_ms: RunClock::unix_ms(),
+        };
+        let voter_hosts = u32::from(size.voters);
+        let mut assignments: Vec<Assignment> = (0..voter_hosts).map(|host| assignment(host, 1)).collect();
+        let firsts = (voter_hosts..size.hosts).step_by(HOSTS_PER_PROCESS as usize);
+        assignments.extend(firsts.map(|first| assignment(first, HOSTS_PER_PROCESS.min(size.hosts - first))));
+        let began = assignments.first().map_or(0.0, |a| a.began_unix_ms);
+        let mut workers = Workers { all: Vec::new(), size: size.clone() };
+        for mut assignment in assignments {
+            assignment.began_unix_ms = began;
+            workers.all.push(Worker::start(program, &assignment)?);
+        }
+        for (number, worker) in workers.all.iter_mut().enumerate() {
+            worker.read().map_err(|e| RunError::Process { process: number, why: e.to_string() })?;
+        }
+        Ok(workers)
+    }
+
+    fn ask_all(&mut self, command: Command) -> Result<Vec<Observation>, RunError> {
+        let mut observations = Vec::new();
+        for (process, worker) in self.all.iter_mut().enumerate().filter(|(_, worker)| worker.is_alive) {
+            let failed = |e: io::Error| RunError::Process { process, why: e.to_string() };
+            let sample = worker.ask(command).map_err(failed)?;
+            let usage = Usage::of(worker.process.id()).map_err(failed)?;
+            observations.push(Observation { sample, usage });
+        }
+        let used: u64 = observations.iter().map(|o| o.usage.resident_bytes).sum();
+        if used > MAX_MEMORY_BYTES {
+            return Err(RunError::Memory { used_mib: used >> 20, most_mib: MAX_MEMORY_BYTES >> 20 });
+        }
+        Ok(observations)
+    }
+
+    /// Waits until every host has a lease; how long that took, and how things stood.
+    fn wait_for_leases(
+        &mut self,
+        timeout: Duration,
+        interval: Duration,
+    ) -> Result<(Duration, Vec<Observation>), RunError> {
+        let began = Instant::now();
+        loop {
+            let observations = self.ask_all(Command::Sample)?;
+            let hosts: usize = observations.iter().map(|o| o.sample.hosts.len()).sum();
+            let leased = observations.iter().flat_map(|o| &o.sample.hosts).filter(|h| h.is_leased).count();
+            if leased == hosts {
+                return Ok((began.elapsed(), observations));
+            }
+            if began.elapsed() > timeout {
+                let seconds = timeout.as_secs();
+                return Err(RunError::NotReady { leased, hosts: self.size.hosts, seconds });
+            }
+            std::thread::sleep(interval);
+        }
+    }
+
+    /// Kills the leader and times what follows.
+    fn lose_leader(&mut self) -> Result<LeaderLoss, RunError> {
+        let before_kill = self.ask_all(Command::Sample)?;
+        let Some(leader) = before_kill.iter().position(|o| o.sample.leads) else {
+            return Err(RunError::Process { process: 0, why: "no voter leads".to_owned() });
+        };
+        self.ask_all(Command::Mark)?;
+        let began = Instant::now();
+        self.all[leader].kill();
+        let mut new_leader_ms = 0.0;
+        let after = loop {
+            let observations = self.ask_all(Command::Sample)?;
+            if new_leader_ms == 0.0 && observations.iter().any(|o| o.sample.leads) {
+                new_leader_ms = began.elapsed().as_secs_f64() * 1_000.0;
+            }
+            let is_whole = new_leader_ms > 0.0
+                && observations.iter().all(|o| o.sample.hosts.iter().all(|h| h.is_leased));
+            if is_whole {
+                break observations;
+            }
+            if began.elapsed() > LOSS_TIMEOUT {
+                let leased =
+                    observations.iter().flat_map(|o| &o.sample.hosts).filter(|h| h.is_leased).count();
+                let seconds = LOSS_TIMEOUT.as_secs();
+                return Err(RunError::NotReady { leased, hosts: self.size.hosts, seconds });
+            }
+            std::thread::sleep(LOSS_POLL_INTERVAL);
+        };
+        let all_leased_ms = began.elapsed().as_secs_f64() * 1_000.0;
+        let mut loss = LeaderLoss { new_leader_ms, all_leased_ms, ..LeaderLoss::default() };
+        let survivors = before_kill.iter().enumerate().filter(|(at, _)| *at != leader).map(|(_, o)| o);
+        for (old, new) in survivors.zip(&after) {
+            for (old_host, new_host) in old.sample.hosts.iter().zip(&new.sample.hosts) {
+                let bytes = new_host.bytes.saturating_sub(old_host.bytes) as f64;
+                if new.sample.leads {
+                    loss.leader_bytes = bytes;
+                } else if old.sample.hosts.len() > 1 {
+                    loss.most_host_bytes = loss.most_host_bytes.max(bytes);
+                }
+            }
+        }
+        Ok(loss)
+    }
+}
+
+/// Adds up the cost of a role over its processes, and divides it by its hosts.
+fn cost(pairs: &[(&Observation, &Observation)], seconds: f64) -> RoleCost {
+    let hosts: f64 = pairs.iter().map(|(_, after)| after.sample.hosts.len() as f64).sum();
+    let mut sum = RoleCost::default();
+    for (before, after) in pairs {
+        sum.cpu_percent += (after.usage.cpu_seconds - before.usage.cpu_seconds) / seconds * 100.0;
+        sum.resident_bytes += after.usage.resident_bytes as f64;
+        sum.threads += after.usage.threads as f64;
+        sum.descriptors += after.usage.descriptors as f64;
+        for (old, new) in before.sample.hosts.iter().zip(&after.sample.hosts) {
+            sum.bytes_per_second += (new.bytes - old.bytes) as f64 / seconds;
+            sum.messages_per_second += (new.messages - old.messages) as f64 / seconds;
+        }
+    }
+    let hosts = hosts.max(1.0);
+    RoleCost {
+        cpu_percent: sum.cpu_percent / hosts,
+        resident_bytes: sum.resident_bytes / hosts,
+        threads: sum.threads / hosts,
+        descriptors: sum.descriptors / hosts,
+        bytes_per_second: sum.bytes_per_second / hosts,
+        messages_per_second: sum.messages_per_second / hosts,
+    }
+}
+
+fn disk_bytes(folder: &Path) -> u64 {
+    let Ok(entries) = std::fs::read_dir(folder) else { return 0 };
+    let bytes = |entry: std::fs::DirEntry| match entry.metadata() {
+        Ok(metadata) if metadata.is_dir() => disk_bytes(&entry.path()),
+        Ok(metadata) => metadata.len(),
+        Err(_) => 0,
+    };
+    entries.flatten().map(bytes).sum()
+}
+
+/// Runs a size and measures it. `program` is this very program: its other processes are started from it.
+///
+/// # Errors
+/// A size that is refused, a machine that refuses something, a process that ended, or hosts that had no lease in time.
+pub fn run(size: &Size, program: &Path, loses_leader: bool) -> Result<Report, RunError> {
+    size.check()?;
+    let folder = tempfile::tempdir()?;
+    let mut workers = Workers::start(program, size, folder.path())?;
+    let (ready, _) = workers.wait_for_leases(READY_TIMEOUT, POLL_INTERVAL)?;
+    std::thread::sleep(Duration::from_secs(u64::from(size.warm_up)));
+    let before = workers.ask_all(Command::Sample)?;
+    let began = Instant::now();
+    std::thread::sleep(Duration::from_secs(u64::from(size.seconds)));
+    let seconds = began.elapsed().as_secs_f64();
+    let after = workers.ask_all(Command::Sample)?;
+    let leader_loss = if loses_leader { Some(workers.lose_leader()?) } else { None };
+    Ok(summarize(&workers, &before, &after, Measured { seconds, ready, leader_loss, folder: folder.path() }))
+}
+
+/// What is known of a run beside its observations.
+struct Measured<'a> {
+    seconds: f64,
+    ready: Duration,
+    leader_loss: Option<LeaderLoss>,
+    folder: &'a Path,
+}
+
+fn summarize(
+    workers: &Workers,
+    before: &[Observation],
+    after: &[Observation],
+    measured: Measured<'_>,
+) -> Report {
+    let seconds = measured.seconds;
+    let pairs: Vec<(&Observation, &Observation)> = before.iter().zip(after).collect();
+    let voters = usize::from(workers.size.voters);
+    let (of_voters, of_hosts) = pairs.split_at(voters.min(pairs.len()));
+    let leader: Vec<_> = of_voters.iter().copied().filter(|(_, o)| o.sample.leads).collect();
+    let followers: Vec<_> = of_voters.iter().copied().filter(|(_, o)| !o.sample.leads).collect();
+    let per_host = |(old, new): &(&Observation, &Observation)| -> Vec<f64> {
+        let pairs = old.sample.hosts.iter().zip(&new.sample.hosts);
+        pairs.map(|(old, new)| (new.bytes - old.bytes) as f64 / seconds).collect()
+    };
+    let mut host_bytes: Vec<f64> = of_hosts.iter().flat_map(per_host).collect();
+    let mut move_ms: Vec<f64> = after.iter().flat_map(|o| o.sample.move_ms.clone()).collect();
+    let scheduler = |o: &Observation| o.sample.scheduler_seconds;
+    let scheduler_seconds: f64 = of_hosts.iter().map(|(old, new)| scheduler(new) - scheduler(old)).sum();
+    let hollow = host_bytes.len().max(1) as f64;
+    let leads = after.iter().find(|o| o.sample.leads);
+    Report {
+        size: workers.size.clone(),
+        measured_seconds: seconds,
+        ready_seconds: measured.ready.as_secs_f64(),
+        host: cost(of_hosts, seconds),
+        host_bytes_p99: quantile(&mut host_bytes, 0.99),
+        leader: cost(&leader, seconds),
+        follower: cost(&followers, seconds),
+        scheduler_percent: scheduler_seconds / hollow / seconds * 100.0,
+        all_resident_bytes: after.iter().map(|o| o.usage.resident_bytes).sum(),
+        moves: MoveTimes {
+            count: move_ms.len(),
+            p50_ms: quantile(&mut move_ms, 0.5),
+            p99_ms: quantile(&mut move_ms, 0.99),
+            max_ms: quantile(&mut move_ms, 1.0),
+        },
+        lent_budgets: leads.map_or(0, |o| o.sample.lent_budgets),
+        lent: leads.map_or(0.0, |o| o.sample.lent),
+        disk_bytes: disk_bytes(measured.folder),
+        leader_loss: measured.leader_loss,
+    }
+}
