Ledger: requests and responses tell what changed since the last response

A request names the response that its sender handled last (term, request, revision) and says what it first said after that request; the response tells what changed after that revision. Changes are taken on top of what is known alone; any other is refused, and all is told once. Demand is said anew from a tenth on. The leader divides a budget when something of it changed, until nothing is left to change, and contended ones as turns end; a table drops one empty budget, not all. A voter's view is made ten times a second, not after every batch. Hosts look parts up by name.

The drawn fleets' parts carry the end of the lease that they were told with, as a host's do: before, a part that whoever sends took up late was valid by the next lease.

--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -146,9 +146,11 @@
                 }
                 return;
             }
-            LeaseOutcome::Refused(Refusal::Unknown) => self.next_request_at = Instant::now(),
+            LeaseOutcome::Refused(Refusal::Unknown | Refusal::Unsynchronized) => {
+                self.next_request_at = Instant::now();
+            }
             LeaseOutcome::Refused(Refusal::Superseded) => self.warn_superseded(),
-            LeaseOutcome::Lease { .. } => {
+            LeaseOutcome::Lease(_) => {
                 self.voters.handle_lease(from);
                 self.leases_received += 1;
             }
--- a/crates/fleet/src/voter_thread.rs
+++ b/crates/fleet/src/voter_thread.rs
@@ -14,6 +14,8 @@
 
 /// How often a disk that failed is tried again.
 const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+/// How often the voter's view is published: to make it takes as long as there are members and budgets.
+const VIEW_INTERVAL: Duration = Duration::from_millis(100);
 /// Most events that are handled before one write for all of them.
 const BATCH: usize = 64;
 
@@ -98,10 +100,14 @@
         self.seed = self.seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
         let mut voter: Voter<Requester> =
             Voter::new(self.plan.me, &voters, self.plan.times, self.seed, state, self.clock.now_ms());
+        let mut publish_at = Instant::now();
         while self.handle_events(&mut voter) {
             voter.tick(self.clock.now_ms());
             self.write_and_send(&mut voter, &mut store)?;
-            self.shared.voter(|view| *view = VoterView::of(&voter, self.clock.now_ms()));
+            if Instant::now() >= publish_at {
+                publish_at = Instant::now() + VIEW_INTERVAL;
+                self.shared.voter(|view| *view = VoterView::of(&voter, self.clock.now_ms()));
+            }
         }
         Ok(())
     }
--- a/crates/host/src/fleet.rs
+++ b/crates/host/src/fleet.rs
@@ -8,6 +8,7 @@
 use pearfork_fleet::{Demand, FleetPlan, Portion, User};
 use pearfork_ledger::{Budget, Fraction, Kind, Meter};
 use pearfork_net::Clock;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -97,9 +98,9 @@
     }
 
     fn apply(&mut self, portions: &[Portion]) -> bool {
-        let of = |budget: &Budget| portions.iter().find(|p| p.budget == *budget);
+        let by_budget: HashMap<&Budget, &Portion> = portions.iter().map(|p| (&p.budget, p)).collect();
         let part = |l: &Line| {
-            let (rate, burst) = (of(&l.rate)?, of(&l.burst)?);
+            let (rate, burst) = (by_budget.get(&l.rate)?, by_budget.get(&l.burst)?);
             Some(LentPart {
                 volume: l.volume,
                 floor: rate.floor.as_f64(),
--- a/crates/ledger/src/holder.rs
+++ b/crates/ledger/src/holder.rs
@@ -3,10 +3,12 @@
 use crate::budget::{Budget, HostNumber, Incarnation};
 use crate::fraction::Fraction;
 use crate::lease_table::Allocation;
-use crate::message::{BudgetRequest, Grant, LeaseOutcome, LeaseRequest, LeaseResponse, Refusal};
+use crate::message::{
+    BudgetRequest, Grant, Lease, LeaseOutcome, LeaseRequest, LeaseResponse, Refusal, RenewalBase,
+};
 use crate::Times;
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What a host may use of a budget beyond its floor.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,15 +29,43 @@
     current: Allocation,
     /// What the user of the budget has confirmed to go by, and may be declared to the ledger.
     confirmed: Option<Allocation>,
+    /// What requests say of it.
+    said: Said,
+    /// The first request that said so.
+    said_seq: u64,
+}
+
+/// What a request says of one budget.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Said {
+    demand: Fraction,
+    least: Fraction,
+    turn_ms: u32,
+    using: Fraction,
+    version: u64,
+}
+
+impl Said {
+    /// Whether this is worth saying after `earlier`. Demand that hardly moved is not: it is met with more than that to spare.
+    fn is_news_after(&self, earlier: &Said) -> bool {
+        let (new, old) = (self.demand.0, earlier.demand.0);
+        let is_small = new.abs_diff(old) as f64 <= DEMAND_HYSTERESIS * old as f64;
+        let is_same_side = (new == 0) == (old == 0);
+        !(is_small && is_same_side) || Said { demand: earlier.demand, ..*self } != *earlier
+    }
+
+    /// Nothing is wanted, and nothing was granted: a ledger that never hears of it knows as much.
+    fn is_empty(&self) -> bool {
+        self.demand == Fraction::ZERO && self.version == 0
+    }
 }
 
 impl HeldBudget {
-    fn request(&self, budget: &Budget) -> BudgetRequest {
+    fn present(&self) -> Said {
         // What was confirmed under the present version. Version 0 declares nothing: no allocation has it.
         let undeclared = Allocation { version: 0, ..self.current };
         let declared = self.confirmed.filter(|c| c.version == self.current.version).unwrap_or(undeclared);
-        BudgetRequest {
-            budget: budget.clone(),
+        Said {
             demand: self.demand,
             least: self.least,
             turn_ms: self.turn_ms,
@@ -44,6 +74,28 @@
         }
     }
 
+    /// Brings what is said up to date with a request of this number.
+    fn update_said(&mut self, seq: u64) {
+        let present = self.present();
+        if present.is_news_after(&self.said) {
+            (self.said, self.said_seq) = (present, seq);
+        }
+    }
+
+    fn request(&self, budget: &Budget) -> BudgetRequest {
+        let Said { demand, least, turn_ms, using, version } = self.said;
+        BudgetRequest { budget: budget.clone(), demand, least, turn_ms, using, version }
+    }
+
+    /// Whether a request has to say something of it.
+    fn has_to_be_said(&self, base: Option<RenewalBase>) -> bool {
+        match base {
+            Some(base) => self.said_seq > base.seq,
+            // Danger: what is held or was granted is said even where it is not wanted, or it would never come back.
+            None => !self.said.is_empty() || self.current.version > 0,
+        }
+    }
+
     fn apply(&mut self, grant: &Grant) {
         let wanted = self.demand > Fraction::ZERO || self.current.fraction > Fraction::ZERO;
         match grant.version.cmp(&self.current.version) {
@@ -90,11 +142,16 @@
     unanswered: VecDeque<Unanswered>,
     /// Number of the last request that got a lease.
     answered: u64,
+    /// What the next request tells the changes since.
+    base: Option<RenewalBase>,
     expires_at: f64,
     superseded: bool,
     leaving: bool,
 }
 
+/// Demand that moves by no more than this fraction of itself is not said anew. Danger: the ledger meets demand with a quarter
+/// to spare; with more than that here, a host would be short of what it needs.
+const DEMAND_HYSTERESIS: f64 = 0.1;
 /// Unanswered requests that are remembered. Responses to older ones come too late in any case.
 const MAX_UNANSWERED: usize = 64;
 
@@ -110,6 +167,7 @@
             seq: 0,
             unanswered: VecDeque::new(),
             answered: 0,
+            base: None,
             expires_at: f64::NEG_INFINITY,
             superseded: false,
             leaving: false,
@@ -163,6 +221,7 @@
 
     fn drop_lease(&mut self) {
         self.expires_at = f64::NEG_INFINITY;
+        self.base = None;
         self.budgets.values_mut().for_each(|held| held.current = Allocation::NONE);
     }
 
@@ -180,13 +239,18 @@
         if self.unanswered.len() > MAX_UNANSWERED {
             self.unanswered.pop_front();
         }
+        let seq = self.seq;
+        self.budgets.values_mut().for_each(|held| held.update_said(seq));
+        let to_say = self.budgets.iter().filter(|(_, held)| held.has_to_be_said(self.base));
+        let requests = to_say.map(|(budget, held)| held.request(budget)).collect();
         LeaseRequest {
             host: self.host,
             nonce: self.nonce,
             incarnation: self.incarnation,
-            seq: self.seq,
+            seq,
             leaving: self.leaving,
-            requests: self.budgets.iter().map(|(budget, held)| held.request(budget)).collect(),
+            requests,
+            base: self.base,
         }
     }
 
@@ -200,8 +264,11 @@
             return false;
         }
         match &response.outcome {
-            LeaseOutcome::Lease { incarnation, grants } => {
-                self.handle_lease(request.seq, *incarnation, grants);
+            LeaseOutcome::Lease(lease) => {
+                if !self.follows(lease) {
+                    return false;
+                }
+                self.handle_lease(request.seq, lease);
                 self.expires_at = self.expires_at.max(request.sent_at + self.times.lease_ms);
                 now < self.expires_at
             }
@@ -216,25 +283,48 @@
                 self.drop_lease();
                 true
             }
+            LeaseOutcome::Refused(Refusal::Unsynchronized) => {
+                self.base = None;
+                false
+            }
             LeaseOutcome::Refused(Refusal::NotLeader(_)) => false,
         }
     }
 
-    fn handle_lease(&mut self, seq: u64, incarnation: Incarnation, grants: &[Grant]) {
+    /// Whether what a lease tells can be added to what is known. Danger: changes since a response that never came here, or by
+    /// another leader, leave out what that response granted or took away.
+    fn follows(&self, lease: &Lease) -> bool {
+        let Some(since) = lease.changes_since else { return true };
+        let term = lease.position.map(|position| position.term);
+        let is_known = |base: RenewalBase| Some(base.term) == term && base.revision >= since;
+        self.incarnation == Some(lease.incarnation) && self.base.is_some_and(is_known)
+    }
+
+    fn handle_lease(&mut self, seq: u64, lease: &Lease) {
         self.answered = seq;
         self.unanswered.retain(|u| u.seq > seq);
-        if self.incarnation != Some(incarnation) {
+        if self.incarnation != Some(lease.incarnation) {
             self.drop_lease();
-            self.incarnation = Some(incarnation);
+            self.incarnation = Some(lease.incarnation);
         }
-        for (budget, held) in &mut self.budgets {
-            if !grants.iter().any(|g| g.budget == *budget) {
-                // Given back at its own request.
+        self.withdraw(lease);
+        for grant in &lease.grants {
+            self.budgets.entry(grant.budget.clone()).or_default().apply(grant);
+        }
+        self.base = lease.position.map(|p| RenewalBase { term: p.term, seq, revision: p.revision });
+    }
+
+    /// Drops what a lease says that it holds no more: it was given back at its own request.
+    fn withdraw(&mut self, lease: &Lease) {
+        if lease.changes_since.is_none() {
+            let granted: BTreeSet<&Budget> = lease.grants.iter().map(|grant| &grant.budget).collect();
+            let withdrawn = self.budgets.iter_mut().filter(|(budget, _)| !granted.contains(budget));
+            withdrawn.for_each(|(_, held)| held.current = Allocation::NONE);
+        }
+        for budget in &lease.withdrawn {
+            if let Some(held) = self.budgets.get_mut(budget) {
                 held.current = Allocation::NONE;
             }
         }
-        for grant in grants {
-            self.budgets.entry(grant.budget.clone()).or_default().apply(grant);
-        }
     }
 }
--- a/crates/ledger/src/lease_table.rs
+++ b/crates/ledger/src/lease_table.rs
@@ -168,20 +168,18 @@
         } else {
             holders.insert(to, Allocation { fraction, version: self.last_version });
         }
-        self.drop_empty_budgets();
+        if holders.is_empty() {
+            self.allocations.remove(budget);
+        }
         true
     }
 
     fn remove(&mut self, who: Incarnation) -> bool {
         let known = self.members.remove(&who).is_some();
-        for holders in self.allocations.values_mut() {
+        self.allocations.retain(|_, holders| {
             holders.remove(&who);
-        }
-        self.drop_empty_budgets();
+            !holders.is_empty()
+        });
         known
     }
-
-    fn drop_empty_budgets(&mut self) {
-        self.allocations.retain(|_, holders| !holders.is_empty());
-    }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -9,6 +9,9 @@
 //! - An allocation is removed only at its holder's own request ([`Holder`] never uses more again than it declared) or once
 //!   its lease has expired by the leader's clock, counted from later than its holder counted, and for longer.
 //! - What a host uses beyond its floor it was granted from the table, after the leader had made sure that it still led.
+//!
+//! Requests and responses tell what changed since the last response that the holder handled ([`RenewalBase`]): what is said
+//! and divided grows with what changes, not with hosts and budgets.
 
 mod budget;
 mod divide;
@@ -27,11 +30,12 @@
 pub use divide::{divide, Claim};
 pub use fraction::Fraction;
 pub use holder::{Held, Holder, HolderState};
-pub use lease_manager::{LeaseManager, MemberLease};
+pub use lease_manager::{Handling, LeaseManager, MemberLease};
 pub use lease_table::{Allocation, Change, LeaseTable, Member};
 pub use log::{Entry, Log, LogPosition};
 pub use message::{
-    BudgetRequest, Grant, Hello, LeaseOutcome, LeaseRequest, LeaseResponse, Message, Refusal, VERSION,
+    BudgetRequest, Grant, GrantsPosition, Hello, Lease, LeaseOutcome, LeaseRequest, LeaseResponse, Message,
+    Refusal, RenewalBase, VERSION,
 };
 pub use meter::Meter;
 pub use voter::{Ready, Voter, VoterState};
--- a/crates/ledger/src/message.rs
+++ b/crates/ledger/src/message.rs
@@ -59,6 +59,18 @@
     pub version: u64,
 }
 
+/// The last response that the sender of a request handled: the request holds what changed since the request that was
+/// responded to, and is responded to with what changed since that response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewalBase {
+    /// The term of the leader that responded. What one leader was told no other knows.
+    pub term: u64,
+    /// The request that it responded to.
+    pub seq: u64,
+    /// The revision of the grants up to which it told the sender.
+    pub revision: u64,
+}
+
 /// A host requests a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRequest {
@@ -72,9 +84,12 @@
     pub seq: u64,
     /// The process leaves: all that it held may be lent to others at once.
     pub leaving: bool,
-    /// Every budget that it holds or wants some of.
+    /// Every budget that it holds or wants some of; with a `base` those that changed since.
     #[serde(rename = "wants")]
     pub requests: Vec<BudgetRequest>,
+    /// Since when `requests` tells what changed; none where it tells all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<RenewalBase>,
 }
 
 /// An allocation, as its holder is told of it.
@@ -102,19 +117,50 @@
     Unknown,
     /// A later process has the host's number.
     Superseded,
+    /// This leader does not know what came before the changes: the request has to tell all.
+    Unsynchronized,
+}
+
+/// Up to where a leader told a process of its grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GrantsPosition {
+    /// The term of the leader.
+    pub term: u64,
+    /// Counts changes of the process's grants during that term.
+    pub revision: u64,
+}
+
+/// A lease, counted from when its request was sent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// The process.
+    pub incarnation: Incarnation,
+    /// All that it holds; with `changes_since` what changed of it.
+    pub grants: Vec<Grant>,
+    /// What it holds nothing of any more, where only changes are told.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub withdrawn: Vec<Budget>,
+    /// The revision since which changes are told; none where all is told.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub changes_since: Option<u64>,
+    /// Up to where this tells; none from a release that always tells all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub position: Option<GrantsPosition>,
+}
+
+impl Lease {
+    /// A lease with these grants and no others, by a leader that always tells all.
+    pub fn whole(incarnation: Incarnation, grants: Vec<Grant>) -> Lease {
+        Lease { incarnation, grants, withdrawn: Vec::new(), changes_since: None, position: None }
+    }
 }
 
 /// The outcome of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LeaseOutcome {
-    /// A lease, counted from when the request was sent, with these grants and no others.
-    Lease {
-        /// The process.
-        incarnation: Incarnation,
-        /// All that it holds.
-        grants: Vec<Grant>,
-    },
+    /// A lease.
+    Lease(Lease),
     /// No lease.
     Refused(Refusal),
 }
--- a/crates/ledger/src/voter.rs
+++ b/crates/ledger/src/voter.rs
@@ -1,7 +1,7 @@
 //! A voter: its replica of the log and of the state, and while it leads the management of leases.
 
 use crate::budget::{HostNumber, Incarnation};
-use crate::lease_manager::LeaseManager;
+use crate::lease_manager::{Handling, LeaseManager};
 use crate::lease_table::{Change, LeaseTable};
 use crate::message::{LeaseOutcome, LeaseRequest, LeaseResponse, Refusal};
 use crate::raft::{Output, PersistentState, Raft, RaftMessage};
@@ -74,9 +74,9 @@
 }
 
 impl<T> Leadership<T> {
-    fn new(times: Times, table: &LeaseTable, now: f64) -> Leadership<T> {
+    fn new(times: Times, term: u64, table: &LeaseTable, now: f64) -> Leadership<T> {
         Leadership {
-            lease_manager: LeaseManager::new(times, table, now),
+            lease_manager: LeaseManager::new(times, term, table, now),
             pending: Vec::new(),
             proposed: 0,
             divide_at: now,
@@ -98,12 +98,15 @@
     }
 
     fn next_division(&self) -> f64 {
-        let for_requests = if self.has_new_requests { self.divide_at } else { f64::INFINITY };
+        let has_work = self.has_new_requests || self.lease_manager.has_dirty_budgets();
+        let for_requests = if has_work { self.divide_at } else { f64::INFINITY };
         for_requests.min((self.lease_manager.next_deadline() + 1.0).max(self.divide_at))
     }
 
     fn is_division_due(&self, now: f64, applied: u64) -> bool {
-        let has_work = self.has_new_requests || now > self.lease_manager.next_deadline();
+        let has_work = self.has_new_requests
+            || self.lease_manager.has_dirty_budgets()
+            || now > self.lease_manager.next_deadline();
         has_work && now >= self.divide_at && self.proposed <= applied
     }
 
@@ -115,11 +118,11 @@
             let mut reject =
                 |refusal| rejected.push(Rejected { nonce: request.nonce, seq: request.seq, refusal });
             match admit(table, request) {
-                Admission::Member(who) => {
-                    if !self.lease_manager.handle_request(now, who, request) {
-                        reject(None);
-                    }
-                }
+                Admission::Member(who) => match self.lease_manager.handle_request(now, who, request) {
+                    Handling::Accepted => {}
+                    Handling::Ignored => reject(None),
+                    Handling::Unsynchronized => reject(Some(Refusal::Unsynchronized)),
+                },
                 Admission::Join => joins.push(Change::Join { host: request.host, nonce: request.nonce }),
                 Admission::Refused(refusal) => reject(Some(refusal)),
             }
@@ -287,6 +290,9 @@
             let Some(entry) = self.raft.log().get(self.applied + 1) else { break };
             for change in &entry.changes {
                 self.table.apply(change);
+                if let Some(leadership) = &mut self.leadership {
+                    leadership.lease_manager.note_applied(change);
+                }
             }
             self.applied += 1;
         }
@@ -298,7 +304,8 @@
     /// Begins to manage leases once this voter leads and knows all that was committed, and ends it when it leads no more.
     fn update_leadership(&mut self, now: f64) {
         if self.raft.has_committed_in_term() {
-            self.leadership.get_or_insert_with(|| Leadership::new(self.times, &self.table, now));
+            let term = self.raft.term();
+            self.leadership.get_or_insert_with(|| Leadership::new(self.times, term, &self.table, now));
         } else if let Some(leadership) = self.leadership.take() {
             let leader = self.other_leader();
             for p in leadership.pending {
@@ -364,7 +371,7 @@
             return None;
         }
         leases.renew_lease(now, who);
-        Some(LeaseOutcome::Lease { incarnation: who, grants: leases.grants(who, &self.table) })
+        Some(LeaseOutcome::Lease(leases.lease(who, request.base, &self.table)))
     }
 }
 
--- a/crates/ledger/tests/formats.rs
+++ b/crates/ledger/tests/formats.rs
@@ -55,6 +55,11 @@
         ask("null"),
         ask("1"),
         answer(&format!(r#"{{"lease":{{"incarnation":1,"grants":[{grant}]}}}}"#)),
+        r#"{"ask":{"host":1,"nonce":7,"incarnation":1,"seq":2,"leaving":false,"wants":[],"base":{"term":3,"seq":1,"revision":4}}}"#.to_owned(),
+        answer(&format!(
+            r#"{{"lease":{{"incarnation":1,"grants":[{grant}],"withdrawn":["limit/b"],"changes_since":4,"position":{{"term":3,"revision":5}}}}}}"#
+        )),
+        answer(r#"{"refused":"unsynchronized"}"#),
         answer(r#"{"refused":{"not_leader":1}}"#),
         answer(r#"{"refused":{"not_leader":null}}"#),
         answer(r#"{"refused":"unknown"}"#),
--- a/crates/ledger/tests/leases.rs
+++ b/crates/ledger/tests/leases.rs
@@ -2,8 +2,8 @@
 //! ones hold.
 
 use pearfork_ledger::{
-    Budget, BudgetRequest, Change, Fraction, Holder, HostNumber, Incarnation, Kind, LeaseManager,
-    LeaseOutcome, LeaseRequest, LeaseResponse, LeaseTable, Times,
+    Budget, BudgetRequest, Change, Fraction, Handling, Holder, HostNumber, Incarnation, Kind, Lease,
+    LeaseManager, LeaseOutcome, LeaseRequest, LeaseResponse, LeaseTable, Times,
 };
 
 fn archive() -> Budget {
@@ -53,7 +53,7 @@
     let mut table = two_joined();
     table.apply(&lend(1, 0.5, 0));
     let times = Times::default();
-    let mut lease_manager = LeaseManager::new(times, &table, 0.0);
+    let mut lease_manager = LeaseManager::new(times, 1, &table, 0.0);
     let request = |seq, using: f64, at| LeaseRequest {
         host: HostNumber(0),
         nonce: 7,
@@ -68,22 +68,25 @@
             using: Fraction::from_f64(using),
             version: at,
         }],
+        base: None,
     };
-    assert!(lease_manager.handle_request(10.0, Incarnation(1), &request(5, 0.5, 1)));
-    assert!(!lease_manager.handle_request(20.0, Incarnation(1), &request(4, 0.0, 1)), "overtaken");
+    let mut handle = |at, request| lease_manager.handle_request(at, Incarnation(1), &request);
+    assert_eq!(handle(10.0, request(5, 0.5, 1)), Handling::Accepted);
+    assert_eq!(handle(20.0, request(4, 0.0, 1)), Handling::Ignored, "overtaken");
     assert!(lease_manager.is_open(Incarnation(1)));
     // Its answer is still being confirmed when its lease runs out for the leader.
     let late = times.lease_with_drift_ms() + 1.0;
     let changes = lease_manager.propose_changes(late, &table);
     assert!(changes.contains(&Change::Remove { who: Incarnation(1) }), "{changes:?}");
     assert!(!lease_manager.is_open(Incarnation(1)));
-    assert!(!lease_manager.handle_request(late, Incarnation(1), &request(6, 0.5, 1)));
+    let handling = lease_manager.handle_request(late, Incarnation(1), &request(6, 0.5, 1));
+    assert_eq!(handling, Handling::Ignored);
 }
 
 #[test]
 fn a_lease_ends_as_long_after_its_request_was_sent_however_late_the_response_comes() {
     let times = Times::default();
-    let lease = LeaseOutcome::Lease { incarnation: Incarnation(1), grants: Vec::new() };
+    let lease = LeaseOutcome::Lease(Lease::whole(Incarnation(1), Vec::new()));
     for delay_ms in [0.0, 1.0, times.lease_ms - 1.0, times.lease_ms, 10.0 * times.lease_ms] {
         let sent_at = 100.0;
         let mut holder = Holder::new(HostNumber(0), 7, times);
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -5,7 +5,7 @@
 
 use pearfork_ledger::raft::{PersistentState, RaftMessage};
 use pearfork_ledger::{
-    Allocation, Budget, Fraction, Holder, HostNumber, Kind, LeaseOutcome, LeaseRequest, LeaseResponse,
+    Allocation, Budget, Fraction, Held, Holder, HostNumber, Kind, LeaseOutcome, LeaseRequest, LeaseResponse,
     LeaseTable, Times, Voter,
 };
 use std::cmp::Reverse;
@@ -52,10 +52,18 @@
     LeaseResponse { to: (usize, u64), answer: LeaseResponse },
     VoterDue { voter: usize, life: u64 },
     HolderDue { process: u64 },
-    Adopt { process: u64, budget: Budget, allocation: Allocation },
+    Adopt { process: u64, portions: Vec<Portion>, unconfirmed: Vec<(Budget, Allocation)> },
     DiskAgain { voter: usize },
 }
 
+/// What whoever sends goes by, as it was told: a part, and the end of the lease that it is of.
+#[derive(Clone)]
+struct Portion {
+    budget: Budget,
+    fraction: Fraction,
+    until_ms: f64,
+}
+
 struct Event(f64, u64, What);
 
 impl PartialEq for Event {
@@ -79,7 +87,7 @@
     pub host: usize,
     holder: Holder,
     /// What whoever sends goes by.
-    used: BTreeMap<Budget, Fraction>,
+    used: BTreeMap<Budget, Portion>,
     still_until: f64,
     /// Whoever sends takes up one word after the other.
     adopts_at: f64,
@@ -396,14 +404,19 @@
             _ => p.silent = 0,
         }
         p.holder.handle_response(local, answer);
-        let adopt = p.holder.unconfirmed();
-        for (budget, allocation) in adopt {
-            let later = self.now + self.draw.between(0.0, self.adopt_ms);
-            let Some(p) = self.processes.get_mut(&id) else { return };
-            p.adopts_at = p.adopts_at.max(later);
-            let when = p.adopts_at;
-            self.at(when, What::Adopt { process: id, budget, allocation });
-        }
+        // All that is held goes to whoever sends with each answer, as a host's client does it.
+        let portion = |(budget, held): (&Budget, Held)| Portion {
+            budget: budget.clone(),
+            fraction: held.fraction,
+            until_ms: held.until_ms,
+        };
+        let portions = p.holder.all_held().map(portion).collect();
+        let unconfirmed = p.holder.unconfirmed();
+        let later = self.now + self.draw.between(0.0, self.adopt_ms);
+        let Some(p) = self.processes.get_mut(&id) else { return };
+        p.adopts_at = p.adopts_at.max(later);
+        let when = p.adopts_at;
+        self.at(when, What::Adopt { process: id, portions, unconfirmed });
     }
 
     /// One event; false where none is left.
@@ -441,13 +454,15 @@
                 _ => self.answered(to.1, &answer),
             },
             What::HolderDue { process } => self.holder_due(process),
-            What::Adopt { process, budget, allocation } => {
+            What::Adopt { process, portions, unconfirmed } => {
                 let still = self.processes.get(&process).map_or(0.0, |p| p.still_until);
                 if still > self.now {
-                    self.at(still, What::Adopt { process, budget, allocation });
+                    self.at(still, What::Adopt { process, portions, unconfirmed });
                 } else if let Some(p) = self.processes.get_mut(&process) {
-                    p.used.insert(budget.clone(), allocation.fraction);
-                    p.holder.confirm(&budget, allocation);
+                    p.used.extend(portions.into_iter().map(|portion| (portion.budget.clone(), portion)));
+                    for (budget, allocation) in unconfirmed {
+                        p.holder.confirm(&budget, allocation);
+                    }
                 }
             }
             What::DiskAgain { voter } => {
@@ -485,7 +500,7 @@
     pub fn is_lease_under_way(&self, process: u64) -> bool {
         let is_it = |what: &What| match what {
             What::LeaseResponse { to, answer } => {
-                to.1 == process && matches!(answer.outcome, LeaseOutcome::Lease { .. })
+                to.1 == process && matches!(answer.outcome, LeaseOutcome::Lease(_))
             }
             _ => false,
         };
@@ -495,12 +510,8 @@
     /// What a process may use of a budget now, beyond its floor.
     pub fn usable(&self, id: u64, budget: &Budget) -> Fraction {
         let Some(p) = self.processes.get(&id) else { return Fraction::ZERO };
-        let held = p.holder.held(budget);
-        if self.local(p.host) < held.until_ms {
-            p.used.get(budget).copied().unwrap_or(Fraction::ZERO)
-        } else {
-            Fraction::ZERO
-        }
+        let valid = p.used.get(budget).filter(|portion| self.local(p.host) < portion.until_ms);
+        valid.map_or(Fraction::ZERO, |portion| portion.fraction)
     }
 
     pub fn usable_in_all(&self, budget: &Budget) -> Fraction {
@@ -511,12 +522,10 @@
     fn check(&mut self) {
         let mut all: BTreeMap<&Budget, Fraction> = BTreeMap::new();
         for p in self.processes.values() {
-            let until = p.holder.state().until_ms;
-            if self.now * self.rates[p.host] < until {
-                for (budget, fraction) in &p.used {
-                    let sum = all.entry(budget).or_default();
-                    *sum = sum.saturating_add(*fraction);
-                }
+            let local = self.now * self.rates[p.host];
+            for portion in p.used.values().filter(|portion| local < portion.until_ms) {
+                let sum = all.entry(&portion.budget).or_default();
+                *sum = sum.saturating_add(portion.fraction);
             }
         }
         for (budget, fraction) in all {
--- a/crates/ledger/tests/simulated.rs
+++ b/crates/ledger/tests/simulated.rs
@@ -211,7 +211,7 @@
 }
 
 /// One drawn bad stretch; the invariant is asked at every step.
-fn drawn(seed: u64) -> World {
+fn drawn(seed: u64, budgets: &[Budget]) -> World {
     let mut draw = Draw(seed.wrapping_mul(77) | 1);
     let hosts = 3 + draw.below(8);
     let voters = [3, 3, 5][draw.below(3)].min(hosts);
@@ -225,7 +225,9 @@
     }
     let mut processes: Vec<u64> = (0..hosts).map(|h| world.start_host(h)).collect();
     // What one loses another takes at once: nothing is left over that would hide a part that is used twice.
-    processes.iter().for_each(|p| world.want(*p, &archive(), 0.9));
+    for p in &processes {
+        budgets.iter().for_each(|budget| world.want(*p, budget, 0.9));
+    }
     for _ in 0..40 {
         let (host, other) = (draw.below(hosts), draw.below(hosts));
         match draw.below(14) {
@@ -242,13 +244,14 @@
             8 => world.kill_host(processes[host]),
             9 => {
                 processes[host] = world.start_host(host);
-                world.want(processes[host], &archive(), 0.9);
+                budgets.iter().for_each(|budget| world.want(processes[host], budget, 0.9));
             }
             10 => world.disk(host % voters, true),
             11 => (0..voters).for_each(|v| world.disk(v, false)),
             _ => {
                 let p = processes[host];
-                world.want(p, &archive(), if draw.next() < 0.4 { 0.0 } else { draw.between(0.0, 2.0) });
+                let demand = if draw.next() < 0.4 { 0.0 } else { draw.between(0.0, 2.0) };
+                world.want(p, &budgets[other % budgets.len()], demand);
             }
         }
         world.run(draw.between(20.0, 1_200.0));
@@ -259,11 +262,16 @@
     (0..voters).for_each(|v| world.disk(v, false));
     (0..voters).for_each(|v| world.start_voter(v));
     let ids: Vec<u64> = world.processes.keys().copied().collect();
-    ids.iter().for_each(|p| world.want(*p, &archive(), 0.0));
+    for p in &ids {
+        budgets.iter().for_each(|budget| world.want(*p, budget, 0.0));
+    }
     world.run(15_000.0);
     let asker = world.named(hosts - 1).unwrap_or_else(|| world.start_host(hosts - 1));
-    world.want(asker, &archive(), 1.0);
-    until(&mut world, 10_000.0, "after a bad stretch", |w| w.usable(asker, &archive()).as_f64() > NEARLY_ALL);
+    for budget in budgets {
+        world.want(asker, budget, 1.0);
+        let what = format!("{budget} after a bad stretch");
+        until(&mut world, 10_000.0, &what, |w| w.usable(asker, budget).as_f64() > NEARLY_ALL);
+    }
     world
 }
 
@@ -271,8 +279,43 @@
 fn drawn_bad_stretches_lend_nothing_twice_and_end_well() {
     let mut worst: f64 = 0.0;
     for seed in 1..=150 {
-        let world = std::panic::catch_unwind(|| drawn(seed)).unwrap_or_else(|_| panic!("seed {seed}"));
+        let world =
+            std::panic::catch_unwind(|| drawn(seed, &[archive()])).unwrap_or_else(|_| panic!("seed {seed}"));
         worst = worst.max(world.worst);
     }
     assert!(worst > 0.92, "these days did not come near the whole: {worst}");
 }
+
+/// Several budgets, so that requests and responses tell of some of them alone.
+#[test]
+fn drawn_bad_stretches_with_several_budgets_lend_nothing_twice_and_end_well() {
+    let budgets: Vec<Budget> = (0..6).map(|n| Budget::new(Kind::Limit, &format!("volume-{n}"))).collect();
+    for seed in 1_001..=1_060 {
+        std::panic::catch_unwind(|| drawn(seed, &budgets)).unwrap_or_else(|_| panic!("seed {seed}"));
+    }
+}
+
+/// The leader dies between a demand and its grant; all demands reach the next one.
+#[test]
+fn demands_outlive_the_leader_that_was_told_of_them() {
+    for seed in 1..=20 {
+        let (mut world, processes) = fleet(seed, 12, 3);
+        let budgets: Vec<Budget> = (0..8).map(|n| Budget::new(Kind::Limit, &format!("volume-{n}"))).collect();
+        for (n, budget) in budgets.iter().enumerate() {
+            world.want(processes[n], budget, 1.0);
+        }
+        world.run(3_000.0);
+        // The load of half of them moves, and the leader dies before it has answered.
+        for (n, budget) in budgets.iter().enumerate().take(4) {
+            world.want(processes[n], budget, 0.0);
+            world.want(processes[n + 4], budget, 1.0);
+        }
+        world.run(30.0 * seed as f64);
+        let leader = world.leader().expect("a leader");
+        world.kill_voter(leader);
+        for (n, budget) in budgets.iter().enumerate() {
+            let user = if n < 4 { processes[n + 4] } else { processes[n] };
+            until(&mut world, 6_000.0, "a load that moved", |w| w.usable(user, budget).as_f64() > NEARLY_ALL);
+        }
+    }
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,6 +5,7 @@
 //! by role: bytes and messages by the transport, processor time, memory, threads and descriptors from `/proc`.
 
 pub mod child;
+pub mod connections;
 pub mod hollow;
 pub mod load;
 pub mod measure;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -3,10 +3,15 @@
 use clap::{Parser, Subcommand};
 use pearfork_cli::{Common, Exit};
 use pearfork_scale::child::{serve, Assignment};
+use pearfork_scale::connections::{self, ConnectionCost, ConnectionPlan};
 use pearfork_scale::report::Report;
 use pearfork_scale::run::RunError;
+use pearfork_scale::size::{in_range, MAX_SECONDS};
 use pearfork_scale::{run, Size};
+use serde::Serialize;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Runs voters and hollow hosts on loopback and measures bytes, messages, processor time and memory by role. Exit codes: 0
 /// measured, 1 the run broke off, 2 the size is refused. The last line of a run is one JSON object.
@@ -23,6 +28,8 @@
 enum Command {
     /// Measure a size.
     Run(RunArguments),
+    /// Measure what client connections cost a real host, `pearfork-gateway` under `pearfork-load`.
+    Connections(ConnectionArguments),
     /// Be one process of a run; started by `run` alone.
     #[command(hide = true)]
     Serve {
@@ -68,6 +75,43 @@
     lose_leader: bool,
 }
 
+#[derive(clap::Args)]
+struct ConnectionArguments {
+    /// Client sessions, each a connection.
+    #[arg(long, default_value_t = 100)]
+    sessions: u32,
+    /// Requests a second over all of them.
+    #[arg(long, default_value_t = 100.0)]
+    rate: f64,
+    /// Seconds that are measured.
+    #[arg(long, default_value_t = 10)]
+    seconds: u32,
+    /// The host's program; the one beside this program where it is not named.
+    #[arg(long)]
+    gateway: Option<PathBuf>,
+    /// The load's program; the one beside this program where it is not named.
+    #[arg(long)]
+    load: Option<PathBuf>,
+}
+
+/// Most sessions of a measurement.
+const MAX_SESSIONS: u32 = 8_192;
+/// Most requests a second of a measurement.
+const MAX_RATE: f64 = 20_000.0;
+
+impl ConnectionArguments {
+    fn plan(&self) -> Result<ConnectionPlan, RunError> {
+        in_range("sessions", f64::from(self.sessions), 1.0, f64::from(MAX_SESSIONS))?;
+        in_range("rate", self.rate, 0.001, MAX_RATE)?;
+        in_range("seconds", f64::from(self.seconds), 1.0, f64::from(MAX_SECONDS))?;
+        let beside = |name: &str| std::env::current_exe().map(|program| program.with_file_name(name));
+        let gateway = self.gateway.clone().map_or_else(|| beside("pearfork-gateway"), Ok)?;
+        let load = self.load.clone().map_or_else(|| beside("pearfork-load"), Ok)?;
+        let length = Duration::from_secs(u64::from(self.seconds));
+        Ok(ConnectionPlan { gateway, load, sessions: self.sessions, rate: self.rate, length })
+    }
+}
+
 impl RunArguments {
     fn size(&self) -> Size {
         Size {
@@ -90,6 +134,27 @@
     run(&arguments.size(), &program, arguments.lose_leader)
 }
 
+fn measure_connections(arguments: &ConnectionArguments) -> Result<ConnectionCost, RunError> {
+    Ok(connections::measure(&arguments.plan()?)?)
+}
+
+/// Prints what was measured as one JSON object, or why nothing was.
+fn tell<T: Serialize>(measured: Result<T, RunError>) -> ExitCode {
+    let why = match measured.map(|report| serde_json::to_string(&report)) {
+        Ok(Ok(line)) => {
+            println!("{line}");
+            return Exit::Fine.into();
+        }
+        Ok(Err(why)) => RunError::Machine(why.into()),
+        Err(why) => why,
+    };
+    eprintln!("{why}");
+    match why {
+        RunError::Size(_) => Exit::Unusable.into(),
+        _ => Exit::No.into(),
+    }
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     if let Err(why) = arguments.common.start_log() {
@@ -97,20 +162,8 @@
         return Exit::Unusable.into();
     }
     match &arguments.command {
-        Command::Run(of_run) => match measure(of_run) {
-            Ok(report) => {
-                println!("{}", serde_json::to_string(&report).unwrap_or_default());
-                Exit::Fine.into()
-            }
-            Err(why @ RunError::Size(_)) => {
-                eprintln!("{why}");
-                Exit::Unusable.into()
-            }
-            Err(why) => {
-                eprintln!("{why}");
-                Exit::No.into()
-            }
-        },
+        Command::Run(of_run) => tell(measure(of_run)),
+        Command::Connections(of_connections) => tell(measure_connections(of_connections)),
         Command::Serve { assignment } => {
             let served = serde_json::from_str::<Assignment>(assignment)
                 .map_err(|e| e.to_string())
--- a/crates/scale/src/size.rs
+++ b/crates/scale/src/size.rs
@@ -93,7 +93,11 @@
     },
 }
 
-fn in_range(field: &'static str, value: f64, least: f64, most: f64) -> Result<(), SizeError> {
+/// Checks one figure.
+///
+/// # Errors
+/// It is out of its range.
+pub fn in_range(field: &'static str, value: f64, least: f64, most: f64) -> Result<(), SizeError> {
     if (least..=most).contains(&value) {
         Ok(())
     } else {
