--- a/crates/scale/src/size.rs
+++ b/crates/scale/src/size.rs
@@ -68,7 +68,7 @@
     #[error("voters = {0}: 1, 3, 5 or 7 are possible")]
     Voters(u16),
     /// The run would need more than it may have.
-    #[error("hosts = {hosts}, nodes = {nodes} and budgets = {budgets} need about {needed_mib} MiB, {most_mib} are allowed")]
+    #[error("hosts = {hosts}, nodes = {nodes} and budgets = {budgets} need about {needed_mib} MiB, {most_mib} MiB are allowed")]
     Memory {
         /// Hosts.
         hosts: u32,
