--- a/crates/scale/src/connections.rs
+++ b/crates/scale/src/connections.rs
@@ -10,8 +10,6 @@
 
 /// One host with one volume and stand-in nodes in its own process: what those cost is counted with it.
 const QUICKSTART: &str = include_str!("../../../examples/quickstart.toml");
-/// Sessions that the host has room for beside those of the load.
-const SPARE_SESSIONS: u32 = 16;
 /// How long the host may take until it listens.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long after the load began all its sessions are taken to be up, besides what each takes to log in.
@@ -65,13 +63,12 @@
     }
 }
 
-/// The quickstart's settings at addresses of this run's own, with room for the sessions.
-fn settings(addresses: &Addresses, sessions: u32) -> String {
+/// The quickstart's settings at addresses of this run's own.
+fn settings(addresses: &Addresses) -> String {
     QUICKSTART
         .replace("127.0.0.1:3260", &addresses.listen.to_string())
         .replace("127.0.0.1:9180", &addresses.http.to_string())
         .replace("127.0.0.1:9300", &addresses.directory.to_string())
-        .replacen("hosts = 1\n", &format!("hosts = 1\nsessions = {}\n", sessions + SPARE_SESSIONS), 1)
 }
 
 struct Addresses {
@@ -110,7 +107,7 @@
     let file = folder.path().join("host.toml");
     let addresses = free_addresses()?;
     let address = addresses.listen;
-    std::fs::write(&file, settings(&addresses, plan.sessions))?;
+    std::fs::write(&file, settings(&addresses))?;
     let gateway =
         Command::new(&plan.gateway).arg("serve").arg("--config").arg(&file).stdout(Stdio::null()).spawn()?;
     let gateway = Running(gateway);
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -94,8 +94,8 @@
     load: Option<PathBuf>,
 }
 
-/// Most sessions of a measurement.
-const MAX_SESSIONS: u32 = 8_192;
+/// Most sessions of a measurement: the quickstart's host takes 4,096.
+const MAX_SESSIONS: u32 = 4_000;
 /// Most requests a second of a measurement.
 const MAX_RATE: f64 = 20_000.0;
 
