--- a/crates/ledger/tests/renewals.rs
+++ b/crates/ledger/tests/renewals.rs
@@ -193,6 +193,26 @@
     assert!((holds(&holders[0], 1) - 0.48).abs() < 0.02 && (holds(&holders[1], 1) - 0.48).abs() < 0.02);
 }
 
+/// Whoever gave it back falls silent at once, and whoever waits for it has said all there is to say.
+#[test]
+fn what_was_given_back_is_lent_on_without_another_word() {
+    let (mut leader, mut holders) = fleet(2, 1);
+    want(&mut holders[0], 0, 0.5);
+    leader.settle(&mut holders);
+    want(&mut holders[0], 0, 0.0);
+    want(&mut holders[1], 0, 0.5);
+    leader.renew(&mut holders[1]);
+    let holds_some =
+        |leader: &Leader| leader.table.allocation(Incarnation(1), &volume(0)) != Allocation::NONE;
+    for _ in 0..10 {
+        if holds_some(&leader) {
+            leader.renew(&mut holders[0]);
+        }
+    }
+    assert!(!holds_some(&leader));
+    assert!(leader.table.allocation(Incarnation(2), &volume(0)).fraction.as_f64() > 0.9);
+}
+
 /// The next leader has the table, and knows of nobody's demand.
 #[test]
 fn a_new_leader_takes_no_changes_before_it_was_told_all() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http;
 mod poll;
 mod portal;
+mod ports;
 mod stream;
 mod write_buffer;
 
@@ -16,5 +17,6 @@
 pub use connection::{ConnectError, Connection, ConnectionEvent, Token};
 pub use poll::{begin_connect, Poller, Ready, Want};
 pub use portal::{Portal, PortalConfig, Service, Session, SessionId};
+pub use ports::free_addresses;
 pub use stream::{lock, spawn_small, Direction, Tap, TapRef};
 pub use write_buffer::{long_queue, shut_listener, Flusher, Waiting, WriteBuffer};
--- a/crates/scale/src/connections.rs
+++ b/crates/scale/src/connections.rs
@@ -1,9 +1,10 @@
 //! What client connections cost a real host: `pearfork-gateway` under `pearfork-load`, both as processes.
 
 use crate::measure::Usage;
+use pearfork_net::free_addresses;
 use serde::Serialize;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -64,27 +65,11 @@
 }
 
 /// The quickstart's settings at addresses of this run's own.
-fn settings(addresses: &Addresses) -> String {
+fn settings(listen: SocketAddr, http: SocketAddr, directory: SocketAddr) -> String {
     QUICKSTART
-        .replace("127.0.0.1:3260", &addresses.listen.to_string())
-        .replace("127.0.0.1:9180", &addresses.http.to_string())
-        .replace("127.0.0.1:9300", &addresses.directory.to_string())
-}
-
-struct Addresses {
-    listen: SocketAddr,
-    http: SocketAddr,
-    directory: SocketAddr,
-}
-
-fn free_addresses() -> io::Result<Addresses> {
-    let held = [
-        TcpListener::bind("127.0.0.1:0")?,
-        TcpListener::bind("127.0.0.1:0")?,
-        TcpListener::bind("127.0.0.1:0")?,
-    ];
-    let [listen, http, directory] = held.map(|listener| listener.local_addr());
-    Ok(Addresses { listen: listen?, http: http?, directory: directory? })
+        .replace("127.0.0.1:3260", &listen.to_string())
+        .replace("127.0.0.1:9180", &http.to_string())
+        .replace("127.0.0.1:9300", &directory.to_string())
 }
 
 fn wait_until_listening(address: SocketAddr) -> io::Result<()> {
@@ -105,9 +90,11 @@
 pub fn measure(plan: &ConnectionPlan) -> io::Result<ConnectionCost> {
     let folder = tempfile::tempdir()?;
     let file = folder.path().join("host.toml");
-    let addresses = free_addresses()?;
-    let address = addresses.listen;
-    std::fs::write(&file, settings(&addresses))?;
+    let addresses = free_addresses(3)?;
+    let [address, http, directory] = addresses[..] else {
+        return Err(io::ErrorKind::AddrNotAvailable.into());
+    };
+    std::fs::write(&file, settings(address, http, directory))?;
     let gateway =
         Command::new(&plan.gateway).arg("serve").arg("--config").arg(&file).stdout(Stdio::null()).spawn()?;
     let gateway = Running(gateway);
--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -10,8 +10,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// The least fraction of a limit that is of use.
-const LEAST: f64 = 0.01;
 /// From this fraction on a newcomer counts as served.
 const SERVED_FROM: f64 = 0.1;
 
@@ -55,6 +53,7 @@
     host: u32,
     load: Load,
     jitter: f64,
+    least: Fraction,
     clock: RunClock,
     random: Pcg64Mcg,
     volumes: Vec<Volume>,
@@ -80,6 +79,7 @@
             host,
             load: Load::new(size),
             jitter: size.jitter,
+            least: Fraction::from_f64(size.least),
             clock,
             random: Pcg64Mcg::new(u128::from(size.seed) << 32 | u128::from(host) << 1 | 1),
             volumes,
@@ -98,7 +98,7 @@
 impl User for HollowUser {
     fn demand(&mut self) -> Vec<Demand> {
         let now = self.clock.now_ms();
-        let least = Fraction::from_f64(LEAST);
+        let least = self.least;
         let mut demands = Vec::with_capacity(2 * self.volumes.len());
         for at in 0..self.volumes.len() {
             let number = self.volumes[at].number;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -61,6 +61,9 @@
     /// How far measured demand strays from its mean.
     #[arg(long, default_value_t = 0.05)]
     jitter: f64,
+    /// The least fraction of a budget that is of use to a host.
+    #[arg(long, default_value_t = 0.001)]
+    least: f64,
     /// Seconds that are measured.
     #[arg(long, default_value_t = 10)]
     seconds: u32,
@@ -122,6 +125,7 @@
             users: self.users,
             moving: self.moving,
             jitter: self.jitter,
+            least: self.least,
             seconds: self.seconds,
             warm_up: self.warm_up,
             seed: self.seed,
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -5,8 +5,8 @@
 use crate::measure::{quantile, Usage};
 use crate::report::{LeaderLoss, MoveTimes, Report, RoleCost};
 use crate::size::{Size, SizeError, HOSTS_PER_PROCESS, MAX_MEMORY_BYTES};
+use pearfork_net::free_addresses;
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child as Process, ChildStdin, ChildStdout, Stdio};
 use std::time::{Duration, Instant};
@@ -19,9 +19,6 @@
 const LOSS_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time until every host has a lease after the loss of the leader.
 const LOSS_TIMEOUT: Duration = Duration::from_secs(60);
-/// Ports of voters: below those that the system gives to connections, of which one may be taken when a voter begins to listen.
-const PORTS: std::ops::Range<u16> = 15_000..32_000;
-
 /// Why a run has no result.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -117,17 +114,6 @@
     size: Size,
 }
 
-fn free_addresses(count: usize) -> io::Result<Vec<SocketAddr>> {
-    let first = std::process::id() as usize * 211 % PORTS.len();
-    let ports = PORTS.cycle().skip(first).take(PORTS.len());
-    let held: Vec<TcpListener> =
-        ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok()).take(count).collect();
-    if held.len() < count {
-        return Err(io::ErrorKind::AddrNotAvailable.into());
-    }
-    held.iter().map(TcpListener::local_addr).collect()
-}
-
 impl Workers {
     fn start(program: &Path, size: &Size, folder: &Path) -> Result<Workers, RunError> {
         let voters = free_addresses(usize::from(size.voters))?;
--- a/crates/scale/src/size.rs
+++ b/crates/scale/src/size.rs
@@ -41,6 +41,9 @@
     pub moving: f64,
     /// How far measured demand strays from its mean, as a fraction of it.
     pub jitter: f64,
+    /// The least fraction of a budget that is of use to a host: where so much for each user is more than the whole, they take
+    /// turns.
+    pub least: f64,
     /// Seconds that are measured.
     pub seconds: u32,
     /// Seconds before that.
@@ -117,6 +120,7 @@
         in_range("users", f64::from(self.users), 1.0, f64::from(MAX_HOSTS))?;
         in_range("moving", self.moving, 0.0, 1.0)?;
         in_range("jitter", self.jitter, 0.0, 1.0)?;
+        in_range("least", self.least, 0.0, 1.0)?;
         in_range("seconds", f64::from(self.seconds), 1.0, f64::from(MAX_SECONDS))?;
         in_range("warm-up", f64::from(self.warm_up), 0.0, f64::from(MAX_SECONDS))?;
         if !matches!(self.voters, 1 | 3 | 5 | 7) {
--- a/crates/scale/tests/scale.rs
+++ b/crates/scale/tests/scale.rs
@@ -66,13 +66,14 @@
         ("--nodes", "0", "nodes = 0"),
         ("--voters", "2", "voters = 2"),
         ("--users", "0", "users = 0"),
+        ("--least", "-1", "least = -1"),
         ("--moving", "1.5", "moving = 1.5"),
         ("--moving", "NaN", "moving = NaN"),
         ("--seconds", "0", "seconds = 0"),
         ("--seconds", "601", "seconds = 601"),
     ];
     for (flag, value, expected) in refused {
-        let output = scale(&["run", flag, value]);
+        let output = scale(&["run", &format!("{flag}={value}")]);
         let why = String::from_utf8_lossy(&output.stderr);
         assert_eq!(output.status.code(), Some(2), "{flag} {value}: {why}");
         assert!(why.contains(expected), "{flag} {value}: {why}");
--- a/crates/trial/src/processes.rs
+++ b/crates/trial/src/processes.rs
@@ -1,16 +1,16 @@
 //! Hosts as processes of their own, each with its settings, its folder and its links.
 
-use crate::relay::Relay;
+use crate::relay::{Direction, LinkFault, Relay};
 use pearfork_day::crew::{Counts, Crew};
 use pearfork_day::script::{Day, EventKind, EventTable};
 use pearfork_day::DayError;
 use pearfork_host::counts::{ClassCounts, ReasonCounts};
 use pearfork_host::settings::HostPlan;
-use pearfork_net::http;
+use pearfork_net::{free_addresses, http};
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -63,23 +63,6 @@
     DayError::Unfit(words.into())
 }
 
-/// Ports below those that the system gives to connections. Danger: one of those is free when it is looked for, and some
-/// host's connection to a node by the time that another host wants to listen there.
-const PORTS: std::ops::Range<u16> = 15_000..32_000;
-
-/// Addresses of loopback that nobody has now.
-fn free(n: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let first = (std::process::id() as usize * 211) % PORTS.len();
-    let ports = PORTS.cycle().skip(first).take(PORTS.len());
-    // Held together, so that no two are the same.
-    let held: Vec<TcpListener> =
-        ports.filter_map(|port| TcpListener::bind(("127.0.0.1", port)).ok()).take(n).collect();
-    if held.len() < n {
-        return Err(std::io::ErrorKind::AddrNotAvailable.into());
-    }
-    held.iter().map(TcpListener::local_addr).collect()
-}
-
 impl Processes {
     /// A crew that has started nothing yet.
     pub fn new(program: Program) -> Processes {
@@ -220,9 +203,10 @@
     }
 
     /// Changes what ails all that goes from one host to another, for pairs that are hit.
-    fn ail(&self, hit: impl Fn(u16, u16) -> bool, change: impl Fn(&mut crate::relay::Ail)) {
+    fn change_faults(&self, hit: impl Fn(u16, u16) -> bool, change: impl Fn(&mut LinkFault)) {
         for (there, relay) in self.links(hit) {
-            relay.ail(usize::from(!there), &change);
+            let direction = if there { Direction::FromDialer } else { Direction::ToDialer };
+            relay.change_fault(direction, &change);
         }
     }
 }
@@ -240,7 +224,7 @@
             return Err(unfit(format!("{} voters among {} hosts", self.voters, day.day.hosts)));
         }
         let all = usize::from(day.day.hosts);
-        let addresses = free(2 * all + usize::from(self.voters))?;
+        let addresses = free_addresses(2 * all + usize::from(self.voters))?;
         let voters = addresses[2 * all..].to_vec();
         for number in 0..day.day.hosts {
             for voter in (0..self.voters).filter(|v| *v != number) {
@@ -342,31 +326,34 @@
             EventKind::HostTerm if begins => self.signal(host, Signal::TERM),
             EventKind::HostTerm => self.restart(host)?,
             EventKind::Cut => {
-                self.ail(|a, b| (a == host && to(b)) || (b == host && to(a)), |ail| ail.cut = begins);
+                self.change_faults(
+                    |a, b| (a == host && to(b)) || (b == host && to(a)),
+                    |fault| fault.cut = begins,
+                );
             }
-            EventKind::CutOneWay => self.ail(|a, b| a == host && to(b), |ail| ail.cut = begins),
+            EventKind::CutOneWay => self.change_faults(|a, b| a == host && to(b), |fault| fault.cut = begins),
             EventKind::Split => {
                 let groups = (times as u16).max(2);
-                self.ail(|a, b| a % groups != b % groups, |ail| ail.cut = begins);
+                self.change_faults(|a, b| a % groups != b % groups, |fault| fault.cut = begins);
             }
             EventKind::Ring => {
                 let all = self.hosts.len() as u16;
                 let near = move |a: u16, b: u16| (a + 1) % all == b || (b + 1) % all == a;
-                self.ail(|a, b| !near(a, b), |ail| ail.cut = begins);
+                self.change_faults(|a, b| !near(a, b), |fault| fault.cut = begins);
             }
             EventKind::SlowLink => {
                 let delay = if begins { span } else { Duration::ZERO };
-                self.ail(|a, _| a == host, |ail| ail.delay = delay);
+                self.change_faults(|a, _| a == host, |fault| fault.delay = delay);
             }
             EventKind::DropLink => {
                 let lost = if begins { times.min(1.0) } else { 0.0 };
-                self.ail(|a, _| a == host, |ail| ail.lost = lost);
+                self.change_faults(|a, _| a == host, |fault| fault.lost = lost);
             }
             EventKind::RepeatLink => {
                 let repeat = if begins { span } else { Duration::ZERO };
-                self.ail(|a, _| a == host, |ail| ail.repeat = repeat);
+                self.change_faults(|a, _| a == host, |fault| fault.repeat = repeat);
             }
-            EventKind::Trickle => self.ail(|a, _| a == host, |ail| ail.trickle = begins),
+            EventKind::Trickle => self.change_faults(|a, _| a == host, |fault| fault.trickle = begins),
             EventKind::ResetLink if begins => self.links(|a, _| a == host).for_each(|(_, r)| r.reset()),
             EventKind::ResetLink => {}
             EventKind::Disk => {
--- a/crates/trial/src/relay.rs
+++ b/crates/trial/src/relay.rs
@@ -12,9 +12,18 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-/// What ails one direction of a link.
+/// One of the two directions of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From whoever dialed.
+    FromDialer,
+    /// Back to whoever dialed.
+    ToDialer,
+}
+
+/// What is wrong with one direction of a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Ail {
+pub struct LinkFault {
     /// Nothing passes; what was said waits, as in a sender's buffer, and comes late.
     pub cut: bool,
     /// Each message takes so much longer.
@@ -29,20 +38,25 @@
 
 /// Messages of a direction that may come again at the most.
 const KEPT: usize = 64;
-/// A message that this relay carries at the most.
-const LONGEST: usize = 64 << 20;
+/// Longest message that this relay carries, bytes.
+const MAX_MESSAGE_BYTES: usize = 64 << 20;
+/// Bytes of a message before its body.
+const HEADER_BYTES: usize = 8;
 /// How often a direction that stands still looks whether it may go on.
-const LOOK: Duration = Duration::from_millis(2);
-
-#[derive(Default)]
-struct Side {
-    ail: Mutex<Ail>,
-}
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// How long one read waits for a message.
+const READ_TIMEOUT: Duration = Duration::from_millis(20);
+/// How long a connection to the other end may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Of bytes that come one by one, one in so many is followed by a pause.
+const TRICKLE_PAUSE_ONE_IN: u32 = 16;
+/// That pause.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(1);
 
 struct Inner {
     there: SocketAddr,
-    /// From whoever dialled, and back.
-    sides: [Side; 2],
+    /// Faults by direction.
+    faults: [Mutex<LinkFault>; 2],
     /// Every pair of sockets that is up; broken on purpose in the middle of the next message.
     pairs: Mutex<Vec<Arc<Pair>>>,
     over: AtomicBool,
@@ -69,9 +83,9 @@
     pub fn start(there: SocketAddr, seed: u64) -> io::Result<Relay> {
         let listener = TcpListener::bind(("127.0.0.1", 0))?;
         let address = listener.local_addr()?;
-        let sides = [Side::default(), Side::default()];
         let over = AtomicBool::new(false);
-        let inner = Arc::new(Inner { there, sides, pairs: Mutex::default(), over, seed });
+        let inner =
+            Arc::new(Inner { there, faults: Default::default(), pairs: Mutex::default(), over, seed });
         let accepting = inner.clone();
         spawn_small("relay", move || {
             for socket in listener.incoming() {
@@ -91,9 +105,9 @@
         self.address
     }
 
-    /// Changes what ails a direction: 0 from whoever dials, 1 back to it.
-    pub fn ail(&self, side: usize, change: impl Fn(&mut Ail)) {
-        change(&mut lock(&self.inner.sides[side & 1].ail));
+    /// Changes what is wrong with a direction.
+    pub fn change_fault(&self, direction: Direction, change: impl Fn(&mut LinkFault)) {
+        change(&mut lock(&self.inner.faults[direction as usize]));
     }
 
     /// Breaks all connections in the middle of their next message.
@@ -120,84 +134,120 @@
 impl Inner {
     fn carry(self: &Arc<Self>, here: TcpStream) {
         // A link that is cut takes no new connections either; whoever dials waits or gives up.
-        let Ok(there) = TcpStream::connect_timeout(&self.there, Duration::from_millis(500)) else {
-            return;
-        };
+        let Ok(there) = TcpStream::connect_timeout(&self.there, CONNECT_TIMEOUT) else { return };
         let _ = (here.set_nodelay(true), there.set_nodelay(true));
         let (Ok(a), Ok(b)) = (here.try_clone(), there.try_clone()) else { return };
         let pair = Arc::new(Pair { sockets: [a, b], breaks: AtomicBool::new(false) });
         lock(&self.pairs).push(pair.clone());
         let (Ok(a), Ok(b)) = (here.try_clone(), there.try_clone()) else { return pair.shut() };
-        for (side, from, to) in [(0, here, b), (1, there, a)] {
-            let (inner, own) = (self.clone(), pair.clone());
-            let draws = Pcg64Mcg::new(u128::from(self.seed) << 1 | side as u128 | 1);
+        for (direction, from, to) in [(Direction::FromDialer, here, b), (Direction::ToDialer, there, a)] {
+            let mut forwarder = Forwarder {
+                inner: self.clone(),
+                pair: pair.clone(),
+                direction,
+                from,
+                to,
+                draws: Pcg64Mcg::new(u128::from(self.seed) << 1 | direction as u128 | 1),
+                repeats: VecDeque::new(),
+            };
             let spawned = spawn_small("relay-side", move || {
-                let _ = inner.pass(side, from, to, &own, draws);
-                own.shut();
-                lock(&inner.pairs).retain(|p| !Arc::ptr_eq(p, &own));
+                let _ = forwarder.run();
+                forwarder.pair.shut();
+                lock(&forwarder.inner.pairs).retain(|p| !Arc::ptr_eq(p, &forwarder.pair));
             });
             if spawned.is_err() {
                 return pair.shut();
             }
         }
     }
+}
+
+/// Carries one direction of one connection, a message at a time.
+struct Forwarder {
+    inner: Arc<Inner>,
+    pair: Arc<Pair>,
+    direction: Direction,
+    from: TcpStream,
+    to: TcpStream,
+    draws: Pcg64Mcg,
+    /// Messages that come once more, and when.
+    repeats: VecDeque<(Instant, Vec<u8>)>,
+}
+
+impl Forwarder {
+    fn is_over(&self) -> bool {
+        self.inner.over.load(Ordering::SeqCst)
+    }
+
+    fn fault(&self) -> LinkFault {
+        *lock(&self.inner.faults[self.direction as usize])
+    }
 
-    fn pass(
-        &self,
-        side: usize,
-        mut from: TcpStream,
-        mut to: TcpStream,
-        pair: &Pair,
-        mut draws: Pcg64Mcg,
-    ) -> io::Result<()> {
-        // Each direction has two ends: what was read and what may be written now, a message at a time.
-        let mut again: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
-        from.set_read_timeout(Some(Duration::from_millis(20)))?;
+    /// Carries messages until the relay is over or the connection ends.
+    fn run(&mut self) -> io::Result<()> {
+        self.from.set_read_timeout(Some(READ_TIMEOUT))?;
         let mut head = Vec::new();
-        loop {
-            if self.over.load(Ordering::SeqCst) {
-                return Ok(());
-            }
-            let ail = || *lock(&self.sides[side].ail);
-            if ail().cut {
-                std::thread::sleep(LOOK);
+        while !self.is_over() {
+            if self.fault().cut {
+                std::thread::sleep(POLL_INTERVAL);
                 continue;
             }
-            while again.front().is_some_and(|(at, _)| *at <= Instant::now()) {
-                let Some((_, message)) = again.pop_front() else { break };
-                to.write_all(&message)?;
-            }
-            let Some(message) = read_message(&mut from, &mut head, &self.over)? else { continue };
-            // It may have been waited for while the link was well.
-            let due = Instant::now() + ail().delay;
-            while Instant::now() < due || ail().cut {
-                if self.over.load(Ordering::SeqCst) {
-                    return Ok(());
-                }
-                std::thread::sleep(LOOK);
-            }
-            let ail = ail();
-            if pair.breaks.swap(false, Ordering::SeqCst) {
-                to.write_all(&message[..message.len() / 2])?;
-                return Ok(());
-            }
-            if ail.lost > 0.0 && f64::from(draws.next_u32()) / 4_294_967_296.0 < ail.lost {
-                continue;
+            self.send_repeats()?;
+            let Some(message) = read_message(&mut self.from, &mut head, &self.inner.over)? else { continue };
+            self.wait_out_fault();
+            if self.pair.breaks.swap(false, Ordering::SeqCst) {
+                return self.to.write_all(&message[..message.len() / 2]);
             }
-            if ail.trickle {
-                for byte in &message {
-                    to.write_all(std::slice::from_ref(byte))?;
-                    if draws.next_u32().is_multiple_of(16) {
-                        std::thread::sleep(Duration::from_millis(1));
-                    }
-                }
-            } else {
-                to.write_all(&message)?;
-            }
-            if ail.repeat > Duration::ZERO && again.len() < KEPT {
-                again.push_back((Instant::now() + ail.repeat, message));
+            self.forward(message)?;
+        }
+        Ok(())
+    }
+
+    /// A number in [0, 1).
+    fn draw(&mut self) -> f64 {
+        f64::from(self.draws.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    }
+
+    fn send_repeats(&mut self) -> io::Result<()> {
+        while self.repeats.front().is_some_and(|(at, _)| *at <= Instant::now()) {
+            let Some((_, message)) = self.repeats.pop_front() else { break };
+            self.to.write_all(&message)?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a message may go on. The link may have been cut while the message was waited for.
+    fn wait_out_fault(&self) {
+        let due = Instant::now() + self.fault().delay;
+        while (Instant::now() < due || self.fault().cut) && !self.is_over() {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    fn forward(&mut self, message: Vec<u8>) -> io::Result<()> {
+        let fault = self.fault();
+        if fault.lost > 0.0 && self.draw() < fault.lost {
+            return Ok(());
+        }
+        if fault.trickle {
+            self.trickle(&message)?;
+        } else {
+            self.to.write_all(&message)?;
+        }
+        if fault.repeat > Duration::ZERO && self.repeats.len() < KEPT {
+            self.repeats.push_back((Instant::now() + fault.repeat, message));
+        }
+        Ok(())
+    }
+
+    fn trickle(&mut self, message: &[u8]) -> io::Result<()> {
+        for byte in message {
+            self.to.write_all(std::slice::from_ref(byte))?;
+            if self.draws.next_u32().is_multiple_of(TRICKLE_PAUSE_ONE_IN) {
+                std::thread::sleep(TRICKLE_PAUSE);
             }
         }
+        Ok(())
     }
 }
 
@@ -205,8 +255,8 @@
 fn read_message(from: &mut TcpStream, head: &mut Vec<u8>, over: &AtomicBool) -> io::Result<Option<Vec<u8>>> {
     loop {
         let length = head.get(..4).and_then(|b| b.try_into().ok()).map(u32::from_be_bytes);
-        let wanted = length.map_or(8, |l| 8 + l as usize);
-        if wanted > LONGEST {
+        let wanted = HEADER_BYTES + length.map_or(0, |l| l as usize);
+        if wanted > MAX_MESSAGE_BYTES {
             return Err(io::ErrorKind::InvalidData.into());
         }
         if length.is_some() && head.len() >= wanted {
@@ -228,57 +278,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn message(body: &[u8]) -> Vec<u8> {
-        let mut m = (body.len() as u32).to_be_bytes().to_vec();
-        m.extend([0; 4]);
-        m.extend(body);
-        m
-    }
-
-    fn through() -> (Relay, TcpStream, TcpStream) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let relay = Relay::start(listener.local_addr().unwrap(), 3).unwrap();
-        let here = TcpStream::connect(relay.address()).unwrap();
-        let there = listener.accept().unwrap().0;
-        there.set_read_timeout(Some(Duration::from_millis(400))).unwrap();
-        (relay, here, there)
-    }
-
-    fn comes(there: &mut TcpStream, length: usize) -> bool {
-        there.read_exact(&mut vec![0; length]).is_ok()
-    }
-
-    #[test]
-    fn messages_pass_wait_at_a_cut_come_again_and_break_off() {
-        let (relay, mut here, mut there) = through();
-        let m = message(b"hello");
-        here.write_all(&m).unwrap();
-        assert!(comes(&mut there, m.len()));
-        relay.ail(0, |a| a.cut = true);
-        // The one that the relay was about to read still passes in some cases; from then on nothing does.
-        std::thread::sleep(Duration::from_millis(60));
-        here.write_all(&m).unwrap();
-        assert!(!comes(&mut there, m.len()), "cut");
-        relay.ail(0, |a| a.cut = false);
-        assert!(comes(&mut there, m.len()), "late, but whole");
-        relay.ail(0, |a| a.repeat = Duration::from_millis(50));
-        here.write_all(&m).unwrap();
-        assert!(comes(&mut there, 2 * m.len()), "twice");
-        relay.ail(0, |a| (a.repeat, a.lost) = (Duration::ZERO, 1.0));
-        here.write_all(&m).unwrap();
-        assert!(!comes(&mut there, 1), "lost");
-        relay.ail(0, |a| *a = Ail { trickle: true, ..Ail::default() });
-        here.write_all(&m).unwrap();
-        assert!(comes(&mut there, m.len()), "byte by byte");
-        relay.reset();
-        here.write_all(&m).unwrap();
-        let mut rest = Vec::new();
-        let _ = there.read_to_end(&mut rest);
-        assert_eq!(rest.len(), m.len() / 2);
-    }
-}
