--- a/crates/ledger/tests/simulated.rs
+++ b/crates/ledger/tests/simulated.rs
@@ -295,6 +295,29 @@
     }
 }
 
+/// The size that is expected: 530 hosts, half of them killed at once, the leader and another voter among them.
+#[test]
+fn what_half_of_530_hosts_had_is_lent_again_within_four_seconds() {
+    const HOSTS: usize = 530;
+    let (mut world, processes) = fleet(1, HOSTS, 5);
+    world.check_every = 200;
+    for process in &processes {
+        // What is of use to each is a part of an even one: turns are another matter.
+        world.processes.get_mut(process).unwrap().least = 0.0002;
+        world.want(*process, &archive(), 0.002);
+    }
+    world.run(6_000.0);
+    let leader = world.leader().expect("a leader");
+    let other_voter = (leader + 2) % world.voters();
+    for voter in [leader, other_voter] {
+        world.kill_voter(voter);
+        world.kill_host(processes[voter]);
+    }
+    (world.voters()..HOSTS).step_by(2).for_each(|host| world.kill_host(processes[host]));
+    let took = until(&mut world, 4_000.0, "half died", |w| w.usable_in_all(&archive()).as_f64() > NEARLY_ALL);
+    println!("lent again after {took} ms");
+}
+
 /// The leader dies between a demand and its grant; all demands reach the next one.
 #[test]
 fn demands_outlive_the_leader_that_was_told_of_them() {
