Scale rig: hosts are marked after the leader is killed; one loop waits for leases

Cause: marked before the kill, hosts that the old leader still answered counted as leased again, and the loss looked shorter. The loop that waits stood twice, and the run's start was read for each process and overwritten.

--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -117,22 +117,21 @@
 impl Workers {
     fn start(program: &Path, size: &Size, folder: &Path) -> Result<Workers, RunError> {
         let voters = free_addresses(usize::from(size.voters))?;
+        let began_unix_ms = RunClock::unix_ms();
         let assignment = |first_host: u32, hosts: u32| Assignment {
             size: size.clone(),
             first_host,
             hosts,
             voters: voters.clone(),
             folder: folder.to_owned(),
-            began_unix_ms: RunClock::unix_ms(),
+            began_unix_ms,
         };
         let voter_hosts = u32::from(size.voters);
         let mut assignments: Vec<Assignment> = (0..voter_hosts).map(|host| assignment(host, 1)).collect();
         let firsts = (voter_hosts..size.hosts).step_by(HOSTS_PER_PROCESS as usize);
         assignments.extend(firsts.map(|first| assignment(first, HOSTS_PER_PROCESS.min(size.hosts - first))));
-        let began = assignments.first().map_or(0.0, |a| a.began_unix_ms);
         let mut workers = Workers { all: Vec::new(), size: size.clone() };
-        for mut assignment in assignments {
-            assignment.began_unix_ms = began;
+        for assignment in assignments {
             workers.all.push(Worker::start(program, &assignment)?);
         }
         for (number, worker) in workers.all.iter_mut().enumerate() {
@@ -156,21 +155,23 @@
         Ok(observations)
     }
 
-    /// Waits until every host has a lease; how long that took, and how things stood.
+    /// Waits until every host has a lease, and calls `look` with how things stand each time; how they stood in the end.
     fn wait_for_leases(
         &mut self,
         timeout: Duration,
         interval: Duration,
-    ) -> Result<(Duration, Vec<Observation>), RunError> {
-        let began = Instant::now();
+        mut look: impl FnMut(&[Observation]),
+    ) -> Result<Vec<Observation>, RunError> {
+        let until = Instant::now() + timeout;
         loop {
             let observations = self.ask_all(Command::Sample)?;
-            let hosts: usize = observations.iter().map(|o| o.sample.hosts.len()).sum();
-            let leased = observations.iter().flat_map(|o| &o.sample.hosts).filter(|h| h.is_leased).count();
-            if leased == hosts {
-                return Ok((began.elapsed(), observations));
+            look(&observations);
+            let hosts = || observations.iter().flat_map(|o| &o.sample.hosts);
+            let leased = hosts().filter(|host| host.is_leased).count();
+            if leased == hosts().count() {
+                return Ok(observations);
             }
-            if began.elapsed() > timeout {
+            if Instant::now() > until {
                 let seconds = timeout.as_secs();
                 return Err(RunError::NotReady { leased, hosts: self.size.hosts, seconds });
             }
@@ -180,47 +181,41 @@
 
     /// Kills the leader and times what follows.
     fn lose_leader(&mut self) -> Result<LeaderLoss, RunError> {
-        let before_kill = self.ask_all(Command::Sample)?;
-        let Some(leader) = before_kill.iter().position(|o| o.sample.leads) else {
+        let mut before = self.ask_all(Command::Sample)?;
+        let Some(leader) = before.iter().position(|o| o.sample.leads) else {
             return Err(RunError::Process { process: 0, why: "no voter leads".to_owned() });
         };
-        self.ask_all(Command::Mark)?;
         let began = Instant::now();
         self.all[leader].kill();
-        let mut new_leader_ms = 0.0;
-        let after = loop {
-            let observations = self.ask_all(Command::Sample)?;
-            if new_leader_ms == 0.0 && observations.iter().any(|o| o.sample.leads) {
-                new_leader_ms = began.elapsed().as_secs_f64() * 1_000.0;
-            }
-            let is_whole = new_leader_ms > 0.0
-                && observations.iter().all(|o| o.sample.hosts.iter().all(|h| h.is_leased));
-            if is_whole {
-                break observations;
-            }
-            if began.elapsed() > LOSS_TIMEOUT {
-                let leased =
-                    observations.iter().flat_map(|o| &o.sample.hosts).filter(|h| h.is_leased).count();
-                let seconds = LOSS_TIMEOUT.as_secs();
-                return Err(RunError::NotReady { leased, hosts: self.size.hosts, seconds });
-            }
-            std::thread::sleep(LOSS_POLL_INTERVAL);
-        };
-        let all_leased_ms = began.elapsed().as_secs_f64() * 1_000.0;
-        let mut loss = LeaderLoss { new_leader_ms, all_leased_ms, ..LeaderLoss::default() };
-        let survivors = before_kill.iter().enumerate().filter(|(at, _)| *at != leader).map(|(_, o)| o);
-        for (old, new) in survivors.zip(&after) {
-            for (old_host, new_host) in old.sample.hosts.iter().zip(&new.sample.hosts) {
-                let bytes = new_host.bytes.saturating_sub(old_host.bytes) as f64;
-                if new.sample.leads {
-                    loss.leader_bytes = bytes;
-                } else if old.sample.hosts.len() > 1 {
-                    loss.most_host_bytes = loss.most_host_bytes.max(bytes);
-                }
+        // Danger: marked before the kill, hosts that the old leader still answered would count as leased.
+        self.ask_all(Command::Mark)?;
+        let elapsed_ms = || began.elapsed().as_secs_f64() * 1_000.0;
+        let mut new_leader_ms = None;
+        let after = self.wait_for_leases(LOSS_TIMEOUT, LOSS_POLL_INTERVAL, |observations| {
+            if observations.iter().any(|o| o.sample.leads) {
+                new_leader_ms.get_or_insert_with(elapsed_ms);
             }
+        })?;
+        let all_leased_ms = elapsed_ms();
+        before.remove(leader);
+        let new_leader_ms = new_leader_ms.unwrap_or(all_leased_ms);
+        Ok(LeaderLoss { new_leader_ms, all_leased_ms, ..storm(&before, &after) })
+    }
+}
+
+/// Bytes that the loss of a leader cost: of the host that had most, and of the new leader.
+fn storm(before: &[Observation], after: &[Observation]) -> LeaderLoss {
+    let mut loss = LeaderLoss::default();
+    for (old, new) in before.iter().zip(after) {
+        let hosts = old.sample.hosts.iter().zip(&new.sample.hosts);
+        let most = hosts.map(|(old, new)| new.bytes.saturating_sub(old.bytes) as f64).fold(0.0, f64::max);
+        if new.sample.leads {
+            loss.leader_bytes = most;
+        } else if new.sample.hosts.len() > 1 {
+            loss.most_host_bytes = loss.most_host_bytes.max(most);
         }
-        Ok(loss)
     }
+    loss
 }
 
 /// Adds up the cost of a role over its processes, and divides it by its hosts.
@@ -266,7 +261,9 @@
     size.check()?;
     let folder = tempfile::tempdir()?;
     let mut workers = Workers::start(program, size, folder.path())?;
-    let (ready, _) = workers.wait_for_leases(READY_TIMEOUT, POLL_INTERVAL)?;
+    let started = Instant::now();
+    workers.wait_for_leases(READY_TIMEOUT, POLL_INTERVAL, |_| {})?;
+    let ready = started.elapsed();
     std::thread::sleep(Duration::from_secs(u64::from(size.warm_up)));
     let before = workers.ask_all(Command::Sample)?;
     let began = Instant::now();
