--- a/crates/gateway/tests/program/mod.rs
+++ b/crates/gateway/tests/program/mod.rs
@@ -99,11 +99,20 @@
 
     /// Resident memory, in kilobytes.
     pub fn memory_kb(&self) -> usize {
+        self.status_kb("VmRSS:")
+    }
+
+    fn status_kb(&self, name: &str) -> usize {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let line = text.lines().find_map(|line| line.strip_prefix(name));
         line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
     }
 
+    /// The most memory that was resident, in kilobytes.
+    pub fn peak_memory_kb(&self) -> usize {
+        self.status_kb("VmHWM:")
+    }
+
     /// Its exit code, within the time that the platform gives.
     pub fn ends(&mut self) -> Option<i32> {
         self.ended().code()
