A node has envelopes once a class was admitted there, and none again once they are empty

What callers saw: processes crashed, only with thousands of servers. Cause: Node::new made an envelope of 8.5 KB for each class of each listed node, ten slots of 32 sums each, before any request; the class of bug is state by what is listed in place of what is used. Evidence: the module alone held 46 KB a listed node with five classes; the program peaked at 154.9 MB before 3,200 nodes under limits of 48 to 64 MB. Tests of the module pass but for hot_shards, which is known.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,7 +1,7 @@
 //! Settings, events and actions: all that passes between a host and its [`crate::Scheduler`].
 //!
 //! Times are milliseconds of the caller's clock, which has no particular origin and only advances.
-//! This file describes; every decision is taken in `rules.rs`.
+//! This file describes; decisions are taken in `rules.rs` and `envelope.rs`.
 
 /// Whether repeating a request can do harm.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 #![doc = include_str!("../README.md")]
 
+mod envelope;
 mod interface;
 mod rules;
 mod state;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,25 +1,13 @@
-//! Every decision and tuned value; the interface (settings, events, actions) is `src/interface.rs`. Times are
-//! milliseconds. Source of the mechanism: Kanodia and Knightly, "Ensuring Latency Targets in Multiclass Web
-//! Servers"; what was kept and changed is in `docs/design/module.md`.
+//! The decisions of a scheduler and their tuned values, but for the envelopes of the admission test, which are in
+//! `envelope.rs`; settings, events and actions are in `interface.rs`. Times are milliseconds. Source of the mechanism:
+//! Kanodia and Knightly, "Ensuring Latency Targets in Multiclass Web Servers"; what was kept and changed is in
+//! `docs/design/module.md`.
 
+use crate::envelope::{BUCKET_MS, SPANS, TOP, WINDOW_MS};
 use crate::interface::*;
 use crate::state::*;
 use std::collections::BTreeSet;
 
-/// The span T over which both envelopes are measured.
-pub(crate) const WINDOW_MS: f64 = 10_000.0;
-/// The smallest sub-window; each tau of the grid is a whole number of these.
-pub(crate) const BUCKET_MS: f64 = 50.0;
-/// The grid of tau, in buckets: 50 ms to 2 s, each a divisor of T.
-pub(crate) const SPANS: [usize; 6] = [1, 2, 4, 8, 20, 40];
-/// Gaussian 95 % point.
-const TAIL: f64 = 1.645;
-/// Largest k of the service envelope; also the hard top of the in-flight limit.
-pub(crate) const TOP: usize = 32;
-/// The service envelope forgets in slots of T / SLOTS.
-pub(crate) const SLOTS: usize = 10;
-/// Samples below which a k counts as not seen: a variance needs two.
-const SEEN: f64 = 2.0;
 /// In-flight limit of a node not yet known, requests.
 pub(crate) const FIRST_LIMIT: f64 = 3.0;
 /// The limit aims at answers within this part of the tightest aim, counted from the send.
@@ -85,113 +73,6 @@
 const TIMER_TICK: u64 = 1 << 40;
 const TIMER_WATCH: u64 = 2 << 40;
 
-// ---- Envelopes -----------------------------------------------------------------------------------------
-
-impl Envelope {
-    /// Lets old sub-windows and service slots go.
-    fn roll(&mut self, now: f64) {
-        let bucket = (now / BUCKET_MS).floor() as i64;
-        let kept = (WINDOW_MS / BUCKET_MS) as i64;
-        self.bucket = self.bucket.max(bucket - 2 * kept);
-        while self.bucket < bucket {
-            self.bucket += 1;
-            for (span, s) in SPANS.iter().zip(&mut self.spans) {
-                if self.bucket % *span as i64 == 0 {
-                    s.close(kept as usize / span);
-                }
-            }
-        }
-        let slot = (now * SLOTS as f64 / WINDOW_MS).floor() as i64;
-        if self.slot < slot {
-            for _ in 0..(slot - self.slot).min(SLOTS as i64) {
-                self.slots.rotate_right(1);
-                self.slots[0] = [Sums::default(); TOP];
-            }
-            self.slot = slot;
-            for k in 0..TOP {
-                self.totals[k] = Sums::of(self.slots.iter().map(|s| s[k]));
-            }
-            self.stale = true;
-        }
-    }
-
-    /// Counts an admitted request; the number names it to `served` and `withdrawn`.
-    fn admitted(&mut self, now: f64) -> u64 {
-        self.roll(now);
-        for s in &mut self.spans {
-            s.current += 1;
-        }
-        let chain = match self.recent.back() {
-            Some((_, chain)) if self.latest_open => (chain + 1).min(TOP),
-            _ => 1,
-        };
-        self.recent.push_back((now, chain));
-        if self.recent.len() > TOP {
-            self.recent.pop_front();
-        }
-        self.latest_open = true;
-        self.next += 1;
-        self.next - 1
-    }
-
-    /// Takes the service samples of a request that was served: for each run of k overlapping arrivals that
-    /// ends with it, the time from the first arrival to now.
-    fn served(&mut self, now: f64, number: u64) {
-        self.roll(now);
-        self.ended(number);
-        let back = self.next.saturating_sub(number) as usize;
-        let Some(at) = self.recent.len().checked_sub(back.max(1)) else { return };
-        let chain = self.recent[at].1.min(at + 1);
-        for k in 0..chain {
-            let took = now - self.recent[at - k].0;
-            self.slots[0][k].add(took);
-            self.totals[k].add(took);
-        }
-        self.stale = true;
-    }
-
-    /// R(tau) with the rate raised by `more`, tau being `SPANS[i]` buckets.
-    fn requests(&self, i: usize, now: f64, more: f64) -> f64 {
-        let seen = (now - self.since).clamp(1_000.0, WINDOW_MS);
-        let rate = (self.spans[0].sum + f64::from(self.spans[0].current)) / seen;
-        let mean = rate * SPANS[i] as f64 * BUCKET_MS;
-        let s = &self.spans[i];
-        let m = s.counts.len() as f64;
-        // Too few sub-windows for a variance: as if arrivals were Poisson.
-        let variance =
-            if m < 3.0 { mean } else { (s.squares - 2.0 * mean * s.sum + m * mean * mean) / (m - 2.0) };
-        mean + more * SPANS[i] as f64 * BUCKET_MS + TAIL * variance.max(0.0).sqrt()
-    }
-
-    fn refresh(&mut self) {
-        if std::mem::take(&mut self.stale) {
-            self.curve.clear();
-            for (k, t) in self.totals.iter().enumerate().filter(|(_, t)| t.n >= SEEN) {
-                let mean = t.sum / t.n;
-                let variance = (t.squares - t.n * mean * mean) / (t.n - 1.0);
-                self.curve.push(((k + 1) as f64, mean + TAIL * variance.max(0.0).sqrt()));
-            }
-        }
-    }
-
-    /// S(k); `None` without samples. Linear between the k seen and past the last two.
-    fn service(&self, k: f64) -> Option<f64> {
-        let c = &self.curve;
-        let &(first, lowest) = c.first()?;
-        if k <= first {
-            return Some(lowest);
-        }
-        let i = c.partition_point(|p| p.0 < k);
-        let (a, b) = match (i < c.len(), c.len()) {
-            (true, _) => (c[i - 1], c[i]),
-            (false, 1) => ((0.0, 0.0), c[0]),
-            (false, n) => (c[n - 2], c[n - 1]),
-        };
-        let slope = (b.1 - a.1) / (b.0 - a.0);
-        Some(b.1 + (k - b.0) * if i < c.len() { slope } else { slope.max(0.0) })
-    }
-}
-
 // ---- The scheduler -------------------------------------------------------------------------------------
 
 /// Decides for one host.
@@ -356,14 +237,12 @@
     fn room(&mut self, node: u32, class: usize, now: f64) -> f64 {
         let Some(n) = self.books.nodes.get_mut(&node) else { return 0.0 };
         let mut least = f64::INFINITY;
-        for e in &mut n.envelopes {
+        for (l, e) in n.envelopes.iter_mut() {
             e.roll(now);
             e.refresh();
-        }
-        for (i, span) in SPANS.iter().enumerate() {
-            let tau = *span as f64 * BUCKET_MS;
-            for (l, e) in n.envelopes.iter().enumerate() {
-                let own = l == class;
+            let own = l == class;
+            for (i, span) in SPANS.iter().enumerate() {
+                let tau = *span as f64 * BUCKET_MS;
                 let k = if own {
                     e.requests(i, now, 1.0 / WINDOW_MS)
                 } else {
@@ -526,7 +405,7 @@
         let Some(r) = self.books.requests.get_mut(&id) else { return };
         let Some(n) = self.books.nodes.get_mut(&node) else { return };
         let before = r.node.replace(node);
-        r.number = n.envelopes[usize::from(r.q.class)].admitted(now);
+        r.number = n.envelopes.admitted(usize::from(r.q.class), now);
         n.held.push(id);
         if let Some(old) = before.filter(|b| *b != node).and_then(|b| self.books.nodes.get_mut(&b)) {
             old.held.retain(|h| *h != id);
@@ -770,7 +649,9 @@
         }
         if let Some(r) = self.books.requests.get(&o.id) {
             if r.node == Some(f.node) {
-                n.envelopes[f.class].served(now, r.number);
+                if let Some(e) = n.envelopes.of_class(f.class) {
+                    e.served(now, r.number);
+                }
             }
             let plan = &self.settings.plans[usize::from(r.q.plan)];
             if let (Some(used), Some(v)) =
@@ -954,7 +835,7 @@
             }
             if fresh && e.condition != Condition::Gone {
                 let entry = NodeEntry { started_ms: started, ..*e };
-                let mut new = Node::new(entry, now, self.settings.classes.len(), self.tightest_aim);
+                let mut new = Node::new(entry, now, self.tightest_aim);
                 let usual = self.books.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
                 let s = &self.settings;
                 new.usual_units = usual / (1.0 - (-(now - since).max(s.fall_ms) / USUAL_MS).exp());
@@ -1033,6 +914,9 @@
         self.books.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
         let lost = |n: &Node| n.e.condition == Condition::Gone && n.out == 0;
         self.books.nodes.retain(|_, n| !lost(n) || now - n.gone_at < FORGET_MS);
+        for n in self.books.nodes.values_mut().filter(|n| n.out == 0 && n.held.is_empty()) {
+            n.envelopes.release_empty(now);
+        }
         // A forgotten volume starts again with an empty bucket, which is never more than it has.
         self.books.volumes.retain(|_, v| now - v.seen < FORGET_MS);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,94 +1,15 @@
-//! What a scheduler remembers. Plain data: every decision on it is in `rules.rs`.
+//! What a scheduler remembers. Plain data: every decision on it is in `rules.rs`, those of envelopes in `envelope.rs`.
 
+use crate::envelope::Envelopes;
 use crate::interface::{Condition, NodeEntry, Request};
-use crate::rules::{BUCKET_MS, FIRST_LIMIT, FIRST_SOJOURN, SLOTS, SPANS, TOP, WINDOW_MS};
+use crate::rules::{FIRST_LIMIT, FIRST_SOJOURN};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Counts of admitted arrivals in jumping sub-windows of one length.
-#[derive(Clone, Default)]
-pub(crate) struct Jumping {
-    pub(crate) counts: VecDeque<u32>,
-    pub(crate) current: u32,
-    pub(crate) sum: f64,
-    pub(crate) squares: f64,
-}
-
-impl Jumping {
-    /// Ends the current sub-window; the last `kept` count.
-    pub(crate) fn close(&mut self, kept: usize) {
-        let count = std::mem::take(&mut self.current);
-        self.counts.push_back(count);
-        self.sum += f64::from(count);
-        self.squares += f64::from(count) * f64::from(count);
-        if self.counts.len() > kept {
-            let old = f64::from(self.counts.pop_front().unwrap_or(0));
-            self.sum -= old;
-            self.squares -= old * old;
-        }
-    }
-}
-
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Sums {
-    pub(crate) n: f64,
-    pub(crate) sum: f64,
-    pub(crate) squares: f64,
-}
-
-impl Sums {
-    pub(crate) fn add(&mut self, value: f64) {
-        self.n += 1.0;
-        self.sum += value;
-        self.squares += value * value;
-    }
-
-    pub(crate) fn of(parts: impl Iterator<Item = Sums>) -> Sums {
-        parts.fold(Sums::default(), |a, s| Sums {
-            n: a.n + s.n,
-            sum: a.sum + s.sum,
-            squares: a.squares + s.squares,
-        })
-    }
-}
-
-/// The request and service envelope of one class at one node.
-#[derive(Clone, Default)]
-pub(crate) struct Envelope {
-    pub(crate) bucket: i64,
-    pub(crate) since: f64,
-    pub(crate) spans: [Jumping; SPANS.len()],
-    pub(crate) slot: i64,
-    pub(crate) slots: Vec<[Sums; TOP]>,
-    pub(crate) totals: [Sums; TOP],
-    pub(crate) curve: Vec<(f64, f64)>,
-    pub(crate) stale: bool,
-    /// Arrival and overlap of the last TOP admitted requests; `next` numbers the one to come.
-    pub(crate) recent: VecDeque<(f64, usize)>,
-    pub(crate) next: u64,
-    pub(crate) latest_open: bool,
-}
-
-impl Envelope {
-    pub(crate) fn new(now: f64) -> Self {
-        let (bucket, slot) =
-            ((now / BUCKET_MS).floor() as i64, (now * SLOTS as f64 / WINDOW_MS).floor() as i64);
-        let slots = vec![[Sums::default(); TOP]; SLOTS];
-        Envelope { bucket, slot, since: now, slots, ..Default::default() }
-    }
-
-    /// The request is over: it is no longer there for a newcomer to overlap with.
-    pub(crate) fn ended(&mut self, number: u64) {
-        if number + 1 == self.next {
-            self.latest_open = false;
-        }
-    }
-}
-
 /// A node as this host knows it.
 #[derive(Default)]
 pub(crate) struct Node {
     pub(crate) e: NodeEntry,
-    pub(crate) envelopes: Vec<Envelope>,
+    pub(crate) envelopes: Envelopes,
     pub(crate) held: Vec<u32>,
     pub(crate) out: usize,
     pub(crate) in_flight_limit: f64,
@@ -121,8 +42,8 @@
 
 impl Node {
     /// One that nothing is known of; `aim` is the tightest of all classes.
-    pub(crate) fn new(e: NodeEntry, now: f64, classes: usize, aim: f64) -> Self {
-        let (envelopes, sojourn) = (vec![Envelope::new(now); classes], FIRST_SOJOURN * aim);
+    pub(crate) fn new(e: NodeEntry, now: f64, aim: f64) -> Self {
+        let (envelopes, sojourn) = (Envelopes::new(now), FIRST_SOJOURN * aim);
         let in_flight_limit = FIRST_LIMIT;
         Node { e, envelopes, in_flight_limit, sojourn, last_word: now, rest_until: now, ..Default::default() }
     }
@@ -348,7 +269,7 @@
         }
         self.unplaced.retain(|u| *u != id);
         if let Some(n) = r.node.and_then(|n| self.nodes.get_mut(&n)) {
-            if let Some(e) = n.envelopes.get_mut(usize::from(r.q.class)) {
+            if let Some(e) = n.envelopes.of_class(usize::from(r.q.class)) {
                 e.ended(r.number);
             }
             n.held.retain(|h| *h != id);
