A list costs by its lines, a tick by open requests, a choice by its shard

What callers saw: answers that came late while a list came, only with thousands of servers. Cause: work by the square of the list: on_list looked through all lines for each known node, NodeTable through all names that are gone for each that came, the pool through all connections for each node that left; each tick and each choice walked all listed nodes. Evidence: an answer took 777 ms while lists of 3,200 other names came (debug build). Change: sets of what is listed, an index by shard in the module and by node in the pool, names that are gone by the order in which they went; a tick looks at the nodes of open requests.

--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -2,7 +2,7 @@
 
 use pearfork::{Condition, ListKind, NodeEntry};
 use serde_json::Value;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// A line of the list.
@@ -122,7 +122,9 @@
     most: usize,
     next: u32,
     sites: HashMap<String, u16>,
-    gone: VecDeque<String>,
+    /// Names that are gone, by the order in which they went.
+    gone: BTreeMap<u64, String>,
+    next_gone: u64,
 }
 
 #[derive(Debug)]
@@ -130,6 +132,8 @@
     number: u32,
     born_ms: f64,
     listed: bool,
+    /// Its place among the names that are gone.
+    gone: Option<u64>,
 }
 
 impl NodeTable {
@@ -149,7 +153,7 @@
             };
             let known = self.numbers.entry(line.name.clone()).or_insert_with(|| {
                 self.next = self.next.wrapping_add(1);
-                Known { number: self.next, born_ms: line.born_ms, listed: false }
+                Known { number: self.next, born_ms: line.born_ms, listed: false, gone: None }
             });
             let number = known.number;
             if let Some(dial) = line.dial {
@@ -167,7 +171,7 @@
                 self.retire(&line.name, &mut changed);
             } else if !known.listed {
                 known.listed = true;
-                self.gone.retain(|n| *n != line.name);
+                known.gone.take().map(|place| self.gone.remove(&place));
             }
             entries.push(NodeEntry {
                 node: number,
@@ -179,8 +183,7 @@
         }
         // After the lines: a name that is listed again is not to make room for those that went with the same list.
         if list.whole {
-            let listed: std::collections::HashSet<&str> =
-                list.lines.iter().map(|l| l.name.as_str()).collect();
+            let listed: HashSet<&str> = list.lines.iter().map(|l| l.name.as_str()).collect();
             let mut missing: Vec<String> = self
                 .numbers
                 .iter()
@@ -218,11 +221,15 @@
     fn retire(&mut self, name: &str, changed: &mut Changed) {
         let Some(known) = self.numbers.get_mut(name) else { return };
         changed.left.push(known.number);
-        if std::mem::take(&mut known.listed) || !self.gone.iter().any(|n| n == name) {
-            self.gone.push_back(name.to_owned());
+        known.listed = false;
+        if known.gone.is_none() {
+            known.gone = Some(self.next_gone);
+            self.gone.insert(self.next_gone, name.to_owned());
+            self.next_gone += 1;
         }
         while self.gone.len() > GONE_KEPT.max(self.most) {
-            if let Some(known) = self.gone.pop_front().and_then(|oldest| self.numbers.remove(&oldest)) {
+            let oldest = self.gone.pop_first().and_then(|(_, name)| self.numbers.remove(&name));
+            if let Some(known) = oldest {
                 self.dials.remove(&known.number);
             }
         }
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -7,7 +7,7 @@
 use crate::config::Links;
 use crate::rest::Rests;
 use pearfork_drive::AttemptId;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// A connection that has rested so long since its answer is taken before one that has not.
 ///
@@ -53,6 +53,13 @@
     used: bool,
 }
 
+impl Link {
+    /// Whether it is up and nothing is out on it.
+    fn is_idle(&self) -> bool {
+        self.state == State::Open && self.out.is_empty()
+    }
+}
+
 /// The connections of a host to its nodes.
 #[derive(Debug)]
 pub struct Pool {
@@ -60,6 +67,8 @@
     room: usize,
     next: LinkId,
     links: BTreeMap<LinkId, Link>,
+    /// The connections of each node that has any.
+    by_node: HashMap<u32, BTreeSet<LinkId>>,
     /// Attempts that wait for a connection that is coming up, or for room.
     waiting: BTreeMap<u32, VecDeque<AttemptId>>,
     /// Where an attempt was written.
@@ -75,6 +84,7 @@
             room: room.max(1),
             next: 0,
             links: BTreeMap::new(),
+            by_node: HashMap::new(),
             waiting: BTreeMap::new(),
             at: HashMap::new(),
             rests: Rests::default(),
@@ -97,13 +107,10 @@
         }
         // No descriptor is left: behind the fewest others, where the node takes more on a connection.
         let streams = self.links_of.streams;
-        let shared = self
-            .links
-            .iter()
-            .filter(|(_, l)| l.node == node && l.state == State::Open && l.out.len() < streams);
-        match shared.min_by_key(|(_, l)| l.out.len()).map(|(id, _)| *id) {
+        let shared = self.links_to(node).filter(|(_, l)| l.state == State::Open && l.out.len() < streams);
+        match shared.min_by_key(|(_, l)| l.out.len()).map(|(id, _)| id) {
             Some(link) => self.write(now, link, attempt, out),
-            None if self.links.values().any(|l| l.node == node) => {
+            None if self.by_node.contains_key(&node) => {
                 self.waiting.entry(node).or_default().push_back(attempt);
             }
             None => out.push(Do::NeverSent(attempt)),
@@ -113,10 +120,9 @@
     /// An idle connection of the node, none that stood idle for too long: of those rested the last used, so that the
     /// others age; otherwise the one that rests longest.
     fn free(&self, now: f64, node: u32) -> Option<LinkId> {
-        let free =
-            self.links.iter().filter(|(_, l)| l.node == node && l.state == State::Open && l.out.is_empty());
+        let free = self.links_to(node).filter(|(_, l)| l.is_idle());
         let free = free.filter(|(_, l)| now - l.idle_since < self.rests.limit());
-        let free: Vec<(f64, LinkId)> = free.map(|(id, l)| (l.idle_since, *id)).collect();
+        let free: Vec<(f64, LinkId)> = free.map(|(id, l)| (l.idle_since, id)).collect();
         let rested = free.iter().filter(|(since, _)| now - since >= REST_MS);
         let rested = rested.max_by(|a, b| a.0.total_cmp(&b.0));
         rested.or_else(|| free.iter().min_by(|a, b| a.0.total_cmp(&b.0))).map(|(_, id)| *id)
@@ -124,10 +130,10 @@
 
     /// The longest idle connection, of whatever node, goes.
     fn make_room(&mut self, out: &mut Vec<Do>) -> bool {
-        let idle = self.links.iter().filter(|(_, l)| l.state == State::Open && l.out.is_empty());
+        let idle = self.links.iter().filter(|(_, l)| l.is_idle());
         let oldest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(id, _)| *id);
         let Some(link) = oldest else { return false };
-        self.links.remove(&link);
+        self.remove(link);
         out.push(Do::Close(link));
         true
     }
@@ -135,6 +141,7 @@
     fn open(&mut self, node: u32, out: &mut Vec<Do>) {
         let id = self.next;
         self.next += 1;
+        self.by_node.entry(node).or_default().insert(id);
         self.links.insert(
             id,
             Link {
@@ -175,14 +182,14 @@
 
     /// A connection did not come up: one attempt that waited for it was never sent, unless another connection will carry it.
     pub fn not_opened(&mut self, link: LinkId, out: &mut Vec<Do>) {
-        let Some(l) = self.links.remove(&link) else { return };
+        let Some(l) = self.remove(link) else { return };
         self.short_of(l.node, out);
     }
 
     /// No more attempts wait for a node's connections than are coming up.
     fn short_of(&mut self, node: u32, out: &mut Vec<Do>) {
-        let coming = self.links.values().filter(|l| l.node == node && l.state == State::Coming).count();
-        let busy = self.links.values().any(|l| l.node == node && l.state == State::Open);
+        let coming = self.coming_to(node);
+        let busy = self.links_to(node).any(|(_, l)| l.state == State::Open);
         let Some(waiting) = self.waiting.get_mut(&node) else { return };
         while waiting.len() > coming && !busy {
             out.extend(waiting.pop_front().map(Do::NeverSent));
@@ -230,7 +237,7 @@
         if let Some(l) = self.links.get_mut(&link) {
             l.out.retain(|a| *a != Some(attempt));
             if l.out.is_empty() {
-                self.links.remove(&link);
+                self.remove(link);
                 out.push(Do::Close(link));
             } else {
                 l.state = State::Spent;
@@ -249,8 +256,7 @@
 
     /// Attempts that were written on connections of a node and are waited for.
     pub fn written_to(&self, node: u32) -> Vec<AttemptId> {
-        let of_it = self.links.values().filter(|l| l.node == node);
-        of_it.flat_map(|l| l.out.iter().flatten()).copied().collect()
+        self.links_to(node).flat_map(|(_, l)| l.out.iter().flatten()).copied().collect()
     }
 
     /// What was written last on a connection: so many commands, those that nobody waits for included.
@@ -285,7 +291,7 @@
 
     /// A connection is over: what was out on it, in order.
     pub fn closed(&mut self, link: LinkId, out: &mut Vec<Do>) -> Vec<AttemptId> {
-        let Some(l) = self.links.remove(&link) else { return Vec::new() };
+        let Some(l) = self.remove(link) else { return Vec::new() };
         if l.out.len() == 1 {
             self.rests.note(l.rested, true);
         }
@@ -293,8 +299,7 @@
         self.at.retain(|attempt, _| !lost.contains(attempt));
         if self.waiting.contains_key(&l.node) && self.links.len() < self.room {
             // What waited for it to be free gets another.
-            let coming = self.links.values().filter(|o| o.node == l.node && o.state == State::Coming).count();
-            if self.waiting.get(&l.node).map_or(0, VecDeque::len) > coming {
+            if self.waiting.get(&l.node).map_or(0, VecDeque::len) > self.coming_to(l.node) {
                 self.open(l.node, out);
             }
         }
@@ -307,7 +312,7 @@
         if let Some(link) = self.at.remove(&attempt) {
             let Some(l) = self.links.get_mut(&link) else { return };
             if l.out.iter().filter(|a| a.is_some()).count() <= 1 {
-                self.links.remove(&link);
+                self.remove(link);
                 out.push(Do::Close(link));
                 return self.short_of(node, out);
             }
@@ -322,21 +327,45 @@
 
     /// Connections of a node on which nothing is out are closed.
     pub fn close_idle(&mut self, node: u32, out: &mut Vec<Do>) {
-        self.close_where(out, |l| l.node == node);
+        let idle = self.links_to(node).filter(|(_, l)| l.is_idle()).map(|(id, _)| id).collect();
+        self.close(idle, out);
     }
 
     /// Connections that stood idle almost as long as their nodes allow, or for too long by what became of others, are closed.
     pub fn sweep(&mut self, now: f64, out: &mut Vec<Do>) {
         self.rests.fade(now);
         let after = (self.links_of.idle_ms * IDLE_PART).min(self.rests.limit());
-        self.close_where(out, |l| now - l.idle_since >= after);
+        let idle = self.links.iter().filter(|(_, l)| l.is_idle() && now - l.idle_since >= after);
+        let idle = idle.map(|(id, _)| *id).collect();
+        self.close(idle, out);
     }
 
-    fn close_where(&mut self, out: &mut Vec<Do>, pick: impl Fn(&Link) -> bool) {
-        let idle = self.links.iter().filter(|(_, l)| l.state == State::Open && l.out.is_empty() && pick(l));
-        for link in idle.map(|(id, _)| *id).collect::<Vec<LinkId>>() {
-            self.links.remove(&link);
+    fn close(&mut self, links: Vec<LinkId>, out: &mut Vec<Do>) {
+        for link in links {
+            self.remove(link);
             out.push(Do::Close(link));
         }
     }
+
+    /// The connections of a node.
+    fn links_to(&self, node: u32) -> impl Iterator<Item = (LinkId, &Link)> {
+        let links = self.by_node.get(&node).into_iter().flatten();
+        links.filter_map(|id| Some((*id, self.links.get(id)?)))
+    }
+
+    /// Connections of a node that neither came up nor failed.
+    fn coming_to(&self, node: u32) -> usize {
+        self.links_to(node).filter(|(_, l)| l.state == State::Coming).count()
+    }
+
+    fn remove(&mut self, link: LinkId) -> Option<Link> {
+        let removed = self.links.remove(&link)?;
+        if let Some(links) = self.by_node.get_mut(&removed.node) {
+            links.remove(&link);
+            if links.is_empty() {
+                self.by_node.remove(&removed.node);
+            }
+        }
+        Some(removed)
+    }
 }
--- a/src/envelope.rs
+++ b/src/envelope.rs
@@ -1,9 +1,10 @@
-//! The request and service envelopes of LMAC: how much a class asks of a node, and how long the node takes for it.
+//! The request and service envelopes of LMAC: how much a class asks of a node, and how long the node
+//! takes for it.
 //!
-//! Section 3 of Kanodia and Knightly, "Ensuring Latency Targets in Multiclass Web Servers". A node has an envelope
-//! for a class from the first request of that class that was admitted there until the envelope is empty again, so
-//! that a host pays for the nodes that it uses and not for those that its list names. An envelope that is missing
-//! admits as an empty one does.
+//! Section 3 of Kanodia and Knightly, "Ensuring Latency Targets in Multiclass Web Servers". A node has
+//! an envelope for a class from the first request of that class that was admitted there until the
+//! envelope is empty again, so that a host pays for the nodes that it uses and not for those that its
+//! list names. An envelope that is missing admits as an empty one does.
 
 use std::collections::VecDeque;
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,12 +1,12 @@
-//! The decisions of a scheduler and their tuned values, but for the envelopes of the admission test, which are in
-//! `envelope.rs`; settings, events and actions are in `interface.rs`. Times are milliseconds. Source of the mechanism:
-//! Kanodia and Knightly, "Ensuring Latency Targets in Multiclass Web Servers"; what was kept and changed is in
-//! `docs/design/module.md`.
+//! The decisions of a scheduler and their tuned values, but for the envelopes of the admission test,
+//! which are in `envelope.rs`; settings, events and actions are in `interface.rs`. Times are
+//! milliseconds. Source of the mechanism: Kanodia and Knightly, "Ensuring Latency Targets in Multiclass
+//! Web Servers"; what was kept and changed is in `docs/design/module.md`.
 
 use crate::envelope::{BUCKET_MS, SPANS, TOP, WINDOW_MS};
 use crate::interface::*;
 use crate::state::*;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 
 /// In-flight limit of a node not yet known, requests.
 pub(crate) const FIRST_LIMIT: f64 = 3.0;
@@ -276,8 +276,13 @@
                 && ran.map_or(true, |(_, shard, zone)| in_group(n, shard, zone))
         };
         // A new object looks at a few nodes drawn at random: cheap with hundreds, and no herd of hosts.
-        let mut candidates: Vec<u32> =
-            self.books.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect();
+        let mut candidates: Vec<u32> = match shard {
+            Some(shard) => {
+                let of_shard = self.books.by_shard.get(&shard).into_iter().flatten();
+                of_shard.copied().filter(|id| self.books.nodes.get(id).is_some_and(fits)).collect()
+            }
+            None => self.books.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect(),
+        };
         let looked_at = candidates.len().min(if shard.is_some() { usize::MAX } else { LOOKED_AT });
         for i in 0..looked_at {
             let rest = candidates.len() - i;
@@ -820,8 +825,9 @@
             actions.push(Action::Watch(true));
         }
         if kind != ListKind::Changes {
-            let listed = |node: &u32| entries.iter().any(|e| e.node == *node);
-            for node in self.books.nodes.keys().filter(|n| !listed(n)).copied().collect::<Vec<u32>>() {
+            let listed: HashSet<u32> = entries.iter().map(|e| e.node).collect();
+            for node in self.books.nodes.keys().filter(|n| !listed.contains(n)).copied().collect::<Vec<u32>>()
+            {
                 self.books.set_condition(now, node, Condition::Gone);
             }
         }
@@ -844,20 +850,19 @@
                 let by_lot = part < s.mean_units;
                 new.cold_tokens = part + if by_lot { s.max_units } else { self.random.next() * s.mean_units };
                 (new.cold_at, new.slowness) = (started, 1.0 / s.cold_from.max(1e-3));
-                if let Some(mut old) = self.books.nodes.insert(e.node, new) {
+                if let Some(mut old) = self.books.insert_node(new) {
                     self.books.unplaced.append(&mut old.held);
                     self.books.nodes.entry(e.node).and_modify(|n| n.out = old.out);
-                }
-                for r in self.books.requests.values_mut().filter(|r| r.node == Some(e.node)) {
-                    r.node = None;
+                    for r in self.books.requests.values_mut().filter(|r| r.node == Some(e.node)) {
+                        r.node = None;
+                    }
                 }
             }
             if e.condition != Condition::Ready {
                 self.books.set_condition(now, e.node, e.condition);
             }
         }
-        let shards: BTreeSet<u16> = self.books.nodes.values().map(|n| n.e.shard).collect();
-        self.books.shards = shards.len().max(1) as f64;
+        self.books.shards = self.books.by_shard.len().max(1) as f64;
         for id in std::mem::take(&mut self.books.unplaced) {
             match self.choose_node(now, id) {
                 Some(node) => {
@@ -895,8 +900,9 @@
             self.double(now);
         }
         self.give_up_lost(now, actions);
-        let waiting = self.books.nodes.iter().filter(|(_, n)| !n.held.is_empty()).map(|(id, _)| *id);
-        for node in waiting.collect::<Vec<u32>>() {
+        // Only a request without an answer is held: what is listed costs nothing here.
+        let waiting: BTreeSet<u32> = self.books.requests.values().filter_map(|r| r.node).collect();
+        for node in waiting {
             self.pump(now, node, actions);
         }
         if now - self.books.swept > STANDING_MS {
@@ -913,7 +919,7 @@
         self.books.extras.retain(|t| *t >= kept);
         self.books.lanes.retain(|_, l| !l.queue.is_empty() || l.outstanding > 0 || now < l.rest_until);
         let lost = |n: &Node| n.e.condition == Condition::Gone && n.out == 0;
-        self.books.nodes.retain(|_, n| !lost(n) || now - n.gone_at < FORGET_MS);
+        self.books.retain_nodes(|n| !lost(n) || now - n.gone_at < FORGET_MS);
         for n in self.books.nodes.values_mut().filter(|n| n.out == 0 && n.held.is_empty()) {
             n.envelopes.release_empty(now);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::envelope::Envelopes;
 use crate::interface::{Condition, NodeEntry, Request};
 use crate::rules::{FIRST_LIMIT, FIRST_SOJOURN};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A node as this host knows it.
 #[derive(Default)]
@@ -216,6 +216,8 @@
 #[derive(Default)]
 pub(crate) struct Books {
     pub(crate) nodes: BTreeMap<u32, Node>,
+    /// The nodes of each shard, those that are gone and not forgotten included.
+    pub(crate) by_shard: BTreeMap<u16, BTreeSet<u32>>,
     pub(crate) requests: BTreeMap<u32, Held>,
     /// Held requests for which no node is known.
     pub(crate) unplaced: Vec<u32>,
@@ -250,6 +252,36 @@
 }
 
 impl Books {
+    /// Puts a node in, under its number; what stood there before comes back.
+    pub(crate) fn insert_node(&mut self, node: Node) -> Option<Node> {
+        let (id, shard) = (node.e.node, node.e.shard);
+        let old = self.nodes.insert(id, node);
+        if let Some(before) = old.as_ref().map(|o| o.e.shard).filter(|s| *s != shard) {
+            self.remove_from_shard(before, id);
+        }
+        self.by_shard.entry(shard).or_default().insert(id);
+        old
+    }
+
+    /// Forgets the nodes that are not to be kept.
+    pub(crate) fn retain_nodes(&mut self, keep: impl Fn(&Node) -> bool) {
+        let forgotten: Vec<(u16, u32)> =
+            self.nodes.values().filter(|n| !keep(n)).map(|n| (n.e.shard, n.e.node)).collect();
+        for (shard, id) in forgotten {
+            self.nodes.remove(&id);
+            self.remove_from_shard(shard, id);
+        }
+    }
+
+    fn remove_from_shard(&mut self, shard: u16, id: u32) {
+        if let Some(nodes) = self.by_shard.get_mut(&shard) {
+            nodes.remove(&id);
+            if nodes.is_empty() {
+                self.by_shard.remove(&shard);
+            }
+        }
+    }
+
     /// A node is no longer ready; what was held for it has no node. One that is gone stays so.
     pub(crate) fn set_condition(&mut self, now: f64, node: u32, condition: Condition) {
         let Some(n) = self.nodes.get_mut(&node) else { return };
