A connection to a node rests 15 ms behind an answer, also where an attempt waits for it

What callers saw: accepted requests got a wrong answer (rule lost). Cause: Pool::answered wrote the attempt that waited for a connection on the one that had just been answered, and Pool::free fell back on one answered under 3 ms ago; a second answer, which nodes may give some milliseconds late, was then read as the answer to that next command. Evidence: nodes of our own that answer again after 2, 5 and 10 ms, eight clients on one node: each of the eight was served another's value within its first requests. Ruled out: replies behind an idle connection, which Link::send sees. Change: a connection is used again after 15 ms (REST_MS); what waits takes it then, by a moment that the engine is woken for, or its own new connection if that is up first. Class of bug: state of the peer taken as known at the moment of an answer. Left: pipelined commands, when descriptors run out.

--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -9,11 +9,11 @@
 use pearfork_drive::AttemptId;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-/// A connection that has rested so long since its answer is taken before one that has not.
+/// How long a connection rests behind an answer before the next command is written on it.
 ///
-/// Danger: a node that sends more than its answer does so just behind it; what comes after the next command was
-/// written would be taken for that command's answer.
-const REST_MS: f64 = 3.0;
+/// Danger: a node may send its answer a second time, some milliseconds late. What comes while nothing is out shows that
+/// the connection is spoilt; what comes after the next command was written would be taken for that command's answer.
+const REST_MS: f64 = 15.0;
 /// An idle connection is closed at this part of the time after which its node would.
 const IDLE_PART: f64 = 0.7;
 
@@ -51,6 +51,8 @@
     /// How long it had rested when it was last written on while idle; 0: it was new.
     rested: f64,
     used: bool,
+    /// An answer came on it.
+    answered: bool,
 }
 
 impl Link {
@@ -58,6 +60,17 @@
     fn is_idle(&self) -> bool {
         self.state == State::Open && self.out.is_empty()
     }
+
+    /// Whether a command may be written on it, be it behind others.
+    fn takes_more(&self, now: f64, streams: usize) -> bool {
+        let busy = self.state == State::Open && !self.out.is_empty();
+        self.is_rested(now) || (busy && self.out.len() < streams)
+    }
+
+    /// Whether a command may be written on it with nothing out before it.
+    fn is_rested(&self, now: f64) -> bool {
+        self.is_idle() && (!self.answered || now - self.idle_since >= REST_MS)
+    }
 }
 
 /// The connections of a host to its nodes.
@@ -73,6 +86,8 @@
     waiting: BTreeMap<u32, VecDeque<AttemptId>>,
     /// Where an attempt was written.
     at: HashMap<AttemptId, LinkId>,
+    /// Connections that were answered while attempts wait for one, and when each will have rested; in order.
+    resting: VecDeque<(f64, LinkId)>,
     rests: Rests,
 }
 
@@ -87,6 +102,7 @@
             by_node: HashMap::new(),
             waiting: BTreeMap::new(),
             at: HashMap::new(),
+            resting: VecDeque::new(),
             rests: Rests::default(),
         }
     }
@@ -107,7 +123,7 @@
         }
         // No descriptor is left: behind the fewest others, where the node takes more on a connection.
         let streams = self.links_of.streams;
-        let shared = self.links_to(node).filter(|(_, l)| l.state == State::Open && l.out.len() < streams);
+        let shared = self.links_to(node).filter(|(_, l)| l.takes_more(now, streams));
         match shared.min_by_key(|(_, l)| l.out.len()).map(|(id, _)| id) {
             Some(link) => self.write(now, link, attempt, out),
             None if self.by_node.contains_key(&node) => {
@@ -117,20 +133,18 @@
         }
     }
 
-    /// An idle connection of the node, none that stood idle for too long: of those rested the last used, so that the
-    /// others age; otherwise the one that rests longest.
+    /// An idle connection of the node that has rested behind its last answer, none that stood idle for too long: the last
+    /// used, so that the others age.
     fn free(&self, now: f64, node: u32) -> Option<LinkId> {
-        let free = self.links_to(node).filter(|(_, l)| l.is_idle());
+        let free = self.links_to(node).filter(|(_, l)| l.is_rested(now));
         let free = free.filter(|(_, l)| now - l.idle_since < self.rests.limit());
-        let free: Vec<(f64, LinkId)> = free.map(|(id, l)| (l.idle_since, id)).collect();
-        let rested = free.iter().filter(|(since, _)| now - since >= REST_MS);
-        let rested = rested.max_by(|a, b| a.0.total_cmp(&b.0));
-        rested.or_else(|| free.iter().min_by(|a, b| a.0.total_cmp(&b.0))).map(|(_, id)| *id)
+        free.max_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(id, _)| id)
     }
 
-    /// The longest idle connection, of whatever node, goes.
+    /// The longest idle connection goes, of whatever node that no attempt waits for.
     fn make_room(&mut self, out: &mut Vec<Do>) -> bool {
-        let idle = self.links.iter().filter(|(_, l)| l.is_idle());
+        let spare = |l: &Link| l.is_idle() && !self.waiting.contains_key(&l.node);
+        let idle = self.links.iter().filter(|(_, l)| spare(l));
         let oldest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(id, _)| *id);
         let Some(link) = oldest else { return false };
         self.remove(link);
@@ -151,6 +165,7 @@
                 idle_since: 0.0,
                 rested: 0.0,
                 used: false,
+                answered: false,
             },
         );
         out.push(Do::Open(id, node));
@@ -218,17 +233,32 @@
             self.rests.note(l.rested, false);
         }
         let whose = l.out.pop_front().flatten();
-        l.idle_since = now;
-        let idle = l.out.is_empty();
+        (l.idle_since, l.answered) = (now, true);
+        let (idle, node) = (l.out.is_empty(), l.node);
         if let Some(attempt) = whose {
             self.at.remove(&attempt);
         }
-        if idle {
-            self.next_waiting(now, link, out);
+        if idle && self.waiting.contains_key(&node) {
+            self.resting.push_back((now + REST_MS, link));
         }
         whose
     }
 
+    /// When a connection that attempts wait for will have rested.
+    pub fn next_due(&self) -> Option<f64> {
+        self.resting.front().map(|(at, _)| *at)
+    }
+
+    /// Connections that have rested by now carry what waits for one.
+    pub fn ring(&mut self, now: f64, out: &mut Vec<Do>) {
+        while let Some((_, link)) = self.resting.front().copied().filter(|(at, _)| now >= *at) {
+            self.resting.pop_front();
+            if self.links.get(&link).is_some_and(|l| l.is_rested(now)) {
+                self.next_waiting(now, link, out);
+            }
+        }
+    }
+
     /// A connection that was to be written on is of no use, and nothing of the attempt went out: it goes elsewhere.
     ///
     /// Danger: the connection may be gone from here already; the attempt is in nobody's hands then but the caller's.
@@ -278,9 +308,11 @@
         self.at.remove(&attempt);
         let Some(l) = self.links.get_mut(&link) else { return };
         l.out.retain(|a| *a != Some(attempt));
-        if l.out.is_empty() {
-            l.idle_since = now;
+        let node = l.node;
+        if l.is_rested(now) {
             self.next_waiting(now, link, out);
+        } else if l.is_idle() && self.waiting.contains_key(&node) {
+            self.resting.push_back((now + REST_MS, link));
         }
     }
 
@@ -342,8 +374,9 @@
 
     fn close(&mut self, links: Vec<LinkId>, out: &mut Vec<Do>) {
         for link in links {
-            self.remove(link);
+            let removed = self.remove(link);
             out.push(Do::Close(link));
+            removed.into_iter().for_each(|l| self.short_of(l.node, out));
         }
     }
 
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -119,7 +119,9 @@
         loop {
             let begun = self.work.begun.front().map(|(at, _)| *at);
             let last = self.work.last.filter(|_| !self.work.open.is_empty());
-            let due = self.driver.next_due().into_iter().chain(begun).chain(last).fold(sweep, f64::min);
+            let rested = self.pool.next_due();
+            let due = self.driver.next_due().into_iter().chain(begun).chain(last).chain(rested);
+            let due = due.fold(sweep, f64::min);
             let first = match messages.recv_deadline(self.clock.instant(due)) {
                 Ok(m) => Some(m),
                 Err(RecvTimeoutError::Timeout) => None,
@@ -139,6 +141,7 @@
             self.work.steps = steps;
             self.settle();
             self.too_long(now);
+            self.pool.ring(now, &mut self.work.todo);
             if self.is_last(now) {
                 self.answer_all();
             }
