A node that the host saw come is as young as it can be, whatever any wall clock says

What callers would see: slow start broken by hosts whose wall clock is ahead (rule failback). Cause: Node::age and cold_by_now took the stated start, wall time of another machine, off the host's own wall clock; a restart counted only where its stated start was newer. Change: src/node_age.rs (under policy): a start is believed for a node that came while discovery was followed only within what was not heard plus 15 s, and is now otherwise; never in the future; starts of the first list are judged anew once a lead shows; a start over half an hour older than the known one is a restart. The watcher tells lists without news too, as that is what was heard. Class of bug: spans taken between two clocks.

--- a/crates/platform/src/nodes.rs
+++ b/crates/platform/src/nodes.rs
@@ -158,7 +158,8 @@
             let number = known.number;
             if let Some(dial) = line.dial {
                 let before = self.dials.insert(number, dial);
-                let moved = before.is_some_and(|d| d != dial) || line.born_ms > known.born_ms;
+                let moved =
+                    before.is_some_and(|d| d != dial) || pearfork::is_restart(line.born_ms, known.born_ms);
                 if moved {
                     changed.left.push(number);
                 }
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -227,7 +227,7 @@
     }
 
     /// An answer came on a connection: whose it is, if anybody waits for it.
-    pub fn answered(&mut self, now: f64, link: LinkId, out: &mut Vec<Do>) -> Option<AttemptId> {
+    pub fn answered(&mut self, now: f64, link: LinkId) -> Option<AttemptId> {
         let l = self.links.get_mut(&link)?;
         if l.out.len() == 1 {
             self.rests.note(l.rested, false);
--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -32,25 +32,22 @@
     // Whichever is up first carries what waits longest.
     assert_eq!(opened(&mut pool, 1.0, 1), [Do::Write(1, attempt(1))]);
     assert_eq!(opened(&mut pool, 1.0, 0), [Do::Write(0, attempt(2))]);
-    let mut out = Vec::new();
-    assert_eq!(pool.answered(10.0, 1, &mut out), Some(attempt(1)));
+    assert_eq!(pool.answered(10.0, 1), Some(attempt(1)));
     assert_eq!(send(&mut pool, 25.0, 3), [Do::Write(1, attempt(3))]);
-    assert!(out.is_empty());
 }
 
 /// Danger: what a node sends behind its answer would be taken for the answer to the next command.
 #[test]
 fn a_connection_that_has_rested_is_chosen_over_one_that_has_just_answered() {
     let mut pool = Pool::new(LINKS, 10);
-    let mut out = Vec::new();
     for request in [1, 2] {
         send(&mut pool, 0.0, request);
         opened(&mut pool, 0.0, u64::from(request) - 1);
     }
-    pool.answered(10.0, 0, &mut out);
-    pool.answered(25.0, 1, &mut out);
+    pool.answered(10.0, 0);
+    pool.answered(25.0, 1);
     assert_eq!(send(&mut pool, 26.0, 3), [Do::Write(0, attempt(3))]);
-    pool.answered(30.0, 0, &mut out);
+    pool.answered(30.0, 0);
     // Both have rested: the last used, so that the other ages.
     assert_eq!(send(&mut pool, 60.0, 4), [Do::Write(0, attempt(4))]);
 }
@@ -76,7 +73,7 @@
     let mut out = Vec::new();
     pool.not_opened(1, &mut out);
     assert!(out.is_empty(), "{out:?}");
-    assert_eq!(pool.answered(2.0, 0, &mut out), Some(attempt(1)));
+    assert_eq!(pool.answered(2.0, 0), Some(attempt(1)));
     // It rests first: a second answer may be on its way.
     assert!(out.is_empty(), "{out:?}");
     assert_eq!(pool.next_due(), Some(17.0));
@@ -97,8 +94,8 @@
     let mut out = Vec::new();
     pool.withdrawn(1, attempt(1), &mut out);
     assert_eq!(out, [Do::Close(0)]);
-    assert_eq!(pool.answered(1.0, 0, &mut out), None);
-    assert_eq!(pool.answered(1.0, 1, &mut out), Some(attempt(2)));
+    assert_eq!(pool.answered(1.0, 0), None);
+    assert_eq!(pool.answered(1.0, 1), Some(attempt(2)));
 }
 
 /// Danger: descriptors that run out refuse clients, nodes and discovery alike.
@@ -117,8 +114,8 @@
     pool.withdrawn(1, attempt(1), &mut out);
     assert!(out.is_empty(), "{out:?}");
     // The answer to what was given up is nobody's; the next is still its owner's.
-    assert_eq!(pool.answered(1.0, 0, &mut out), None);
-    assert_eq!(pool.answered(2.0, 0, &mut out), Some(attempt(2)));
+    assert_eq!(pool.answered(1.0, 0), None);
+    assert_eq!(pool.answered(2.0, 0), Some(attempt(2)));
     assert!(out.is_empty(), "{out:?}");
     pool.ring(17.0, &mut out);
     assert_eq!(out, [Do::Write(0, attempt(3))]);
@@ -144,7 +141,7 @@
     send(&mut pool, 0.0, 1);
     opened(&mut pool, 0.0, 0);
     let mut out = Vec::new();
-    pool.answered(1.0, 0, &mut out);
+    pool.answered(1.0, 0);
     assert_eq!(send(&mut pool, 19.0, 2), [Do::Write(0, attempt(2))]);
     pool.unfit(19.0, 0, 1, attempt(2), &mut out);
     assert_eq!(out, [Do::Close(0), Do::Open(1, 1)]);
@@ -232,7 +229,7 @@
     let mut out = Vec::new();
     pool.sweep(29_000.0, &mut out);
     assert!(out.is_empty(), "closed while an attempt is out");
-    pool.answered(29_000.0, 0, &mut out);
+    pool.answered(29_000.0, 0);
     pool.sweep(40_000.0, &mut out);
     assert!(out.is_empty());
     pool.sweep(29_000.0 + 29_000.0, &mut out);
@@ -321,7 +318,7 @@
                 Do::Write(link, attempt) => {
                     sent += 1;
                     if up.insert(link) || pause < 100.0 || retried {
-                        assert_eq!(pool.answered(now, link, &mut out), Some(attempt));
+                        assert_eq!(pool.answered(now, link), Some(attempt));
                     } else {
                         lost += 1;
                         retried = true;
--- a/crates/platform/tests/lives.rs
+++ b/crates/platform/tests/lives.rs
@@ -164,8 +164,7 @@
 
     fn answer(&mut self, link: LinkId) {
         let Some(attempt) = self.up.get_mut(&link).and_then(|(_, out)| out.pop_front()) else { return };
-        let mut out = Vec::new();
-        let whose = self.pool.answered(self.now, link, &mut out);
+        let whose = self.pool.answered(self.now, link);
         match self.fates[&attempt] {
             Fate::Over => assert_eq!(whose, None, "an answer that nobody waits for is another's"),
             _ => {
@@ -173,7 +172,7 @@
                 self.over(attempt);
             }
         }
-        self.run(out);
+        assert!(self.pool.held() <= self.room);
     }
 
     fn apply(&mut self, op: Op) {
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -182,7 +182,7 @@
             }
             Message::NotUp(id) => self.pool.not_opened(id, &mut self.work.todo),
             Message::Answered { link, answer, at } => {
-                if let Some(attempt) = self.pool.answered(now, link, &mut self.work.todo) {
+                if let Some(attempt) = self.pool.answered(now, link) {
                     self.ended(at, attempt, answer);
                 }
             }
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -138,8 +138,8 @@
             Ok(list) => {
                 self.retry = None;
                 self.told = Some((address, list.seq));
-                let news = list.whole || !list.lines.is_empty();
-                let listens = !news || self.engine.send(Message::List(list)).is_ok();
+                // Without news too: how long nothing was heard tells what a node that comes may state of its start.
+                let listens = self.engine.send(Message::List(list)).is_ok();
                 std::thread::sleep(SPACING.saturating_sub(began.elapsed()));
                 listens
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,8 +7,10 @@
 
 mod envelope;
 mod interface;
+mod node_age;
 mod rules;
 mod state;
 
 pub use interface::*;
+pub use node_age::is_restart;
 pub use rules::Scheduler;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -5,6 +5,7 @@
 
 use crate::envelope::{BUCKET_MS, SPANS, TOP, WINDOW_MS};
 use crate::interface::*;
+use crate::node_age::is_restart;
 use crate::state::*;
 use std::collections::{BTreeSet, HashSet};
 
@@ -776,7 +777,7 @@
     fn cold_by_now(&self, n: &Node, now: f64) -> Option<f64> {
         let s = &self.settings;
         let cold = n.age(now) < s.warm_after_ms && n.slowness >= QUICK;
-        let warm = (now - n.e.started_ms - s.fall_ms) / s.warm_after_ms.max(1.0);
+        let warm = (n.age(now) - s.fall_ms) / s.warm_after_ms.max(1.0);
         cold.then(|| s.cold_from + (1.0 - s.cold_from) * warm.clamp(0.0, 1.0))
     }
 
@@ -831,17 +832,20 @@
                 self.books.set_condition(now, node, Condition::Gone);
             }
         }
+        let mut clock_moved = false;
         for e in entries {
             let started = if e.started_ms.is_finite() { e.started_ms } else { now };
             let known = self.books.nodes.get_mut(&e.node);
-            let fresh = known.as_ref().map_or(true, |n| started > n.e.started_ms);
+            let fresh = known.as_ref().map_or(true, |n| is_restart(started, n.e.started_ms));
             // Listed again with the start it had: it was missed by the list, not replaced.
             if let Some(n) = known.filter(|n| !fresh && n.e.condition == Condition::Gone) {
                 n.e.condition = if kind == ListKind::Cached { Condition::Gone } else { e.condition };
             }
             if fresh && e.condition != Condition::Gone {
                 let entry = NodeEntry { started_ms: started, ..*e };
-                let mut new = Node::new(entry, now, self.tightest_aim);
+                let (up_since, is_further) = self.books.start_clock.judge(now, started);
+                clock_moved |= is_further;
+                let mut new = Node::new(entry, now, up_since, self.tightest_aim);
                 let usual = self.books.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
                 let s = &self.settings;
                 new.usual_units = usual / (1.0 - (-(now - since).max(s.fall_ms) / USUAL_MS).exp());
@@ -849,7 +853,7 @@
                 let part = self.cold_units(&new, s.cold_from);
                 let by_lot = part < s.mean_units;
                 new.cold_tokens = part + if by_lot { s.max_units } else { self.random.next() * s.mean_units };
-                (new.cold_at, new.slowness) = (started, 1.0 / s.cold_from.max(1e-3));
+                (new.cold_at, new.slowness) = (up_since.at_ms.max(0.0), 1.0 / s.cold_from.max(1e-3));
                 if let Some(mut old) = self.books.insert_node(new) {
                     self.books.unplaced.append(&mut old.held);
                     self.books.nodes.entry(e.node).and_modify(|n| n.out = old.out);
@@ -862,6 +866,12 @@
                 self.books.set_condition(now, e.node, e.condition);
             }
         }
+        if kind != ListKind::Cached {
+            self.books.start_clock.heard(now);
+        }
+        if clock_moved {
+            self.books.correct_starts(now);
+        }
         self.books.shards = self.books.by_shard.len().max(1) as f64;
         for id in std::mem::take(&mut self.books.unplaced) {
             match self.choose_node(now, id) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,13 +2,14 @@
 
 use crate::envelope::Envelopes;
 use crate::interface::{Condition, NodeEntry, Request};
+use crate::node_age::{StartClock, UpSince};
 use crate::rules::{FIRST_LIMIT, FIRST_SOJOURN};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A node as this host knows it.
-#[derive(Default)]
 pub(crate) struct Node {
     pub(crate) e: NodeEntry,
+    pub(crate) up_since: UpSince,
     pub(crate) envelopes: Envelopes,
     pub(crate) held: Vec<u32>,
     pub(crate) out: usize,
@@ -42,19 +43,41 @@
 
 impl Node {
     /// One that nothing is known of; `aim` is the tightest of all classes.
-    pub(crate) fn new(e: NodeEntry, now: f64, aim: f64) -> Self {
+    pub(crate) fn new(e: NodeEntry, now: f64, up_since: UpSince, aim: f64) -> Self {
         let (envelopes, sojourn) = (Envelopes::new(now), FIRST_SOJOURN * aim);
         let in_flight_limit = FIRST_LIMIT;
-        Node { e, envelopes, in_flight_limit, sojourn, last_word: now, rest_until: now, ..Default::default() }
+        Node {
+            e,
+            up_since,
+            envelopes,
+            held: Vec::new(),
+            out: 0,
+            in_flight_limit,
+            sojourn,
+            last_word: now,
+            last_sent: 0.0,
+            heard: 0.0,
+            waited: 0.0,
+            waited_at: 0.0,
+            rest_until: now,
+            failures: 0,
+            last_failure: 0.0,
+            last_key: 0,
+            run: 0,
+            usual_units: 0.0,
+            cold_tokens: 0.0,
+            cold_at: 0.0,
+            slowness: 0.0,
+            load: 0.0,
+            usual_load: 0.0,
+            load_at: 0.0,
+            gone_at: 0.0,
+        }
     }
 
     /// Time since its last start; without end where that was long ago.
     pub(crate) fn age(&self, now: f64) -> f64 {
-        if self.e.started_ms > 0.0 {
-            now - self.e.started_ms
-        } else {
-            f64::INFINITY
-        }
+        now - self.up_since.at_ms
     }
 }
 
@@ -234,6 +257,7 @@
     pub(crate) asked: Fading,
     /// Shards that the list names.
     pub(crate) shards: f64,
+    pub(crate) start_clock: StartClock,
     /// When the first list came.
     pub(crate) since: Option<f64>,
     pub(crate) fit: Fit,
@@ -273,6 +297,15 @@
         }
     }
 
+    /// The clock was found to be further ahead: the stated starts of the first list are judged anew.
+    pub(crate) fn correct_starts(&mut self, now: f64) {
+        let clock = &self.start_clock;
+        let stated = |n: &&mut Node| n.up_since.is_stated && n.up_since.at_ms.is_finite();
+        for n in self.nodes.values_mut().filter(stated) {
+            n.up_since.at_ms = clock.corrected(now, n.e.started_ms);
+        }
+    }
+
     fn remove_from_shard(&mut self, shard: u16, id: u32) {
         if let Some(nodes) = self.by_shard.get_mut(&shard) {
             nodes.remove(&id);
