--- a/src/node_age.rs
+++ b/src/node_age.rs
@@ -1,14 +1,16 @@
 //! How long a node has been up, judged by a host whose wall clock may be off.
 //!
-//! Lists give a node's last start as wall time. The host's clock is the wall clock at its own start and monotonic from
-//! there, so it may differ from the clock that the start was read off by any amount. What the host saw come while it
-//! followed discovery has been up no longer than that follows from when it last heard; where the stated start says
-//! otherwise, one of the clocks is off, and the node counts as just started: slow start errs towards a cold node. What
-//! stood in the first list is judged by the stated start, and again once a clock was found to be ahead.
+//! Lists give a node's last start as wall time. The host's clock is the wall clock at its own start and
+//! monotonic from there, so it may differ from the clock that the start was read off by any amount. What the
+//! host saw come while it followed discovery has been up no longer than that follows from when it last heard;
+//! where the stated start says otherwise, one of the clocks is off, and the node counts as just started: slow
+//! start errs towards a cold node. What stood in the first list is judged by the stated start, and again once
+//! a clock was found to be ahead.
 
 /// How long after a node's start discovery may tell of it, beyond the time in which nothing was heard.
 const TOLD_LATE_MS: f64 = 15_000.0;
-/// A start that lies further back than this before the one that is known was read off a clock that was set back.
+/// A start that lies further back than this before the one that is known was read off a clock that was set
+/// back.
 const SET_BACK_MS: f64 = 1_800_000.0;
 
 /// Whether a stated start is that of another run of a node than the one that is known.
@@ -35,8 +37,8 @@
 }
 
 impl StartClock {
-    /// Judges the start of a node that has just become known; true beside it where a clock was found to be further ahead
-    /// than was known before.
+    /// Judges the start of a node that has just become known; true beside it where a clock was found to be
+    /// further ahead than was known before.
     pub(crate) fn judge(&mut self, now: f64, stated_ms: f64) -> (UpSince, bool) {
         if stated_ms <= 0.0 {
             return (UpSince { at_ms: f64::NEG_INFINITY, is_stated: true }, false);
