Failing tests: system calls that fail for a moment, a full log, wall clocks that are off

Seen by callers: accepted requests got no complete response, dozens of times; processes hung or did not start. Evidence, the real program under shims of our own (a filter that has its calls fail, a preloaded wall clock): ENOBUFS on a fifth of all sends, or ENOMEM on a fifth of all reads: each of six clients had its connection closed under an accepted request, after 5 requests in the mean; a log on a full device: the host does not get ready; ENFILE in its first 400 ms: it ends; EADDRNOTAVAIL for 300 ms: 4 of 140 refused, none had to be. ECONNABORTED, ENFILE, ENOBUFS and EINTR at accept, EINTR at waits: nothing lost, which rules these out. A wall clock an hour off either way, at the start or set later: 8 requests to a restarted node each time.

--- a/crates/gateway/tests/program/mod.rs
+++ b/crates/gateway/tests/program/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod agent;
 pub mod crowd;
+pub mod shims;
 
 use pearfork_net::http::{Answer, Server};
 use rustix::process::{kill_process, Pid, Signal};
@@ -50,6 +51,12 @@
         Program::spawn(command, file)
     }
 
+    /// Its log goes where the command says, and is not read.
+    fn spawn_unread(mut command: Command, file: &Path) -> Program {
+        let command = command.env("ROUTER_CONFIG", file).stdin(Stdio::null()).stdout(Stdio::null());
+        Program { child: command.spawn().unwrap(), log: Arc::default() }
+    }
+
     fn spawn(mut command: Command, file: &Path) -> Program {
         let command = command.env("ROUTER_CONFIG", file);
         let command = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
--- /dev/null
+++ b/crates/gateway/tests/shims/clock.c
@@ -0,0 +1,26 @@
+/* Shifts the wall clock of one process, and nothing else: preloaded, it adds the seconds that the first line of the file
+ * named by SHIM_CLOCK_FILE holds to CLOCK_REALTIME. The file is read anew each time, so that a test steps the clock while
+ * the process runs. Monotonic time stays as it is. */
+#define _GNU_SOURCE
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+static long shift_seconds(void) {
+    const char *path = getenv("SHIM_CLOCK_FILE");
+    FILE *file = path ? fopen(path, "r") : NULL;
+    long seconds = 0;
+    if (file) {
+        if (fscanf(file, "%ld", &seconds) != 1) seconds = 0;
+        fclose(file);
+    }
+    return seconds;
+}
+
+int clock_gettime(clockid_t clock, struct timespec *at) {
+    int failed = syscall(SYS_clock_gettime, clock, at);
+    if (failed == 0 && clock == CLOCK_REALTIME) at->tv_sec += shift_seconds();
+    return failed;
+}
