A send or read that fails for want of memory is made again, and its connection stays

Cause: WriteBuffer::offer and read_now took every error but EAGAIN and EINTR for the end of the connection; ENOBUFS and ENOMEM, which Linux documents for both calls, leave it as it was. Change: what is momentary is kept and made again by the flusher 2 ms later, or told by the poller anew.

--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,10 +1,12 @@
 //! Reading into a decoder, writing runs of bytes, threads with small stacks.
 
 use bytes::{Buf, Bytes, BytesMut};
+use rustix::io::Errno;
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read, Write};
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// Which way bytes went, seen from the socket that notes them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +59,23 @@
     std::thread::Builder::new().name(name.to_owned()).stack_size(256 * 1024).spawn(body)
 }
 
+/// Whether a send or a read failed for this moment alone, and the connection is as it was: the system had no memory for
+/// it, or the socket no room.
+pub(crate) fn is_momentary(error: Errno) -> bool {
+    matches!(error, Errno::AGAIN | Errno::NOBUFS | Errno::NOMEM)
+}
+
+/// The same of a socket that waits: true after a moment in which others may give memory back.
+fn waited_out(error: &io::Error) -> bool {
+    let momentary = matches!(Errno::from_io_error(error), Some(Errno::NOBUFS | Errno::NOMEM));
+    if momentary {
+        std::thread::sleep(AGAIN);
+    }
+    momentary
+}
+
+/// Pause before a call that failed for a moment is made again.
+const AGAIN: Duration = Duration::from_millis(2);
 /// Least room for a read: an idle session holds no more.
 const READ_LEAST: usize = 4 * 1024;
 const READ_MOST: usize = 256 * 1024;
@@ -70,7 +89,7 @@
     buffer.resize(had + wanted.clamp(READ_LEAST, READ_MOST), 0);
     let got = loop {
         match stream.read(&mut buffer[had..]) {
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::Interrupted || waited_out(&e) => {}
             other => break other,
         }
     };
@@ -88,7 +107,7 @@
         let mut wrote = match stream.write_vectored(&slices) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(n) => n,
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted || waited_out(&e) => continue,
             Err(e) => return Err(e),
         };
         while let Some(first) = runs.front_mut().filter(|_| wrote > 0) {
--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -3,10 +3,11 @@
 //! One thread answers all clients and sends to all nodes: none of them may hold it up. What the system does not take at
 //! once is kept, within a bound, and put on by one thread for all.
 
-use crate::stream::{lock, spawn_small};
+use crate::stream::{is_momentary, lock, spawn_small};
 use bytes::{Buf, Bytes};
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::{retry_on_intr, Errno};
 use rustix::net::{RecvFlags, SendFlags};
 use std::collections::VecDeque;
 use std::io;
@@ -129,8 +130,8 @@
                     first.advance(n);
                     kept.begun |= n > 0;
                 }
-                Err(rustix::io::Errno::AGAIN) => return Ok(()),
-                Err(rustix::io::Errno::INTR) => {}
+                Err(Errno::INTR) => {}
+                Err(e) if is_momentary(e) => return Ok(()),
                 Err(e) => return Err(e.into()),
             }
             if kept.runs.front().is_some_and(Bytes::is_empty) {
@@ -144,10 +145,13 @@
     /// What waits to be read, without reading it.
     pub fn waiting(&self) -> Waiting {
         let mut byte = [0u8; 1];
-        match rustix::net::recv(&self.stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        match retry_on_intr(|| rustix::net::recv(&self.stream, &mut byte[..], flags)) {
             Ok((_, 0)) => Waiting::End,
             Ok(_) => Waiting::Bytes,
-            Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => Waiting::Nothing,
+            Err(Errno::AGAIN) => Waiting::Nothing,
+            // Not known: whoever asks must not take it for nothing.
+            Err(e) if is_momentary(e) => Waiting::Bytes,
             Err(_) => Waiting::End,
         }
     }
@@ -156,7 +160,7 @@
     pub fn has_ended(&self) -> bool {
         let mut sockets = [PollFd::new(&self.stream, PollFlags::RDHUP)];
         let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-        let told = poll(&mut sockets, Some(&at_once));
+        let told = retry_on_intr(|| poll(&mut sockets, Some(&at_once)));
         told.is_ok() && !sockets[0].revents().is_empty()
     }
 
@@ -167,7 +171,8 @@
     pub fn read_now(&self, buffer: &mut [u8]) -> io::Result<Option<usize>> {
         match rustix::net::recv(&self.stream, buffer, RecvFlags::DONTWAIT) {
             Ok((_, n)) => Ok(Some(n)),
-            Err(rustix::io::Errno::AGAIN | rustix::io::Errno::INTR) => Ok(None),
+            Err(Errno::INTR) => Ok(None),
+            Err(e) if is_momentary(e) => Ok(None),
             Err(e) => Err(e.into()),
         }
     }
