A log line that can't be written is dropped, and its thread goes on

What callers saw: processes hung. Cause: the log's own complaint about a line that could not be written goes to standard error by eprintln!, which panics where that fails; the engine's thread or the reader's ended and the process stayed, answering nobody. Evidence: with /dev/full as standard error the host never got ready. Change: log_internal_errors(false) in the one place where programs begin to log. Measured: the test failed before; after, 407 of 407 requests served, 203 of 203 after SIGHUP, and the host leaves in order.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -61,6 +61,8 @@
             .map_err(|e| format!("--log-filter `{}`: {e}", self.log_filter))?;
         let log = tracing_subscriber::fmt()
             .with_writer(std::io::stderr)
+            // Told of on the same standard error, a line that can't be written would end the thread that logs it.
+            .log_internal_errors(false)
             .with_ansi(self.output.paints(std::io::IsTerminal::is_terminal(&std::io::stderr())))
             .with_env_filter(filter);
         // A log that was begun before is the caller's own.
