A host that gets no descriptor in its first moments tries again for 15 s

What callers saw: processes did not start. Cause: Serving::start gave up at the first call that failed, after some of its threads had begun; so did the registration of signals. Change: the listener and both pollers come first, and these, the flusher and the signals are tried again each 20 ms while the system says that it is short of something (get_to_start).

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -122,8 +122,9 @@
 
 /// Signals as they come.
 fn signals() -> Result<Receiver<i32>, String> {
-    let mut signals =
-        signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| e.to_string())?;
+    let watched = [SIGTERM, SIGINT, SIGHUP];
+    let signals = pearfork_net::get_to_start(|| signal_hook::iterator::Signals::new(watched));
+    let mut signals = signals.map_err(|e| e.to_string())?;
     let (to, from) = bounded(16);
     std::thread::Builder::new()
         .name("signals".to_owned())
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -18,5 +18,5 @@
 pub use poll::{begin_connect, Poller, Ready, Want};
 pub use portal::{Portal, PortalConfig, Service, Session, SessionId};
 pub use ports::free_addresses;
-pub use stream::{lock, spawn_small, Direction, Tap, TapRef};
+pub use stream::{get_to_start, is_shortage, lock, spawn_small, Direction, Tap, TapRef};
 pub use write_buffer::{long_queue, shut_listener, Flusher, Waiting, WriteBuffer};
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -6,7 +6,7 @@
 use std::io::{self, IoSlice, Read, Write};
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Which way bytes went, seen from the socket that notes them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,6 +74,34 @@
     momentary
 }
 
+/// Whether the system had no descriptor, port, thread or memory in this moment.
+pub fn is_shortage(error: &io::Error) -> bool {
+    use Errno as E;
+    matches!(
+        Errno::from_io_error(error),
+        Some(E::NFILE | E::MFILE | E::NOBUFS | E::NOMEM | E::AGAIN | E::ADDRNOTAVAIL | E::INTR)
+    )
+}
+
+/// Pause between tries for something that a process needs to start.
+const START_AGAIN: Duration = Duration::from_millis(20);
+/// For so long a process tries to get what it needs to start.
+const START_WITHIN: Duration = Duration::from_secs(15);
+
+/// Gets something that a process needs to start, though the system is short of it in the first moments.
+///
+/// # Errors
+/// It is refused for another reason, or for too long.
+pub fn get_to_start<T>(mut get: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let until = Instant::now() + START_WITHIN;
+    loop {
+        match get() {
+            Err(e) if is_shortage(&e) && Instant::now() < until => std::thread::sleep(START_AGAIN),
+            other => return other,
+        }
+    }
+}
+
 /// Pause before a call that failed for a moment is made again.
 const AGAIN: Duration = Duration::from_millis(2);
 /// Least room for a read: an idle session holds no more.
--- a/crates/serving/src/serving.rs
+++ b/crates/serving/src/serving.rs
@@ -8,7 +8,7 @@
 use crate::watch::{Following, Pace, Watcher};
 use crossbeam_channel::{bounded, Sender};
 use pearfork_drive::Driver;
-use pearfork_net::{lock, spawn_small, Clock, Flusher, Poller};
+use pearfork_net::{get_to_start, lock, spawn_small, Clock, Flusher, Poller};
 use pearfork_platform::clients::{client_room, node_room, ClientTable};
 use pearfork_platform::config::Config;
 use pearfork_platform::pool::Pool;
@@ -112,11 +112,15 @@
         let longest = config.module.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
         let driver = Driver::new(config.module, config.seed)?;
         let clock = Clock::start();
-        let flusher = Flusher::start()?;
+        // Descriptors first: a host that gets none has begun nothing.
+        let listener = get_to_start(|| TcpListener::bind(address));
+        let listener = Arc::new(listener.map_err(|source| ServingError::Listen { address, source })?);
+        let (node_poller, client_poller) = (get_to_start(Poller::new)?, get_to_start(Poller::new)?);
+        let flusher = get_to_start(Flusher::start)?;
         let (engine, messages) = bounded(ENGINE_QUEUE);
         let table = Arc::new(Mutex::new(ClientTable::new(client_room(config.limits.sockets))));
         let pool = Pool::new(config.links, node_room(config.limits.sockets));
-        let mut nodes = Nodes::new(engine.clone(), clock, flusher.clone(), Poller::new()?);
+        let mut nodes = Nodes::new(engine.clone(), clock, flusher.clone(), node_poller);
         nodes.pauses = pauses.clone();
         let nodes = Arc::new(nodes);
         let reads = nodes.clone();
@@ -128,10 +132,7 @@
         let discovery = Arc::new(Following::new(config.discovery));
         let watcher = Watcher::new(discovery.clone(), engine.clone(), Pace::within(grace));
         spawn_small("discovery", move || watcher.run())?;
-        let listener =
-            TcpListener::bind(address).map_err(|source| ServingError::Listen { address, source })?;
-        let listener = Arc::new(listener);
-        let (mailbox, leaving) = (Arc::new(Mailbox::new(Poller::new()?)), Arc::new(Leaving::default()));
+        let (mailbox, leaving) = (Arc::new(Mailbox::new(client_poller)), Arc::new(Leaving::default()));
         let mut front = Front::new(
             mailbox.clone(),
             table.clone(),
