A connection that this host has no means to begin is tried again for a second

What callers saw: requests refused in a moment in which the host itself had no port or descriptor (EADDRNOTAVAIL, ENFILE, ENOBUFS), and nodes taken for unreachable. Cause: Nodes::open told the pool of a failed connection whatever the reason, and EINTR from connect() was a failure. Change: a shortage of the host's own is told apart (Begun::Later) and tried again each 10 ms for a second; an interrupted connect goes on.

--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -5,6 +5,7 @@
 
 use rustix::event::epoll;
 use rustix::event::{eventfd, EventfdFlags, Timespec};
+use rustix::io::Errno;
 use rustix::net::{AddressFamily, SocketFlags, SocketType};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -108,7 +109,7 @@
         let timeout = left.map(|d| Timespec { tv_sec: d.as_secs() as i64, tv_nsec: d.subsec_nanos().into() });
         let n = match epoll::wait(&self.set, &mut events[..], timeout.as_ref()) {
             Ok(n) => n,
-            Err(rustix::io::Errno::INTR) => 0,
+            Err(Errno::INTR) => 0,
             Err(e) => return Err(e.into()),
         };
         for event in &events[..n] {
@@ -134,9 +135,13 @@
     let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
     let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
-    match rustix::net::connect(&socket, address) {
-        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => Ok(TcpStream::from(socket)),
-        Err(e) => Err(e.into()),
+    loop {
+        return match rustix::net::connect(&socket, address) {
+            // Interrupted, it goes on by itself; asked again, the system says so.
+            Err(Errno::INTR) => continue,
+            Ok(()) | Err(Errno::INPROGRESS | Errno::ALREADY | Errno::ISCONN) => Ok(TcpStream::from(socket)),
+            Err(e) => Err(e.into()),
+        };
     }
 }
 
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -1,7 +1,7 @@
 //! The one thread that owns the driver, and carries out what the module says.
 
 use crate::client::Client;
-use crate::links::{Link, Nodes};
+use crate::links::{Begun, Link, Nodes};
 use crate::pauses::{Pauses, Point};
 use crate::tally::Tally;
 use bytes::Bytes;
@@ -55,10 +55,22 @@
     begun: bool,
 }
 
+/// A connection that this host had no means to begin.
+struct OpenAgain {
+    link: LinkId,
+    node: u32,
+    at: f64,
+    /// It is given up then.
+    until: f64,
+}
+
 /// Most messages taken before timers are looked at again.
 const BATCH: usize = 64;
 /// How often idle and silent connections are looked at.
 const SWEEP_MS: f64 = 200.0;
+/// Pause before a connection is tried again that this host had no port, descriptor or memory for, and for how long it is.
+const OPEN_AGAIN_MS: f64 = 10.0;
+const OPEN_WITHIN_MS: f64 = 1_000.0;
 /// How often the counts are told.
 const TELL_MS: f64 = 5_000.0;
 
@@ -86,6 +98,8 @@
     links: HashMap<LinkId, Arc<Link>>,
     /// Connections that were begun, and when the time of each is up: in order, since all are given the same.
     begun: VecDeque<(f64, LinkId)>,
+    /// Connections that could not be begun for want of something here, and when each is tried again; in order.
+    again: VecDeque<OpenAgain>,
     /// When the last answer goes out, in a host that leaves.
     last: Option<f64>,
     tally: Tally,
@@ -120,7 +134,8 @@
             let begun = self.work.begun.front().map(|(at, _)| *at);
             let last = self.work.last.filter(|_| !self.work.open.is_empty());
             let rested = self.pool.next_due();
-            let due = self.driver.next_due().into_iter().chain(begun).chain(last).chain(rested);
+            let again = self.work.again.front().map(|open| open.at);
+            let due = self.driver.next_due().into_iter().chain(begun).chain(last).chain(rested).chain(again);
             let due = due.fold(sweep, f64::min);
             let first = match messages.recv_deadline(self.clock.instant(due)) {
                 Ok(m) => Some(m),
@@ -141,6 +156,7 @@
             self.work.steps = steps;
             self.settle();
             self.too_long(now);
+            self.open_again(now);
             self.pool.ring(now, &mut self.work.todo);
             if self.is_last(now) {
                 self.answer_all();
@@ -170,6 +186,26 @@
         }
     }
 
+    fn open(&mut self, now: f64, link: LinkId, node: u32, until: f64) {
+        let dial = self.node_table.dial(node);
+        match dial.map_or(Begun::Refused, |dial| self.nodes.open(link, &dial)) {
+            Begun::Coming => self.work.begun.push_back((now + self.connect_ms, link)),
+            Begun::Later if now < until => {
+                self.work.again.push_back(OpenAgain { link, node, at: now + OPEN_AGAIN_MS, until });
+            }
+            Begun::Later | Begun::Refused => self.pool.not_opened(link, &mut self.work.todo),
+        }
+    }
+
+    /// Tries connections again that this host had no means to begin.
+    fn open_again(&mut self, now: f64) {
+        while let Some(open) = self.work.again.pop_front_if(|open| now >= open.at) {
+            if self.pool.is_coming(open.link) {
+                self.open(now, open.link, open.node, open.until);
+            }
+        }
+    }
+
     fn take(&mut self, message: Message) {
         let now = self.clock.now_ms();
         match message {
@@ -413,12 +449,7 @@
         match one {
             Do::Open(link, node) => {
                 self.work.tally.opened += 1;
-                let dial = self.node_table.dial(node);
-                if dial.is_some_and(|dial| self.nodes.open(link, &dial)) {
-                    self.work.begun.push_back((now + self.connect_ms, link));
-                } else {
-                    self.pool.not_opened(link, &mut self.work.todo);
-                }
+                self.open(now, link, node, now + OPEN_WITHIN_MS);
             }
             Do::Write(link, attempt) => self.write(now, link, attempt),
             Do::Close(link) => {
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -6,7 +6,7 @@
 use crossbeam_channel::Sender;
 use pearfork::Verdict;
 use pearfork_drive::Told;
-use pearfork_net::{begin_connect, lock, Clock, Flusher, Poller, Waiting, Want, WriteBuffer};
+use pearfork_net::{begin_connect, is_shortage, lock, Clock, Flusher, Poller, Waiting, Want, WriteBuffer};
 use pearfork_platform::answer::{self, Answer};
 use pearfork_platform::pool::LinkId;
 use pearfork_resp::Replies;
@@ -119,6 +119,17 @@
     }
 }
 
+/// What became of the beginning of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Begun {
+    /// It comes up, or the engine is told that it does not.
+    Coming,
+    /// This host is short of ports, descriptors or memory in this moment: its node has nothing to do with it.
+    Later,
+    /// It can't be had.
+    Refused,
+}
+
 /// The connections of a host to its nodes.
 pub(crate) struct Nodes {
     engine: Sender<Message>,
@@ -136,13 +147,13 @@
         Nodes { engine, clock, flusher, poller, links, stopped, pauses }
     }
 
-    /// Begins to connect; the engine is told what became of it. False: it can't.
-    pub(crate) fn open(&self, id: LinkId, address: &SocketAddr) -> bool {
+    /// Begins to connect; the engine is told what became of it.
+    pub(crate) fn open(&self, id: LinkId, address: &SocketAddr) -> Begun {
         let stream = match begin_connect(address) {
             Ok(stream) => stream,
             Err(error) => {
-                tracing::debug!(%address, %error, "no connection");
-                return false;
+                tracing::debug!(link = id, %address, %error, "no connection");
+                return if is_shortage(&error) { Begun::Later } else { Begun::Refused };
             }
         };
         let _ = stream.set_nodelay(true);
@@ -159,11 +170,12 @@
         let write_buffer = WriteBuffer::new(stream, &self.flusher);
         let link = Arc::new(Link { write_buffer, state: Mutex::new(state), clock: self.clock });
         let mut links = lock(&self.links);
-        if self.poller.add(link.write_buffer.stream(), id, Want::Write).is_err() {
-            return false;
+        if let Err(error) = self.poller.add(link.write_buffer.stream(), id, Want::Write) {
+            tracing::debug!(link = id, %address, %error, "a connection can't be watched");
+            return Begun::Later;
         }
         links.insert(id, link);
-        true
+        Begun::Coming
     }
 
     /// Closes a connection, which the engine is not told.
