Room is made of connections that are owed nothing and have nothing unread

Change: only what lingers goes at once; Front begins the end of an idle one, and not over unread bytes; one that waits for room is not at rest. Not reproduced on sockets.

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -44,6 +44,15 @@
     faults: u32,
     /// The host ends it: since when.
     ending: Option<f64>,
+    /// All is answered, and some of it has not left the write buffer.
+    is_flushing: bool,
+}
+
+impl Entry {
+    /// It is on its way out, and nothing is owed to its client any more.
+    fn lingers(&self) -> Option<f64> {
+        self.ending.filter(|_| self.open == 0 && !self.is_flushing)
+    }
 }
 
 /// What follows a command that makes no sense.
@@ -105,24 +114,30 @@
 
     /// A connection came. Where there is no room, one has to go: one that has said nothing, the longest silent first;
     /// then an idle one, the longest idle first; otherwise the newcomer itself, of which nothing was taken yet. It is
-    /// still held where there is room for it to end in order; where there is none, the one that has been ending longest
-    /// goes before all others, and none is held that was told.
+    /// still held where there is room for it to end in order, which is the caller's to begin; where there is none, the
+    /// one that has been ending longest and is owed nothing goes before all others, and none is held that was told.
     pub fn arrived(&mut self, now: f64, id: ClientId) -> Option<ClientId> {
-        let entry = Entry { since: now, last: None, open: 0, partial: None, faults: 0, ending: None };
+        let entry = Entry {
+            since: now,
+            last: None,
+            open: 0,
+            partial: None,
+            faults: 0,
+            ending: None,
+            is_flushing: false,
+        };
         let is_full = self.is_full();
         self.clients.insert(id, entry);
         let ending = self.clients.values().filter(|c| c.ending.is_some()).count();
         if is_full {
-            let victim = self.oldest(id, |c| c.ending).or_else(|| self.dispensable(now, id)).unwrap_or(id);
+            let victim = self.oldest(id, Entry::lingers).or_else(|| self.dispensable(now, id)).unwrap_or(id);
             self.clients.remove(&victim);
             return Some(victim);
         }
         if self.clients.len() - ending <= self.room - self.room / LINGER_PART {
             return None;
         }
-        let victim = self.dispensable(now, id)?;
-        self.ending(now, victim);
-        Some(victim)
+        self.dispensable(now, id)
     }
 
     /// Whether a newcomer would find room, be it in another's place.
@@ -130,8 +145,8 @@
     /// Danger: one that is taken and turned away has written its request by then, and is answered by a reset. One that is
     /// not taken yet waits in the system's queue, for less than the time of a request.
     pub fn has_room(&self, now: f64) -> bool {
-        let any_ending = || self.clients.values().any(|c| c.ending.is_some());
-        !self.is_full() || any_ending() || self.dispensable(now, ClientId::MAX).is_some()
+        let any_lingers = || self.clients.values().any(|c| c.lingers().is_some());
+        !self.is_full() || any_lingers() || self.dispensable(now, ClientId::MAX).is_some()
     }
 
     fn oldest(&self, but: ClientId, pick: impl Fn(&Entry) -> Option<f64>) -> Option<ClientId> {
@@ -154,6 +169,13 @@
         }
     }
 
+    /// Some of what one was answered has not left the write buffer, or all of it has.
+    pub fn flushing(&mut self, id: ClientId, is_flushing: bool) {
+        if let Some(c) = self.clients.get_mut(&id) {
+            c.is_flushing = is_flushing;
+        }
+    }
+
     /// Whether one is held.
     pub fn holds(&self, id: ClientId) -> bool {
         self.clients.contains_key(&id)
--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -212,6 +212,7 @@
     assert_eq!(table.arrived(20.0, 15), None, "nobody can go, and there is room");
     assert_eq!(table.arrived(21.0, 16), Some(15), "the silent one");
     assert!(table.holds(15), "it ends in order");
+    table.ending(21.0, 15);
     assert!(!table.began(22.0, 15), "and takes nothing more");
     assert_eq!(table.arrived(23.0, 17), Some(15), "its place is needed");
     assert!(!table.holds(15));
@@ -221,6 +222,26 @@
     assert!(!table.has_room(27.0) && table.has_room(3_000.0));
 }
 
+/// Guards against an end for room under a request: its connection was on its way out, and its answer was still owed.
+#[test]
+fn a_connection_that_ends_and_is_owed_an_answer_keeps_its_place() {
+    let mut table = ClientTable::new(2);
+    for id in [1, 2] {
+        assert_eq!(table.arrived(0.0, id), None);
+        assert!(table.began(1.0, id));
+    }
+    table.ending(2.0, 1);
+    assert!(!table.has_room(3.0));
+    assert_eq!(table.arrived(3.0, 3), Some(3), "the newcomer: nothing of it was taken");
+    table.answered(4.0, 1);
+    table.flushing(1, true);
+    assert!(!table.has_room(5.0), "its answer has not left the write buffer");
+    assert_eq!(table.arrived(5.0, 4), Some(4));
+    table.flushing(1, false);
+    assert!(table.has_room(6.0));
+    assert_eq!(table.arrived(6.0, 5), Some(1));
+}
+
 #[test]
 fn idle_connections_are_closed_before_their_node_would() {
     let mut pool = Pool::new(LINKS, 10);
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -198,7 +198,9 @@
             }
         };
         for id in those {
-            if self.clients.get(&id).is_some_and(|r| !r.client.has_unread()) {
+            // Danger: one that is not read for want of room may have whole commands in its buffer.
+            let rests = |r: &Reading| r.life.state() != State::Full && !r.client.has_unread();
+            if self.clients.get(&id).is_some_and(rests) {
                 self.pauses.at(Point::ReaderEnds);
                 self.end(id);
             }
@@ -236,7 +238,12 @@
         };
         match victim {
             Some(newcomer) if newcomer == id => return,
-            Some(victim) if held => self.end(victim),
+            // Danger: what came on it and was not read yet is a request that its client is owed an answer to.
+            Some(victim) if held => {
+                if self.clients.get(&victim).is_some_and(|r| !r.client.has_unread()) {
+                    self.end(victim);
+                }
+            }
             Some(victim) => self.on(victim, Event::Evicted),
             None => {}
         }
@@ -268,7 +275,11 @@
         while let Some(r) = self.clients.get(&id) {
             match r.life.state() {
                 State::Ending if !r.client.owes() => self.on(id, Event::Answered),
-                State::Flushing(_) if r.client.write_buffer.kept() == 0 => self.on(id, Event::Flushed),
+                State::Flushing(_) if r.client.write_buffer.kept() == 0 => {
+                    lock(&self.table).flushing(id, false);
+                    self.on(id, Event::Flushed);
+                }
+                State::Flushing(_) => return lock(&self.table).flushing(id, true),
                 _ => return,
             }
         }
