Answers that a client has not taken count as open commands, and its connection stays

Cause: 32 commands of a connection may be open, more are read as soon as these are answered, and the write buffer gave the connection up at 1 MiB of answers not taken: a client that sends many reads of large values at once and takes them slowly was cut off. Beside it: the other attempt of a request that was served could still go out from a write buffer (forwarded after it had ended); it is taken back now as one of a client that left is. Change: answers not taken count by 64 KiB each among the 32, so that no more than 2 MiB are ever kept; the buffer's bound lies above.

--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -15,8 +15,9 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
-/// Bytes kept for one socket; one that takes nothing for so long is given up.
-const MOST_KEPT: usize = 1 << 20;
+/// Bytes kept for one socket; one that takes nothing for so long is given up. Whoever writes bounds what is out on a
+/// connection well below: this is over 32 answers of 64 KiB with their heads.
+const MOST_KEPT: usize = (2 << 20) + (64 << 10);
 /// How often what is kept is offered again.
 const AGAIN: Duration = Duration::from_millis(2);
 
--- a/crates/serving/src/client.rs
+++ b/crates/serving/src/client.rs
@@ -3,10 +3,12 @@
 use bytes::Bytes;
 use pearfork_net::{lock, Poller, Waiting, WriteBuffer};
 use pearfork_platform::clients::{ClientId, ClientTable};
+use pearfork_platform::request::MAX_VALUE;
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
 
-/// Commands of one connection without an answer; beyond it no more is read from it.
+/// Commands of one connection without an answer; beyond it no more is read from it. Answers that its client has not taken
+/// count with them, by the size that an answer may have.
 const MOST_OPEN: usize = 32;
 
 /// What connections tell the thread that reads them.
@@ -83,9 +85,15 @@
 
     /// Whether one more command may be taken; if not, the mailbox is told when it may.
     pub(crate) fn has_room(&self) -> bool {
+        let not_taken = self.write_buffer.kept().div_ceil(MAX_VALUE);
         let mut slots = lock(&self.slots);
         slots.wants_room = slots.answers.len() >= MOST_OPEN;
-        !slots.wants_room
+        slots.answers.len() + not_taken < MOST_OPEN
+    }
+
+    /// Whether answers wait that its client has not taken.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.write_buffer.kept() > 0
     }
 
     /// A place for the answer to a command.
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -339,6 +339,8 @@
         let value = answer.value.unwrap_or_default();
         if self.driver.ended(at, attempt, answer.verdict, answer.told) {
             self.work.tally.served += 1;
+            // Danger: another attempt of it that waits for a connection, or in a write buffer, would still go out.
+            self.take_back(attempt.request);
             self.finish(attempt.request, write::bytes(|out| write::bulk(out, &value)));
         }
     }
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -79,7 +79,7 @@
     pub(crate) leaving: Arc<Leaving>,
     pub(crate) pauses: Pauses,
     clients: HashMap<ClientId, Reading>,
-    /// Those that have to be looked at though nothing comes on them.
+    /// Those that have to be looked at though nothing comes on them: that end, pause, or wait for room.
     timed: BTreeSet<ClientId>,
     next: ClientId,
     /// Until when no connection is taken.
@@ -141,10 +141,7 @@
                 }
             }
             for id in self.mailbox.take() {
-                if self.clients.get(&id).is_some_and(|r| r.life.state() == State::Full) {
-                    self.on(id, Event::Room);
-                    self.work(id);
-                }
+                self.room(id);
                 self.advance(id);
             }
             let now = self.clock.now_ms();
@@ -163,11 +160,21 @@
         let timed =
             self.timed.iter().filter_map(|id| self.clients.get(id)).filter_map(|r| match r.life.state() {
                 State::Flushing(_) => Some(self.clock.now_ms() + FLUSH_LOOK_MS),
+                State::Full if r.client.has_unsent() => Some(self.clock.now_ms() + FLUSH_LOOK_MS),
                 _ => r.life.due(),
             });
         timed.chain(self.pause).fold(sweep, f64::min)
     }
 
+    /// Goes on with a connection that waited for room, if there is some.
+    fn room(&mut self, id: ClientId) {
+        let has_room = |r: &Reading| r.life.state() == State::Full && r.client.has_room();
+        if self.clients.get(&id).is_some_and(has_room) {
+            self.on(id, Event::Room);
+            self.work(id);
+        }
+    }
+
     /// Goes on with what waited for its time.
     fn look(&mut self, now: f64, listener: &TcpListener) {
         for id in self.timed.iter().copied().collect::<Vec<ClientId>>() {
@@ -179,6 +186,7 @@
             if before && !paused(self) {
                 self.work(id);
             }
+            self.room(id);
             self.advance(id);
         }
         if self.pause.is_some_and(|until| now >= until) {
@@ -303,7 +311,7 @@
             let want = if life.reads() { Want::Read } else { Want::Nothing };
             let _ = self.mailbox.poller.change(r.client.write_buffer.stream(), id, want);
         }
-        if life.is_ending() || life.due().is_some() {
+        if life.is_ending() || life.state() == State::Full || life.due().is_some() {
             self.timed.insert(id);
         } else {
             self.timed.remove(&id);
--- a/crates/serving/tests/crossings/clients.rs
+++ b/crates/serving/tests/crossings/clients.rs
@@ -77,6 +77,30 @@
     assert!(ends_in_order(&mut client.stream));
 }
 
+/// Guards against a client that asks for more than it takes at once: its connection was shut under accepted requests.
+#[test]
+fn more_answers_than_a_client_takes_at_once_wait_for_it() {
+    const REQUESTS: u64 = 80;
+    let big = [b"*3\r\n$65000\r\n".to_vec(), vec![b'v'; 65_000], b"\r\n$-1\r\n$-1\r\n".to_vec()].concat();
+    let (node, _) = node(move |_, _| Reaction::Say(big.clone()));
+    let told = discovery(1, &[node]);
+    let (host, address) = host_of(&config(told.address(), &[node]));
+    rustix::net::sockopt::set_socket_send_buffer_size(host.listener(), 16 * 1024).unwrap();
+    let mut client = Client::connect(address);
+    rustix::net::sockopt::set_socket_recv_buffer_size(&client.stream, 32 * 1024).unwrap();
+    for id in 1..=REQUESTS {
+        client.stream.write_all(&command(id, 1_000)).unwrap();
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    for id in 1..=REQUESTS {
+        match client.reply() {
+            Some(Reply::Bulk(Some(v))) => assert_eq!(v.len(), 65_000),
+            Some(Reply::Error(_)) => {}
+            other => panic!("request {id} of {REQUESTS}: {other:?}"),
+        }
+    }
+}
+
 /// Danger: a connection that is not being read, since as many of its commands are open as may be, shows no end. Its client
 /// has left, and what waits would still be sent for it.
 #[test]
