A request's time runs from when it can have come, not from when it was parsed

What callers would see: nodes told more time than clients have left (0.15 s of slack at most). Cause: Front gave each command the moment of its parsing: what waited in a socket, the accept queue or behind 32 open commands lost that wait. Class of bug: an event dated by its handling. Change: Arrivals keeps between which waits something came; a connection that is not read, and the queue of connections while there is no room, remember since when. Evidence: a reader held up for 500 ms told 999 ms of 1,000; the 33rd and later of 120 commands at once told 999 ms where 740 were left. Both tests failed before and pass. Harm: under a crowd, what waited to be taken may be dated too early and be refused.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use clock::Clock;
 pub use connection::{ConnectError, Connection, ConnectionEvent, Token};
-pub use poll::{begin_connect, Poller, Ready, Want};
+pub use poll::{begin_connect, Poller, Ready, Want, MOST_TOLD};
 pub use portal::{Portal, PortalConfig, Service, Session, SessionId};
 pub use ports::free_addresses;
 pub use stream::{get_to_start, is_shortage, lock, spawn_small, Direction, Tap, TapRef};
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -14,8 +14,8 @@
 
 /// The token under which [`Poller::wake`] comes; sockets have others.
 const WOKEN: u64 = u64::MAX;
-/// Events taken in one wait.
-const AT_ONCE: usize = 64;
+/// Sockets that one wait tells of at the most; where it tells of so many, others may have something too.
+pub const MOST_TOLD: usize = 64;
 
 /// What a socket is watched for; that it broke, or that its other end sends no more, is told in any case.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,7 +102,8 @@
     pub fn wait(&self, ready: &mut Vec<Ready>, until: Option<Instant>) -> io::Result<()> {
         ready.clear();
         let mut events =
-            [epoll::Event { flags: epoll::EventFlags::empty(), data: epoll::EventData::new_u64(0) }; AT_ONCE];
+            [epoll::Event { flags: epoll::EventFlags::empty(), data: epoll::EventData::new_u64(0) };
+                MOST_TOLD];
         // In whole milliseconds, rounded up: a wait that ended just before its moment would be followed by another.
         let left = until.map(|at| at.saturating_duration_since(Instant::now()));
         let left = left.map(|d| Duration::from_millis(d.as_nanos().div_ceil(1_000_000) as u64));
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -5,7 +5,7 @@
 use crate::pauses::{Pauses, Point};
 use bytes::Bytes;
 use crossbeam_channel::Sender;
-use pearfork_net::{lock, long_queue, Clock, Flusher, Ready, Want, WriteBuffer};
+use pearfork_net::{lock, long_queue, Clock, Flusher, Ready, Want, WriteBuffer, MOST_TOLD};
 use pearfork_platform::clients::{AfterFault, ClientId, ClientTable};
 use pearfork_platform::config::Vocabulary;
 use pearfork_platform::life::{Effect, Event, Life, State};
@@ -37,6 +37,9 @@
 /// How long none is taken where the system gives no descriptor, or where no connection may go for another.
 const NO_ROOM_MS: f64 = 5.0;
 
+/// A wait of this length found nothing when it was asked for.
+const BLOCKED_MS: f64 = 1.0;
+
 /// How far a host that leaves has come. Connections are taken up to its end: what the system took in its name is owed
 /// an answer.
 #[derive(Debug, Default)]
@@ -54,6 +57,40 @@
     client: Arc<Client>,
     commands: Commands,
     life: Life,
+    /// What was read last had not come before this moment.
+    came_after: f64,
+    /// Nothing was read since this moment, or, of one that was just taken, nobody looked.
+    unread_since: Option<f64>,
+}
+
+/// Between which waits something came.
+///
+/// Danger: a client's time runs from its sending. Where this thread was held up, what it reads came some time ago, and a
+/// node that is told the whole time would be told more than its client has left.
+#[derive(Debug, Default)]
+struct Arrivals {
+    /// What the last wait told had not come before this moment.
+    came_after: f64,
+    /// When the last wait ended.
+    told_at: Option<f64>,
+}
+
+impl Arrivals {
+    /// A wait that was asked for at one moment ended at another and told of so many sockets.
+    fn told(&mut self, asked_at: f64, ended_at: f64, sockets: usize) {
+        let before = self.told_at.replace(ended_at);
+        self.came_after = match before {
+            Some(told_at) if ended_at - asked_at < BLOCKED_MS => {
+                // Where so many are told that others may have waited longer, nothing new is known of these.
+                if sockets < MOST_TOLD {
+                    told_at
+                } else {
+                    self.came_after
+                }
+            }
+            _ => ended_at,
+        };
+    }
 }
 
 /// How far the commands of a connection were taken.
@@ -84,6 +121,9 @@
     next: ClientId,
     /// Until when no connection is taken.
     pause: Option<f64>,
+    /// Since when connections may wait to be taken.
+    queued_since: Option<f64>,
+    arrivals: Arrivals,
 }
 
 impl Front {
@@ -109,6 +149,8 @@
             timed: BTreeSet::new(),
             next: LISTENER,
             pause: None,
+            queued_since: None,
+            arrivals: Arrivals::default(),
         }
     }
 
@@ -129,10 +171,12 @@
         let mut sweep = self.clock.now_ms() + SWEEP_MS;
         while !self.leaving.over.load(Ordering::SeqCst) {
             let due = self.due(sweep);
+            let asked_at = self.clock.now_ms();
             if let Err(why) = self.mailbox.poller.wait(&mut ready, Some(self.clock.instant(due))) {
                 tracing::error!(%why, "connections can't be waited for");
                 return;
             }
+            self.arrivals.told(asked_at, self.clock.now_ms(), ready.len());
             self.pauses.at(Point::ReaderLooks);
             for one in &ready {
                 match one.token {
@@ -223,15 +267,20 @@
             }
             match listener.accept() {
                 Ok((stream, _)) => self.welcome(stream),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.queued_since = None;
+                    return;
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => return self.pause(listener),
             }
         }
+        self.queued_since.get_or_insert(self.arrivals.came_after);
     }
 
     /// Takes no connection for a moment.
     fn pause(&mut self, listener: &TcpListener) {
+        self.queued_since.get_or_insert(self.arrivals.came_after);
         self.pause = Some(self.clock.now_ms() + NO_ROOM_MS);
         let _ = self.mailbox.poller.change(listener, LISTENER, Want::Nothing);
     }
@@ -264,7 +313,9 @@
             return;
         }
         let commands = Commands::new(request::COMMAND);
-        self.clients.insert(id, Reading { client, commands, life: Life::default() });
+        let (came_after, unread_since) = (now, self.queued_since);
+        let reading = Reading { client, commands, life: Life::default(), came_after, unread_since };
+        self.clients.insert(id, reading);
     }
 
     /// The host ends a connection: what was taken is answered, then it lingers for what crosses the end.
@@ -307,6 +358,9 @@
             Effect::Close => return self.closed(id),
         }
         let life = r.life;
+        if before.reads() && !life.reads() {
+            r.unread_since = Some(now);
+        }
         if before.reads() != life.reads() {
             let want = if life.reads() { Want::Read } else { Want::Nothing };
             let _ = self.mailbox.poller.change(r.client.write_buffer.stream(), id, want);
@@ -348,6 +402,8 @@
             // Danger: a request that crosses our end is sent once more by its client; taken here, it would run twice.
             Ok(Some(n)) if reading.life.is_ending() => self.on(id, Event::Discarded(n)),
             Ok(Some(n)) => {
+                let came_after = self.arrivals.came_after;
+                reading.came_after = reading.unread_since.take().map_or(came_after, |at| at.min(came_after));
                 reading.commands.buffer().extend_from_slice(&piece[..n]);
                 self.work(id);
             }
@@ -392,8 +448,8 @@
                     return Taken::End;
                 }
             };
-            let at = clock.now_ms();
-            if !lock(table).began(at, client.id) {
+            let (now, at) = (clock.now_ms(), self.came_after);
+            if !lock(table).began(now, client.id) {
                 return Taken::End;
             }
             let slot = client.reserve();
@@ -406,18 +462,18 @@
                 }
                 Ok(Parsed::Ping) => {
                     client.answer(slot, write::bytes(|out| write::simple(out, "PONG")));
-                    lock(table).answered(at, client.id);
+                    lock(table).answered(now, client.id);
                 }
                 Err(fault) => {
                     client.answer(slot, error(&fault.to_string()));
                     let after = {
                         let mut table = lock(table);
-                        table.answered(at, client.id);
+                        table.answered(now, client.id);
                         table.fault(client.id)
                     };
                     let _ = engine.send(Message::Fault);
                     return match after {
-                        AfterFault::Pause(ms) => Taken::Pause(at + ms as f64),
+                        AfterFault::Pause(ms) => Taken::Pause(now + ms as f64),
                         AfterFault::Close => Taken::End,
                     };
                 }
--- a/crates/serving/tests/crossings/clients.rs
+++ b/crates/serving/tests/crossings/clients.rs
@@ -1,11 +1,13 @@
 //! Ends of client connections, clients that leave, shutdown.
 
-use crate::common::{config, discovery, host_of, is_error, node, until, value, Client, Reaction};
+use crate::common::{config, discovery, host_of, is_error, list_of, node, until, value, Client, Reaction};
 use crate::held::{ends_in_order, host_held, Gate, LONG};
+use bytes::Bytes;
 use pearfork_resp::Reply;
 use pearfork_serving::Point;
 use std::io::Write;
 use std::net::Shutdown;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 fn command(id: u64, wait_ms: u32) -> Vec<u8> {
@@ -101,6 +103,64 @@
     }
 }
 
+/// Slack of the platform on the time that a node is told.
+const TOLD_SLACK_MS: u32 = 150;
+
+/// The time that a command tells its node, in milliseconds.
+fn told_ms(command: &[Bytes]) -> u32 {
+    list_of(command).split("d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap()
+}
+
+/// Guards against a time told that ran from the reading: a reader that was held up told nodes more than clients had left.
+#[test]
+fn a_request_that_waited_to_be_read_tells_its_node_what_its_client_has_left() {
+    const HELD_MS: u32 = 500;
+    let (node, heard) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (_host, address, gate) = host_held(&config(told.address(), &[node]), Point::ReaderLooks);
+    let (mut first, mut held) = (Client::connect(address), Client::connect(address));
+    for client in [&mut first, &mut held] {
+        client.send(&["PING"]);
+        client.reply();
+    }
+    gate.shut();
+    first.send(&["PING"]);
+    gate.held();
+    held.read_of(7, 0, 1_000);
+    std::thread::sleep(Duration::from_millis(u64::from(HELD_MS)));
+    gate.open();
+    assert_eq!(held.served(), Some(7));
+    let told = told_ms(&heard.lock().unwrap()[0]);
+    assert!(told <= 1_000 - HELD_MS + TOLD_SLACK_MS, "{told} ms");
+}
+
+/// Guards against a time told that ran from the parsing: what waited behind 32 open commands told the whole of its time.
+#[test]
+fn a_command_that_waited_behind_others_tells_its_node_what_its_client_has_left() {
+    let began = Instant::now();
+    let late = Arc::new(Mutex::new(Vec::new()));
+    let kept = late.clone();
+    let (node, _) = node(move |_, c| {
+        kept.lock().unwrap().push((began.elapsed(), told_ms(c)));
+        Reaction::Later(Duration::from_millis(30), value(c))
+    });
+    let told = discovery(1, &[node]);
+    let (_host, address) = host_of(&config(told.address(), &[node]));
+    let mut client = Client::connect(address);
+    let sent_at = began.elapsed();
+    let all: Vec<u8> = (1..=120).flat_map(|id| command(id, 1_000)).collect();
+    client.stream.write_all(&all).unwrap();
+    for _ in 1..=120 {
+        assert!(client.reply().is_some());
+    }
+    let late = late.lock().unwrap();
+    assert!(late.iter().any(|(at, _)| *at > sent_at + Duration::from_millis(300)), "none came late");
+    for (at, told) in late.iter() {
+        let left = 1_000u32.saturating_sub((*at - sent_at).as_millis() as u32);
+        assert!(*told <= left + TOLD_SLACK_MS, "{told} ms told where {left} ms are left");
+    }
+}
+
 /// Danger: a connection that is not being read, since as many of its commands are open as may be, shows no end. Its client
 /// has left, and what waits would still be sent for it.
 #[test]
