A host that leaves takes what waits to be taken, then refuses connections, before it is gone

What callers saw: accepted requests got no response around planned restarts. Cause: the listener was open until the process ended; the system went on taking connections in its name, and reset them, requests included, at the end. Change: from the last answers on, Front takes what waits and shuts the listener; a client that is refused goes elsewhere.

--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -169,6 +169,7 @@
         let mut ready = Vec::new();
         let mut piece = vec![0u8; PIECE];
         let mut sweep = self.clock.now_ms() + SWEEP_MS;
+        let mut is_shut = false;
         while !self.leaving.over.load(Ordering::SeqCst) {
             let due = self.due(sweep);
             let asked_at = self.clock.now_ms();
@@ -190,6 +191,9 @@
             }
             let now = self.clock.now_ms();
             self.look(now, listener);
+            if !is_shut && self.leaving.last.load(Ordering::SeqCst) {
+                is_shut = self.shut(listener);
+            }
             let closing = self.leaving.closing.load(Ordering::SeqCst);
             if now >= sweep || (closing && sweep > now + LEAVING_MS) {
                 sweep = now + if closing { LEAVING_MS } else { SWEEP_MS };
@@ -215,7 +219,16 @@
         let has_room = |r: &Reading| r.life.state() == State::Full && r.client.has_room();
         if self.clients.get(&id).is_some_and(has_room) {
             self.on(id, Event::Room);
-            self.work(id);
+            self.go_on(id);
+        }
+    }
+
+    /// Takes what a connection that was not read has in its buffer, and then what came meanwhile, or learns that nothing
+    /// did.
+    fn go_on(&mut self, id: ClientId) {
+        self.work(id);
+        if self.clients.get(&id).is_some_and(|r| r.life.takes_commands()) {
+            self.ready(Ready { token: id, broken: false, ended: false }, &mut vec![0u8; PIECE]);
         }
     }
 
@@ -228,7 +241,7 @@
             let before = paused(self);
             self.on(id, Event::Tick);
             if before && !paused(self) {
-                self.work(id);
+                self.go_on(id);
             }
             self.room(id);
             self.advance(id);
@@ -278,6 +291,20 @@
         self.queued_since.get_or_insert(self.arrivals.came_after);
     }
 
+    /// Takes the connections that wait, and then no more; false where some still wait for room.
+    ///
+    /// Danger: one that the system took in this host's name and that nobody reads is reset when the host is gone, and so
+    /// is the request on it. A client whose connection is refused goes elsewhere.
+    fn shut(&mut self, listener: &TcpListener) -> bool {
+        self.accept(listener);
+        if self.queued_since.is_some() {
+            return false;
+        }
+        self.mailbox.poller.remove(listener);
+        pearfork_net::shut_listener(listener);
+        true
+    }
+
     /// Takes no connection for a moment.
     fn pause(&mut self, listener: &TcpListener) {
         self.queued_since.get_or_insert(self.arrivals.came_after);
@@ -359,7 +386,7 @@
         }
         let life = r.life;
         if before.reads() && !life.reads() {
-            r.unread_since = Some(now);
+            r.unread_since.get_or_insert(now);
         }
         if before.reads() != life.reads() {
             let want = if life.reads() { Want::Read } else { Want::Nothing };
@@ -397,7 +424,7 @@
             return;
         }
         match reading.client.write_buffer.read_now(piece) {
-            Ok(None) => {}
+            Ok(None) => reading.unread_since = None,
             Ok(Some(0)) | Err(_) => self.on(id, Event::Gone),
             // Danger: a request that crosses our end is sent once more by its client; taken here, it would run twice.
             Ok(Some(n)) if reading.life.is_ending() => self.on(id, Event::Discarded(n)),
--- a/crates/serving/tests/crossings/clients.rs
+++ b/crates/serving/tests/crossings/clients.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use pearfork_resp::Reply;
 use pearfork_serving::Point;
-use std::io::Write;
-use std::net::Shutdown;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -161,6 +161,35 @@
     }
 }
 
+/// Guards against a listener that is open to the last: what the system had taken in the host's name was reset unread.
+#[test]
+fn a_host_that_leaves_refuses_connections_before_it_is_gone() {
+    let (node, _) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (host, address) = host_of(&config(told.address(), &[node]));
+    let left = std::thread::spawn(move || {
+        host.stop();
+        // The process would end here; until then whoever connects must have been refused.
+        std::thread::sleep(Duration::from_millis(50));
+    });
+    let mut refused = 0;
+    while !left.is_finished() {
+        match TcpStream::connect(address) {
+            Ok(mut stream) => {
+                stream.set_read_timeout(Some(LONG)).unwrap();
+                let _ = stream.write_all(&command(9, 1_000));
+                let mut got = [0; 64];
+                // Crossing our end it may hear nothing, in order; a reset would lose what it wrote.
+                let read = stream.read(&mut got);
+                assert!(read.is_ok(), "{read:?} for what the host's machine had taken");
+            }
+            Err(_) => refused += 1,
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    assert!(refused > 0, "its listener was open to the end");
+}
+
 /// Danger: a connection that is not being read, since as many of its commands are open as may be, shows no end. Its client
 /// has left, and what waits would still be sent for it.
 #[test]
