--- a/crates/gateway/tests/program/mod.rs
+++ b/crates/gateway/tests/program/mod.rs
@@ -125,6 +125,11 @@
         self.ended().code()
     }
 
+    /// Whether it has ended by now, and with which code.
+    pub fn has_ended(&mut self) -> Option<Option<i32>> {
+        self.child.try_wait().unwrap().map(|status| status.code())
+    }
+
     /// How it ended.
     pub fn ended(&mut self) -> ExitStatus {
         let mut status = None;
--- a/crates/gateway/tests/program/shims.rs
+++ b/crates/gateway/tests/program/shims.rs
@@ -57,6 +57,14 @@
         self.folder.path().join("clock")
     }
 
+    /// The program with a wall clock that is ahead and system calls that fail.
+    pub fn start(&self, config: &Path, ahead_seconds: i64, seed: u64, failures: &[Failure]) -> Program {
+        if failures.is_empty() {
+            return self.start_with_clock(config, ahead_seconds);
+        }
+        self.start_with_failures(config, seed, failures, Window::default())
+    }
+
     /// The program with system calls that fail.
     pub fn start_with_failures(
         &self,
