--- a/crates/gateway/tests/service.rs
+++ b/crates/gateway/tests/service.rs
@@ -45,6 +45,31 @@
     assert_eq!(host.ends(), Some(0));
 }
 
+/// Guards against a file that is half written at SIGHUP and whole a moment later: its discovery was never followed.
+#[test]
+fn a_file_that_is_whole_only_after_the_signal_is_read_all_the_same() {
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    let (old_node, new_node) = (node(Duration::ZERO), node(Duration::ZERO));
+    let old = discovery(Arc::new(Mutex::new((1, list(1, old_node, "a", 1)))));
+    let new = discovery(Arc::new(Mutex::new((9, list(9, new_node, "b", 1)))));
+    let listen = free();
+    write_config(&file, listen, old.address(), &list(0, old_node, "a", 1));
+    let host = Program::start(&file);
+    let mut client = connect(listen);
+    ask(&mut client, 1);
+    assert_eq!(answered(&mut client), SERVED);
+    write_config(&file, listen, new.address(), &list(0, old_node, "a", 1));
+    let whole = std::fs::read(&file).unwrap();
+    std::fs::write(&file, &whole[..whole.len() / 2]).unwrap();
+    host.signal(Signal::HUP);
+    host.says("the old configuration stays");
+    std::fs::write(&file, &whole).unwrap();
+    host.says("configuration read anew");
+    ask(&mut client, 2);
+    assert_eq!(answered(&mut client), SERVED);
+}
+
 /// Ready with discovery silent, and with clients in the queue before it listens for them.
 #[test]
 fn a_host_is_ready_with_discovery_silent_and_serves_by_the_list_that_it_had() {
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -5,7 +5,7 @@
 
 use rustix::event::epoll;
 use rustix::event::{eventfd, EventfdFlags, Timespec};
-use rustix::io::Errno;
+use rustix::io::{retry_on_intr, Errno};
 use rustix::net::{AddressFamily, SocketFlags, SocketType};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -92,7 +92,7 @@
 
     /// Ends a wait, or the next one.
     pub fn wake(&self) {
-        let _ = rustix::io::write(&self.waker, &1u64.to_ne_bytes());
+        let _ = retry_on_intr(|| rustix::io::write(&self.waker, &1u64.to_ne_bytes()));
     }
 
     /// Waits for one socket at least, a wake or a moment.
