--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod node_age;
 mod rules;
 mod state;
+mod subset;
 
 pub use interface::*;
 pub use node_age::is_restart;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,6 +7,7 @@
 use crate::interface::*;
 use crate::node_age::is_restart;
 use crate::state::*;
+use crate::subset::Subset;
 use std::collections::{BTreeSet, HashSet};
 
 /// In-flight limit of a node not yet known, requests.
@@ -81,6 +82,7 @@
     settings: Settings,
     books: Books,
     random: Random,
+    subset: Subset,
     tightest_aim: f64,
     /// Units a second for each weight, were the nominal rates of all plans dealt out by weight.
     weight_units: f64,
@@ -98,7 +100,14 @@
         let weight_units = sum(|p| p.nominal) / sum(|p| p.weight).max(1e-6);
         let none = vec![0.0; settings.classes.len()];
         let books = Books { offsets: none.clone(), paces: none, ..Default::default() };
-        Ok(Scheduler { settings, books, random: Random(seed), tightest_aim, weight_units })
+        Ok(Scheduler {
+            settings,
+            books,
+            random: Random(seed),
+            subset: Subset::new(seed),
+            tightest_aim,
+            weight_units,
+        })
     }
 
     /// Takes one event and appends what is to be done.
@@ -284,6 +293,9 @@
             }
             None => self.books.nodes.iter().filter(|(_, n)| fits(n)).map(|(id, _)| *id).collect(),
         };
+        if Subset::is_used(self.books.nodes.len()) {
+            self.narrow(now, &mut candidates, shard.is_some());
+        }
         let looked_at = candidates.len().min(if shard.is_some() { usize::MAX } else { LOOKED_AT });
         for i in 0..looked_at {
             let rest = candidates.len() - i;
@@ -304,6 +316,15 @@
         best.map(|(_, node)| node)
     }
 
+    /// Leaves of the candidates those that this host uses; those that rest only where all do.
+    fn narrow(&self, now: f64, candidates: &mut Vec<u32>, is_one_shard: bool) {
+        let is_rested = |id: &u32| self.books.nodes.get(id).is_some_and(|n| now >= n.rest_until);
+        if candidates.iter().any(is_rested) {
+            candidates.retain(is_rested);
+        }
+        self.subset.narrow(candidates, self.books.by_shard.len(), is_one_shard);
+    }
+
     /// How long what waits for a node, here and there, takes it.
     fn backlog(&self, n: &Node, now: f64) -> f64 {
         (n.held.len() + n.out) as f64 * n.sojourn / n.in_flight_limit + self.wait(n, now)
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use pearfork::*;
+use std::collections::BTreeMap;
 
 const CLASSES: usize = 5;
 /// Bytes that a node which was never sent to may cost: 1 KB.
@@ -60,3 +61,65 @@
     let most = (MOST_BYTES_A_NODE * count as usize) as i64;
     assert!(told.bytes_current <= most, "{} bytes, {most} at most", told.bytes_current);
 }
+
+/// Nodes that a host sent to, of 3,200 or fewer in 20 shards, by 3,000 requests of one second and a half each.
+fn nodes_used(count: u32, seed: u64, requests: u32) -> BTreeMap<u32, u32> {
+    let mut host = Host { s: Scheduler::new(many_classes(), seed).unwrap(), timers: Vec::new() };
+    host.at(0.0, Event::List(ListKind::Full, list_of(count)));
+    let mut used = BTreeMap::new();
+    for id in 0..requests {
+        let now = 1_000.0 + f64::from(id) * 7.0;
+        let shard = (id % 7 != 0).then_some((id % 20) as u16);
+        host.ring_until(now);
+        for (id, node) in sent(&host.at(now, Event::Request(Request { shard, ..request(id, now + 900.0) }))) {
+            *used.entry(node).or_insert(0) += 1;
+            host.at(now + 3.0, Event::Outcome(outcome(id, 0, node, Verdict::Served)));
+        }
+    }
+    used
+}
+
+/// Guards against connections by nodes listed: a host before sixteen times the nodes made six times the connections.
+#[test]
+fn a_host_before_thousands_of_nodes_uses_few_of_them() {
+    let (few, many) = (nodes_used(200, 3, 3_000).len(), nodes_used(3_200, 3, 3_000).len());
+    // The platform's term for connections made: 2.5 times, and 40.
+    let most = few * 5 / 2 + 40;
+    assert!(many <= most, "{many} nodes used of 3,200, {few} of 200, {most} at most");
+}
+
+/// Guards against parts that overlap unevenly: over all hosts each node is used, and none for many others.
+#[test]
+fn the_parts_of_all_hosts_cover_the_nodes_evenly() {
+    let mut used: BTreeMap<u32, u32> = BTreeMap::new();
+    for seed in 0..80 {
+        for (node, count) in nodes_used(3_200, seed, 1_000) {
+            *used.entry(node).or_insert(0) += count;
+        }
+    }
+    let sum: u32 = used.values().sum();
+    let (mean, most) = (f64::from(sum) / 3_200.0, f64::from(used.values().copied().max().unwrap_or(0)));
+    let unused = 3_200 - used.len();
+    println!("mean {mean:.1}, most {most}, unused {unused}");
+    assert!(most <= 3.0 * mean && unused < 32, "mean {mean:.1}, most {most}, {unused} unused");
+}
+
+/// Guards against a part that is gone as a whole: the next nodes take its place, and no request is refused for it.
+#[test]
+fn a_part_that_drains_as_a_whole_costs_no_request() {
+    let mut host = Host { s: Scheduler::new(many_classes(), 5).unwrap(), timers: Vec::new() };
+    host.at(0.0, Event::List(ListKind::Full, list_of(3_200)));
+    let used: Vec<u32> = nodes_used(3_200, 5, 3_000).into_keys().collect();
+    let drains =
+        used.iter().map(|n| NodeEntry { condition: Condition::Draining, ..entry(*n, (n % 20) as u16) });
+    host.at(500.0, Event::List(ListKind::Changes, drains.collect()));
+    for id in 0..200 {
+        let now = 1_000.0 + f64::from(id) * 7.0;
+        host.ring_until(now);
+        let shard = Some((id % 20) as u16);
+        let sends = sent(&host.at(now, Event::Request(Request { shard, ..request(id, now + 900.0) })));
+        assert_eq!(sends.len(), 1, "request {id}");
+        assert!(!used.contains(&sends[0].1), "sent to a node that drains");
+        host.at(now + 3.0, Event::Outcome(outcome(id, 0, sends[0].1, Verdict::Served)));
+    }
+}
