A cold node among several of its shard is sent by what one of them served

What callers would see: overload of a node that comes back, where its shard has several nodes (rule failback). Cause: on_list gave a fresh node the host's use of its whole shard as what a warm node did; with n nodes the parts of all hosts add up to n times what one bears. Change: the use is divided by the nodes that served it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -857,6 +857,7 @@
         for e in entries {
             let started = if e.started_ms.is_finite() { e.started_ms } else { now };
             let known = self.books.nodes.get_mut(&e.node);
+            let is_known = known.is_some();
             let fresh = known.as_ref().map_or(true, |n| is_restart(started, n.e.started_ms));
             // Listed again with the start it had: it was missed by the list, not replaced.
             if let Some(n) = known.filter(|n| !fresh && n.e.condition == Condition::Gone) {
@@ -869,7 +870,11 @@
                 let mut new = Node::new(entry, now, up_since, self.tightest_aim);
                 let usual = self.books.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
                 let s = &self.settings;
-                new.usual_units = usual / (1.0 - (-(now - since).max(s.fall_ms) / USUAL_MS).exp());
+                // The shard's use is that of all its nodes: a cold one bears by what each of them did.
+                let served_by =
+                    (self.books.ready_in_shard(e.shard, e.node) + usize::from(is_known)).max(1) as f64;
+                new.usual_units =
+                    usual / served_by / (1.0 - (-(now - since).max(s.fall_ms) / USUAL_MS).exp());
                 // Its part; and one request, which a lot lets through, or a part of one by chance.
                 let part = self.cold_units(&new, s.cold_from);
                 let by_lot = part < s.mean_units;
--- a/src/state.rs
+++ b/src/state.rs
@@ -287,6 +287,12 @@
         old
     }
 
+    /// Nodes of a shard that take requests, but for one.
+    pub(crate) fn ready_in_shard(&self, shard: u16, but: u32) -> usize {
+        let others = self.by_shard.get(&shard).into_iter().flatten().filter(|id| **id != but);
+        others.filter_map(|id| self.nodes.get(id)).filter(|n| n.e.condition == Condition::Ready).count()
+    }
+
     /// Forgets the nodes that are not to be kept.
     pub(crate) fn retain_nodes(&mut self, keep: impl Fn(&Node) -> bool) {
         let forgotten: Vec<(u16, u32)> =
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -288,3 +288,42 @@
     let at = answered(&h.ring_until(1700.0), 1).expect("an answer");
     assert!(at > 1690.0, "{at}");
 }
+
+/// What a host sends in two seconds to a node that restarts among four of its shard, in units. It asks for
+/// two units each 10 ms; the restarted node takes five times as long as before.
+fn restart_among_four() -> f64 {
+    let nodes: Vec<NodeEntry> = (1..=4).map(|node| entry(node, 0)).collect();
+    let mut host = Host::with_nodes(settings(), &nodes);
+    host.at(1.0, Event::List(ListKind::Full, nodes));
+    let restarts_at = 31_000.0;
+    let mut answers: Vec<(f64, u32, u32)> = Vec::new();
+    let mut units = 0.0;
+    for id in 0..3_300 {
+        let now = 10.0 * f64::from(id);
+        answers.sort_by(|a, b| b.0.total_cmp(&a.0));
+        while let Some((at, id, node)) = answers.pop_if(|a| a.0 <= now) {
+            host.on_to(at, Event::Outcome(outcome(id, 0, node, Verdict::Served)));
+        }
+        if now == restarts_at {
+            let restarted = NodeEntry { started_ms: now - 100.0, ..entry(2, 0) };
+            host.on_to(now, Event::List(ListKind::Changes, vec![restarted]));
+        }
+        for (at, action) in host.on_to(now, Event::Request(request(id, now + 900.0))) {
+            for (id, node) in sent(&[action]) {
+                let is_cold = node == 2 && at >= restarts_at;
+                units += if is_cold { 2.0 } else { 0.0 };
+                answers.push((at + if is_cold { 50.0 } else { 10.0 }, id, node));
+            }
+        }
+    }
+    units
+}
+
+/// Guards against slow start by what a whole shard served: a node among four was sent four times its part.
+#[test]
+fn a_cold_node_among_four_is_sent_by_what_one_of_them_served() {
+    // Two hosts ask for 400 units a second of the four nodes: each does 100 at the least, and bears, cold, twice a fifth of
+    // that over two seconds: N = 80 units, 40 requests, and N + 2 root of N + 2 are 54.6 requests for both hosts.
+    let units = restart_among_four();
+    assert!(units > 0.0 && units <= 54.6, "{units} units by one of two hosts");
+}
