What a cold node can't bear goes to a neighbour that can

What callers would see: requests refused as cold while warm nodes of the same shard stand idle. A shard of one node is as before.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -271,6 +271,7 @@
     fn choose_node(&mut self, now: f64, id: u32) -> Option<u32> {
         let r = self.books.requests.get(&id)?;
         let (shard, class, ran) = (r.q.shard, usize::from(r.q.class), r.may_have_run);
+        let (units, lot) = (r.q.units, r.lot);
         let beside = r.node.filter(|_| r.outstanding > 0);
         let keyed = self.settings.classes[class].effect == Effect::Keyed;
         let group = if keyed { self.settings.classes[class].group } else { Group::All };
@@ -307,8 +308,9 @@
             let room = if shard.is_some() { 0.0 } else { self.room(node, class, now).min(WINDOW_MS) };
             let n = &self.books.nodes[&node];
             let waiting = self.backlog(n, now);
-            let score =
-                room - waiting - if now < n.rest_until { WINDOW_MS } else { 0.0 } + n.e.started_ms / 1e9;
+            // What a cold node can't bear goes to a neighbour that can, if there is one.
+            let is_barred = now < n.rest_until || !self.bears(n, units, lot, now);
+            let score = room - waiting - if is_barred { WINDOW_MS } else { 0.0 } + n.e.started_ms / 1e9;
             if best.map_or(true, |(b, _)| score > b) {
                 best = Some((score, node));
             }
@@ -751,7 +753,7 @@
         match self.barred(now, r) {
             _ if r.outstanding > 0 => Reason::Silent,
             Some(reason) => reason,
-            None if r.q.units > self.cold_room(n, now) || r.lot >= self.cold_chance(n, now) => Reason::Cold,
+            None if !self.bears(n, r.q.units, r.lot, now) => Reason::Cold,
             None if now < n.rest_until => Reason::Rest,
             None if late => Reason::Late,
             None => Reason::InFlight,
@@ -823,6 +825,11 @@
         (COLD_PART * s.fall_multiple * least).min(self.cold_units(n, least) / asked.max(1e-9))
     }
 
+    /// Whether a node may be sent a request of so many units and this lot now, as far as it is cold.
+    fn bears(&self, n: &Node, units: f64, lot: f64, now: f64) -> bool {
+        units <= self.cold_room(n, now) && lot < self.cold_chance(n, now)
+    }
+
     /// Units within the span that are this host's part of what a node with this part of its capacity bears:
     /// an even one of what is stated, or of what the shard served each host before, which adds up to what it
     /// does warm.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -289,15 +289,15 @@
     assert!(at > 1690.0, "{at}");
 }
 
-/// What a host sends in two seconds to a node that restarts among four of its shard, in units. It asks for
-/// two units each 10 ms; the restarted node takes five times as long as before.
-fn restart_among_four() -> f64 {
+/// What a host sends in two seconds to a node that restarts among four of its shard, in units, and what it refuses. It asks
+/// for two units each 10 ms; the restarted node takes five times as long as before.
+fn restart_among_four() -> (f64, usize) {
     let nodes: Vec<NodeEntry> = (1..=4).map(|node| entry(node, 0)).collect();
     let mut host = Host::with_nodes(settings(), &nodes);
     host.at(1.0, Event::List(ListKind::Full, nodes));
     let restarts_at = 31_000.0;
     let mut answers: Vec<(f64, u32, u32)> = Vec::new();
-    let mut units = 0.0;
+    let (mut units, mut refusals) = (0.0, 0);
     for id in 0..3_300 {
         let now = 10.0 * f64::from(id);
         answers.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -309,6 +309,7 @@
             host.on_to(now, Event::List(ListKind::Changes, vec![restarted]));
         }
         for (at, action) in host.on_to(now, Event::Request(request(id, now + 900.0))) {
+            refusals += usize::from(now >= restarts_at && matches!(action, Action::Refuse { .. }));
             for (id, node) in sent(&[action]) {
                 let is_cold = node == 2 && at >= restarts_at;
                 units += if is_cold { 2.0 } else { 0.0 };
@@ -316,7 +317,7 @@
             }
         }
     }
-    units
+    (units, refusals)
 }
 
 /// Guards against slow start by what a whole shard served: a node among four was sent four times its part.
@@ -324,6 +325,12 @@
 fn a_cold_node_among_four_is_sent_by_what_one_of_them_served() {
     // Two hosts ask for 400 units a second of the four nodes: each does 100 at the least, and bears, cold, twice a fifth of
     // that over two seconds: N = 80 units, 40 requests, and N + 2 root of N + 2 are 54.6 requests for both hosts.
-    let units = restart_among_four();
+    let (units, _) = restart_among_four();
     assert!(units > 0.0 && units <= 54.6, "{units} units by one of two hosts");
 }
+
+/// Guards against requests refused as cold while warm neighbours of their node stand idle.
+#[test]
+fn what_a_cold_node_cannot_bear_goes_to_its_neighbours() {
+    assert_eq!(restart_among_four().1, 0);
+}
