Debug log: each request by its id, attempt, refusal and failure, each change of a connection's state

Need: the incident's evidence names requests that the host's log could not follow. Change: at debug the service logs a request as it is asked (the client's id beside the host's number, how long it waited to be read), each attempt as decided, written (with the time told) and over, each refusal and failure with its reason, and each state of a client connection with the event that changed it. Nothing is added at info, the level of run.

--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -261,6 +261,14 @@
         let id = self.driver.allot();
         let until = at + asked.wait_ms;
         self.driver.request(asked.request(id, self.work.last.map_or(until, |last| until.min(last))));
+        tracing::debug!(
+            request = id,
+            id = %asked.id.escape_ascii(),
+            client = client.id,
+            wait_ms = asked.wait_ms,
+            waited_ms = now - at,
+            "asked"
+        );
         self.work.by_client.insert((client.id, id));
         self.work.open.insert(id, Open { client, slot, asked, at, begun: false });
     }
@@ -336,6 +344,12 @@
             return;
         }
         self.work.tally.ended(answer.verdict);
+        tracing::debug!(
+            request = attempt.request,
+            number = attempt.number,
+            verdict = ?answer.verdict,
+            "attempt over"
+        );
         let value = answer.value.unwrap_or_default();
         if self.driver.ended(at, attempt, answer.verdict, answer.told) {
             self.work.tally.served += 1;
@@ -414,6 +428,7 @@
         match step {
             Step::Send { attempt, node, until_ms, by_ms } => {
                 self.work.tally.sent += 1;
+                tracing::debug!(request = attempt.request, number = attempt.number, node, "attempt");
                 self.work.until.insert(attempt, (until_ms, by_ms));
                 self.pool.send(now, node, attempt, &mut self.work.todo);
             }
@@ -431,12 +446,14 @@
             }
             Step::Refused { id, retry_after_ms, reason } => {
                 *self.work.tally.refused.entry(reason).or_insert(0) += 1;
+                tracing::debug!(request = id, %reason, retry_after_ms, "refused");
                 let wait = retry_after_ms.ceil() as u64;
                 let words = if wait > 0 { format!("BUSY {wait}") } else { "BUSY".to_owned() };
                 self.finish(id, write::bytes(|out| write::error(out, &words)));
             }
             Step::Failed { id, reason } => {
                 *self.work.tally.failed.entry(reason).or_insert(0) += 1;
+                tracing::debug!(request = id, %reason, "failed");
                 self.finish(id, write::bytes(|out| write::error(out, &format!("ERR failed {reason}"))));
             }
             Step::CloseIdle(node) => self.pool.close_idle(node, &mut self.work.todo),
@@ -474,6 +491,14 @@
             return self.lost(now, attempt, verdict);
         };
         let command = open.asked.command(until - now);
+        tracing::debug!(
+            request = attempt.request,
+            number = attempt.number,
+            link,
+            node,
+            told_ms = until - now,
+            "written"
+        );
         open.begun = true;
         let wrote = self.work.links.get(&link).is_some_and(|link| link.send(command).is_ok());
         if !wrote {
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -323,11 +323,8 @@
         match victim {
             Some(newcomer) if newcomer == id => return,
             // Danger: what came on it and was not read yet is a request that its client is owed an answer to.
-            Some(victim) if held => {
-                if self.clients.get(&victim).is_some_and(|r| !r.client.has_unread()) {
-                    self.end(victim);
-                }
-            }
+            Some(victim) if held && self.has_unread(victim) => {}
+            Some(victim) if held => self.end(victim),
             Some(victim) => self.on(victim, Event::Evicted),
             None => {}
         }
@@ -345,6 +342,10 @@
         self.clients.insert(id, reading);
     }
 
+    fn has_unread(&self, id: ClientId) -> bool {
+        self.clients.get(&id).is_some_and(|r| r.client.has_unread())
+    }
+
     /// The host ends a connection: what was taken is answered, then it lingers for what crosses the end.
     fn end(&mut self, id: ClientId) {
         let now = self.clock.now_ms();
@@ -379,6 +380,9 @@
         let Some(r) = self.clients.get_mut(&id) else { return };
         let before = r.life;
         let effect = r.life.on(now, linger, event);
+        if r.life != before {
+            tracing::debug!(client = id, ?event, from = ?before.state(), to = ?r.life.state(), "connection");
+        }
         match effect {
             Effect::None => {}
             Effect::EndSending => r.client.write_buffer.end_sending(),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -303,7 +303,8 @@
     for id in 0..3_300 {
         let now = begins_at + 10.0 * f64::from(id);
         answers.sort_by(|a, b| b.0.total_cmp(&a.0));
-        while let Some((at, id, node)) = answers.pop_if(|a| a.0 <= now) {
+        while let Some((at, id, node)) = answers.last().copied().filter(|a| a.0 <= now) {
+            answers.pop();
             host.on_to(at, Event::Outcome(outcome(id, 0, node, Verdict::Served)));
         }
         if now == restarts_at {
