The thread that waits for signals outlives a read that fails

What callers saw: processes ended. Cause: the signal iterator panics where a read of its pipe fails (ENOMEM); its thread ended, the channel of signals was closed, and service.rs took that for the word to leave. Class of bug: a momentary failure taken for the end of its source, as of sends and reads before. Change: signals.rs waits with the library's delivery and makes a failed wait again.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,15 +1,16 @@
 //! `pearfork-gateway`: serves volumes to iSCSI initiators.
 
 mod service;
+mod signals;
 
 use clap::{Parser, Subcommand};
-use crossbeam_channel::{bounded, select, Receiver};
+use crossbeam_channel::select;
 use pearfork_cli::{Common, Exit, Output, SettingsArguments};
 use pearfork_host::settings::HostPlan;
 use pearfork_host::Host;
 use pearfork_stand::{Fleet, FleetSpec, Recorder};
 use serde::Serialize;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT};
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -89,7 +90,7 @@
             settings.set.extend(listen.map(|at| format!("host.listen=\"{at}\"")));
             serve(&settings, expect.as_deref(), output)
         }
-        Command::Service { config } => service::serve(config, &signals()?),
+        Command::Service { config } => service::serve(config, &signals::watch().map_err(|e| e.to_string())?),
     }
 }
 
@@ -120,20 +121,6 @@
         .map_err(|e| format!("embedded nodes, directory at {}: {e}", plan.directory))
 }
 
-/// Signals as they come.
-fn signals() -> Result<Receiver<i32>, String> {
-    let watched = [SIGTERM, SIGINT, SIGHUP];
-    let signals = pearfork_net::get_to_start(|| signal_hook::iterator::Signals::new(watched));
-    let mut signals = signals.map_err(|e| e.to_string())?;
-    let (to, from) = bounded(16);
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .stack_size(64 << 10)
-        .spawn(move || signals.forever().try_for_each(|signal| to.send(signal)))
-        .map_err(|e| e.to_string())?;
-    Ok(from)
-}
-
 fn serve(settings: &SettingsArguments, expect: Option<&str>, output: Output) -> Result<Exit, String> {
     let plan = load(settings)?;
     let fingerprint = plan.provenance.fingerprint();
@@ -144,7 +131,7 @@
         ));
     }
     let fleet = embedded(&plan)?;
-    let signals = signals()?;
+    let signals = signals::watch().map_err(|e| e.to_string())?;
     let host = Host::start(plan).map_err(|e| e.to_string())?;
     announce(&host, fingerprint, output);
     let why = loop {
--- a/crates/gateway/tests/edge.rs
+++ b/crates/gateway/tests/edge.rs
@@ -142,6 +142,24 @@
     }
 }
 
+/// Guards against a host that leaves untold: the thread that waits for signals ended with a read that failed.
+#[test]
+fn a_host_whose_reads_fail_stays_until_it_is_told_to_leave_and_then_leaves() {
+    let world = world(Duration::from_millis(2));
+    let failures = [Failure { call: "recvfrom", errno: Errno::NOMEM, per_mille: 500 }];
+    let mut program = Shims::build().start_with_failures(&world.file, 6, &failures, Window::default());
+    ready_after(world.listen, Instant::now());
+    for _ in 0..5 {
+        program.signal(Signal::HUP);
+        std::thread::sleep(Duration::from_millis(60));
+    }
+    assert_answered(&play(world.listen, Duration::from_millis(500)), 0.5, "half of all reads fail");
+    assert_eq!(program.has_ended(), None);
+    assert!(!program.has_said("panicked"));
+    program.signal(Signal::TERM);
+    assert_eq!(program.ends(), Some(0));
+}
+
 /// Guards against a host that stops taking or watching connections after a call that failed once.
 #[test]
 fn accepts_and_waits_that_fail_for_a_moment_lose_no_request() {
