--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -110,7 +110,7 @@
         let timeout = left.map(|d| Timespec { tv_sec: d.as_secs() as i64, tv_nsec: d.subsec_nanos().into() });
         let n = match epoll::wait(&self.set, &mut events[..], timeout.as_ref()) {
             Ok(n) => n,
-            Err(Errno::INTR) => 0,
+            Err(Errno::INTR | Errno::NOMEM) => 0,
             Err(e) => return Err(e.into()),
         };
         for event in &events[..n] {
