--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -340,6 +340,8 @@
         let (came_after, unread_since) = (now, self.queued_since);
         let reading = Reading { client, commands, life: Life::default(), came_after, unread_since };
         self.clients.insert(id, reading);
+        // What came while it waited to be taken is read now, so that what comes later is not dated back to its wait.
+        self.go_on(id);
     }
 
     fn has_unread(&self, id: ClientId) -> bool {
--- a/crates/serving/tests/crossings/clients.rs
+++ b/crates/serving/tests/crossings/clients.rs
@@ -134,6 +134,26 @@
     assert!(told <= 1_000 - HELD_MS + TOLD_SLACK_MS, "{told} ms");
 }
 
+/// Guards against a request that is dated back to its connection's wait in the queue: it came long after.
+#[test]
+fn a_request_on_a_connection_that_waited_to_be_taken_has_the_time_since_its_own_sending() {
+    let (node, heard) = node(|_, c| Reaction::Say(value(c)));
+    let told = discovery(1, &[node]);
+    let (_host, address, gate) = host_held(&config(told.address(), &[node]), Point::ReaderLooks);
+    gate.shut();
+    // More than one look takes: some wait in the queue.
+    let mut waiting: Vec<Client> = (0..70).map(|_| Client::connect(address)).collect();
+    gate.held();
+    std::thread::sleep(Duration::from_millis(300));
+    gate.open();
+    std::thread::sleep(Duration::from_millis(400));
+    let mut last = waiting.pop().unwrap();
+    last.read_of(8, 0, 1_000);
+    assert_eq!(last.served(), Some(8));
+    let told = told_ms(&heard.lock().unwrap()[0]);
+    assert!((900..=1_000).contains(&told), "{told} ms");
+}
+
 /// Guards against a time told that ran from the parsing: what waited behind 32 open commands told the whole of its time.
 #[test]
 fn a_command_that_waited_behind_others_tells_its_node_what_its_client_has_left() {
