Signals are looked for each 50 ms though the send that wakes their thread failed

What callers saw: a host told to leave went on to its kill, and its open requests were lost. Cause: the signal's handler wakes the waiting thread by a send on a socket pair; one that fails (ENOBUFS, EINTR) is told by nobody, and the signal waits for the next one. Change: the thread's read has a time-out of 50 ms, after which pending signals are taken.

--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -8,7 +8,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::backend::SignalDelivery;
 use signal_hook::iterator::exfiltrator::SignalOnly;
-use std::io::{self, Read};
+use std::io::{self, ErrorKind, Read};
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
 
@@ -16,6 +16,9 @@
 const MOST_WAITING: usize = 16;
 /// Pause before a wait that failed is made again.
 const AGAIN: Duration = Duration::from_millis(5);
+/// How often signals are looked for though nothing woke this thread: the send that wakes it, in the signal's handler, may
+/// have failed.
+const LOOK: Duration = Duration::from_millis(50);
 
 type Delivery = SignalDelivery<UnixStream, SignalOnly>;
 
@@ -35,6 +38,7 @@
 
 fn begin() -> io::Result<Delivery> {
     let (read, write) = UnixStream::pair()?;
+    read.set_read_timeout(Some(LOOK))?;
     SignalDelivery::with_pipe(read, write, SignalOnly, [SIGTERM, SIGINT, SIGHUP])
 }
 
@@ -51,7 +55,11 @@
     }
 }
 
-/// Waits until a signal came.
+/// Waits until a signal may have come.
 fn has_signals(read: &mut UnixStream) -> io::Result<bool> {
-    Ok(read.read(&mut [0u8])? > 0)
+    match read.read(&mut [0u8]) {
+        Ok(n) => Ok(n > 0),
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ok(true),
+        Err(e) => Err(e),
+    }
 }
--- a/crates/gateway/tests/edge.rs
+++ b/crates/gateway/tests/edge.rs
@@ -160,6 +160,21 @@
     assert_eq!(program.ends(), Some(0));
 }
 
+/// Guards against a signal that is lost with the send that its handler makes: a host told to leave went on to its kill.
+#[test]
+fn a_host_told_to_leave_leaves_though_no_send_succeeds_in_that_moment() {
+    let world = world(Duration::ZERO);
+    let failures = [Failure { call: "sendto", errno: Errno::NOBUFS, per_mille: 1_000 }];
+    let when = Window { after_ms: 800, for_ms: Some(400) };
+    let mut program = Shims::build().start_with_failures(&world.file, 7, &failures, when);
+    let began = Instant::now();
+    ready_after(world.listen, began);
+    std::thread::sleep(Duration::from_millis(1_000).saturating_sub(began.elapsed()));
+    program.signal(Signal::TERM);
+    assert_eq!(program.ends(), Some(0));
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+}
+
 /// Guards against a host that stops taking or watching connections after a call that failed once.
 #[test]
 fn accepts_and_waits_that_fail_for_a_moment_lose_no_request() {
