--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 use crate::node_age::is_restart;
 use crate::state::*;
 use crate::subset::Subset;
-use std::collections::{BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 /// In-flight limit of a node not yet known, requests.
 pub(crate) const FIRST_LIMIT: f64 = 3.0;
@@ -867,10 +867,12 @@
             }
         }
         let mut clock_moved = false;
+        // Nodes of each shard that took requests before this list: counted once, however many lines it has.
+        let mut ready: BTreeMap<u16, usize> = BTreeMap::new();
         for e in entries {
             let started = if e.started_ms.is_finite() { e.started_ms } else { now };
             let known = self.books.nodes.get_mut(&e.node);
-            let is_known = known.is_some();
+            let came_back = known.as_ref().is_some_and(|n| n.e.condition != Condition::Ready);
             let fresh = known.as_ref().map_or(true, |n| is_restart(started, n.e.started_ms));
             // Listed again with the start it had: it was missed by the list, not replaced.
             if let Some(n) = known.filter(|n| !fresh && n.e.condition == Condition::Gone) {
@@ -884,8 +886,8 @@
                 let usual = self.books.usual.get(&e.shard).map_or(0.0, |u| u.faded(now, USUAL_MS));
                 let s = &self.settings;
                 // The shard's use is that of all its nodes: a cold one bears by what each of them did.
-                let served_by =
-                    (self.books.ready_in_shard(e.shard, e.node) + usize::from(is_known)).max(1) as f64;
+                let ready = *ready.entry(e.shard).or_insert_with(|| self.books.ready_in_shard(e.shard));
+                let served_by = (ready + usize::from(came_back)).max(1) as f64;
                 new.usual_units =
                     usual / served_by / (1.0 - (-(now - since).max(s.fall_ms) / USUAL_MS).exp());
                 // Its part; and one request, which a lot lets through, or a part of one by chance.
--- a/src/state.rs
+++ b/src/state.rs
@@ -287,10 +287,10 @@
         old
     }
 
-    /// Nodes of a shard that take requests, but for one.
-    pub(crate) fn ready_in_shard(&self, shard: u16, but: u32) -> usize {
-        let others = self.by_shard.get(&shard).into_iter().flatten().filter(|id| **id != but);
-        others.filter_map(|id| self.nodes.get(id)).filter(|n| n.e.condition == Condition::Ready).count()
+    /// Nodes of a shard that take requests.
+    pub(crate) fn ready_in_shard(&self, shard: u16) -> usize {
+        let nodes = self.by_shard.get(&shard).into_iter().flatten().filter_map(|id| self.nodes.get(id));
+        nodes.filter(|n| n.e.condition == Condition::Ready).count()
     }
 
     /// Forgets the nodes that are not to be kept.
