--- a/crates/gateway/tests/program/agent.rs
+++ b/crates/gateway/tests/program/agent.rs
@@ -1,6 +1,6 @@
 //! Discovery that does on each call what a test says, and that may be moved from one behaviour to another.
 
-use super::{free, LONG};
+use super::{own_address, LONG};
 use rustix::net::{AddressFamily, SocketFlags, SocketType};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -38,7 +38,7 @@
 impl Agent {
     /// Takes calls.
     pub fn start(manner: Manner) -> Agent {
-        let listener = TcpListener::bind(free()).unwrap();
+        let listener = TcpListener::bind(own_address()).unwrap();
         let address = listener.local_addr().unwrap();
         let manner = Arc::new((Mutex::new(manner), Condvar::new()));
         serve(listener, manner.clone());
@@ -49,7 +49,7 @@
     pub fn refused() -> Agent {
         let (family, kind) = (AddressFamily::INET, SocketType::STREAM);
         let socket = rustix::net::socket_with(family, kind, SocketFlags::CLOEXEC, None).unwrap();
-        rustix::net::bind(&socket, &free()).unwrap();
+        rustix::net::bind(&socket, &own_address()).unwrap();
         let listener = TcpListener::from(socket);
         let address = listener.local_addr().unwrap();
         let manner = Arc::new((Mutex::new(Manner::Silent), Condvar::new()));
--- a/crates/gateway/tests/program/mod.rs
+++ b/crates/gateway/tests/program/mod.rs
@@ -149,15 +149,23 @@
     }
 }
 
-/// An address that nobody has, at a loopback address of its own.
+/// A loopback address of a test's own, with any port.
 ///
 /// Danger: connections leave from 127.0.0.1. A port there that is free now may be the source of one a moment later, and one
 /// that tries again and again to connect to it comes to be connected with itself.
-pub fn free() -> SocketAddr {
+pub fn own_address() -> SocketAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let process = std::process::id();
     let own = [127, 64 | (process >> 8) as u8 & 63, process as u8, NEXT.fetch_add(1, Ordering::SeqCst)];
-    TcpListener::bind(SocketAddr::from((own, 0))).unwrap().local_addr().unwrap()
+    SocketAddr::from((own, 0))
+}
+
+/// An address that nobody has.
+///
+/// Danger: whoever binds it at once may find it in use: a process that is being started at that moment by another thread
+/// holds a copy of all sockets until it runs. What is to listen in this process binds [`own_address`] and stays bound.
+pub fn free() -> SocketAddr {
+    TcpListener::bind(own_address()).unwrap().local_addr().unwrap()
 }
 
 /// A command that a node was sent.
