Review: a host goes over its memory limit when clients send many writes in one go

Change: review/3. Nothing bounds the bytes of the requests that a host holds; memory_mb is not read.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec sh "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" memory
