--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,7 @@
 #!/bin/sh
-exec sh "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" memory
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 runs the same without
+# the disruption. What was sent, answered and run is written to record.txt beside this script.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+TROUBLE=${TROUBLE:-1}
+export TROUBLE
+exec sh "$here/../run-case.sh" memory "$here/record.txt"
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,13 +1,13 @@
 #!/bin/sh
-# Runs a case: run-case.sh FOLDER PROGRAM. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
+# Runs a case: run-case.sh PROGRAM RECORD. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 # could not run. TROUBLE=0 leaves the disruption out; SEED selects the random numbers.
-folder=$(cd "$1" && pwd)
+record=$2
 review=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$review/.." && pwd)
-program="$review/bin/$2"
-rm -f "$folder/record.txt"
+program="$review/bin/$1"
+rm -f "$record"
 if [ ! -x "$program" ] || [ ! -x "$root/target/release/pearfork-gateway" ]; then
-    echo "not built: run the build of deploy/balancer.toml and review/build.sh" | tee "$folder/record.txt"
+    echo "not built: run the build of deploy/balancer.toml and review/build.sh" | tee "$record"
     exit 2
 fi
 scratch=$(mktemp -d) || exit 2
@@ -22,7 +22,7 @@
 }
 trap clean EXIT
 trap 'exit 2' INT TERM
-timeout -k 2 116 "$program" "$root" "$scratch" "$folder/record.txt"
+timeout -k 2 116 "$program" "$root" "$scratch" "$record"
 code=$?
 case $code in
     0 | 1 | 2) exit $code ;;
