A connection to a node carries one command at a time; the scheduler sees the limit

Cause: with all connections in use the pool wrote a command behind another one. RESP2 matches replies to commands by order alone, so a second copy of the first reply that crossed the second command on the network was taken for its reply. The test before each write looks for surplus data only where no reply is due, and a reply that is due can't be told from a surplus one.

Change: the state is taken away instead of guarded. A connection carries one command; the pool has no shared connections, abandoned commands or positions. As many attempts as there may be connections always find one. The scheduler is told that number (Event::AttemptLimit): requests beyond it wait in its queues, where they are ordered, refused and explained (reason 'connections'), not in the pool, where the wait would count as the node's service. A reply that comes before its command has gone out whole ends its connection, and a value among such replies is an error: the rest of the command would have gone out ahead of the next one.

--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -199,6 +199,11 @@
         self.events.push_back(share);
     }
 
+    /// Sets how many attempts may be in flight at once over all nodes.
+    pub fn set_attempt_limit(&mut self, attempts: usize) {
+        self.events.push_back(Event::AttemptLimit { attempts });
+    }
+
     /// Notes that an attempt ended at `ended_at` on the caller's clock. Returns whether this served an open
     /// request, so that the client gets the node's response.
     ///
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -14,8 +14,6 @@
 /// Settings of the connections to nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LinkSettings {
-    /// Maximum number of requests in flight on one connection.
-    pub max_in_flight: usize,
     /// Time after which a node closes an idle connection, in milliseconds.
     pub idle_timeout_ms: f64,
     /// Time limit for connecting, in milliseconds.
@@ -168,7 +166,6 @@
             limits: Limits { descriptors: positive_number(&v, "limits.sockets")? as usize },
             cached_nodes,
             links: LinkSettings {
-                max_in_flight: (positive_number(settings, "Limits.StreamsPerConn")? as usize).max(1),
                 idle_timeout_ms: positive_number(settings, "Limits.ConnIdleMs")?,
                 connect_timeout_ms: positive_number(settings, "Limits.ConnectTimeoutMs")?,
             },
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -1,10 +1,11 @@
 //! Selects the connection to a node that carries an attempt. No I/O and no clock: the caller passes times in
 //! milliseconds.
 //!
-//! A connection to a node is called a link. Replies on a link arrive in the order of its commands, so a
-//! command behind a slow request waits for it, and an attempt can only be cancelled by closing its link. Each
-//! attempt therefore gets a link of its own while descriptors last; beyond that it shares the link with the
-//! fewest commands in flight.
+//! A connection to a node is called a link. The protocol matches replies to commands by their order alone, and
+//! an attempt can only be cancelled by closing its link. A link therefore carries one command at a time:
+//! surplus data before the next command shows that the link must not be used again, and closing it ends
+//! exactly one attempt. The number of links limits the attempts in flight; the scheduler is told that limit
+//! ([`Pool::capacity`]) and keeps requests waiting beyond it.
 
 use crate::config::LinkSettings;
 use crate::idle_loss::IdleLoss;
@@ -40,40 +41,27 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Opening,
-    Open,
-    /// Carries no further commands; the commands in flight may still be answered.
-    Retired,
+    /// Open, without a command in flight.
+    Idle,
+    /// Carries the command of an attempt.
+    Busy(AttemptId),
 }
 
 #[derive(Debug)]
 struct Link {
     node: u32,
     state: State,
-    /// Commands written and not answered, in order. `None` for a command whose attempt was abandoned.
-    in_flight: VecDeque<Option<AttemptId>>,
     idle_since: f64,
     /// How long the link had been idle when it last went from idle to in use; 0 for a new link.
     idle_before_use_ms: f64,
-    was_used: bool,
     /// Whether a reply has arrived on the link.
     has_replied: bool,
 }
 
 impl Link {
-    /// Whether the link is open with no command in flight.
-    fn is_idle(&self) -> bool {
-        self.state == State::Open && self.in_flight.is_empty()
-    }
-
-    /// Whether a command may be written, possibly behind others.
-    fn accepts_command(&self, now: f64, max_in_flight: usize) -> bool {
-        let busy = self.state == State::Open && !self.in_flight.is_empty();
-        self.is_ready(now) || (busy && self.in_flight.len() < max_in_flight)
-    }
-
     /// Whether the link is idle and may carry a command now.
     fn is_ready(&self, now: f64) -> bool {
-        self.is_idle() && (!self.has_replied || now - self.idle_since >= QUIET_MS)
+        self.state == State::Idle && (!self.has_replied || now - self.idle_since >= QUIET_MS)
     }
 }
 
@@ -88,6 +76,8 @@
     by_node: HashMap<u32, BTreeSet<LinkId>>,
     /// Attempts of each node that wait for a link to open or to become available.
     waiting: BTreeMap<u32, VecDeque<AttemptId>>,
+    /// Attempts for which there was no room for a link, with their nodes, in order.
+    without_room: VecDeque<(u32, AttemptId)>,
     /// The link on which each attempt was written.
     link_of: HashMap<AttemptId, LinkId>,
     /// Links that were answered while attempts wait for one, with the time at which each may be used again;
@@ -106,6 +96,7 @@
             links: BTreeMap::new(),
             by_node: HashMap::new(),
             waiting: BTreeMap::new(),
+            without_room: VecDeque::new(),
             link_of: HashMap::new(),
             quiet_until: VecDeque::new(),
             idle_loss: IdleLoss::default(),
@@ -117,26 +108,21 @@
         self.links.len()
     }
 
-    /// Assigns an attempt to a link of its node.
+    /// Maximum number of links, which is also the maximum number of attempts that are in flight at once.
+    pub fn capacity(&self) -> usize {
+        self.capacity
+    }
+
+    /// Assigns an attempt to a link of its node. Beyond the capacity it waits until there is room.
     pub fn send(&mut self, now: f64, node: u32, attempt: AttemptId, actions: &mut Vec<PoolAction>) {
         if let Some(link) = self.ready_link(now, node) {
             return self.write_on(now, link, attempt, actions);
         }
-        if self.links.len() < self.capacity || self.evict_idle(actions) {
+        if self.links.len() < self.capacity || self.evict_unneeded(actions) {
             self.waiting.entry(node).or_default().push_back(attempt);
             return self.open_link(node, actions);
         }
-        // No descriptor is left: share the link with the fewest commands in flight that the node allows
-        // another on.
-        let max_in_flight = self.settings.max_in_flight;
-        let shared = self.links_to(node).filter(|(_, l)| l.accepts_command(now, max_in_flight));
-        match shared.min_by_key(|(_, l)| l.in_flight.len()).map(|(id, _)| id) {
-            Some(link) => self.write_on(now, link, attempt, actions),
-            None if self.by_node.contains_key(&node) => {
-                self.waiting.entry(node).or_default().push_back(attempt);
-            }
-            None => actions.push(PoolAction::NeverSent(attempt)),
-        }
+        self.without_room.push_back((node, attempt));
     }
 
     /// Returns an idle link that may be used now and has not been idle for too long. The most recently used
@@ -147,17 +133,35 @@
         ready.max_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(id, _)| id)
     }
 
-    /// Closes the link that has been idle for longest, of any node that no attempt waits for.
-    fn evict_idle(&mut self, actions: &mut Vec<PoolAction>) -> bool {
-        let evictable = |l: &Link| l.is_idle() && !self.waiting.contains_key(&l.node);
-        let idle = self.links.iter().filter(|(_, l)| evictable(l));
+    /// Closes the link that has been idle for longest and that no attempt waits for, or else one that opens
+    /// although its attempt is gone. Returns whether there was one.
+    fn evict_unneeded(&mut self, actions: &mut Vec<PoolAction>) -> bool {
+        let awaits_idle = |node: u32| self.waiting_for(node) > self.opening_to(node);
+        let idle = self.links.iter().filter(|(_, l)| l.state == State::Idle && !awaits_idle(l.node));
         let oldest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(id, _)| *id);
-        let Some(link) = oldest else { return false };
+        let is_superfluous =
+            |l: &Link| l.state == State::Opening && self.opening_to(l.node) > self.waiting_for(l.node);
+        let superfluous = || self.links.iter().find(|(_, l)| is_superfluous(l)).map(|(id, _)| *id);
+        let Some(link) = oldest.or_else(superfluous) else { return false };
         self.remove(link);
         actions.push(PoolAction::Close(link));
         true
     }
 
+    /// Assigns attempts that had no room for a link, while there is room now.
+    fn assign_without_room(&mut self, now: f64, actions: &mut Vec<PoolAction>) {
+        for _ in 0..self.without_room.len() {
+            let Some((node, attempt)) = self.without_room.pop_front() else { return };
+            let waiting_before = self.without_room.len();
+            self.send(now, node, attempt, actions);
+            if self.without_room.len() > waiting_before {
+                // There is still no room: the attempt keeps its place in the order.
+                self.without_room.rotate_right(1);
+                return;
+            }
+        }
+    }
+
     fn open_link(&mut self, node: u32, actions: &mut Vec<PoolAction>) {
         let id = self.next_id;
         self.next_id += 1;
@@ -167,10 +171,8 @@
             Link {
                 node,
                 state: State::Opening,
-                in_flight: VecDeque::new(),
                 idle_since: 0.0,
                 idle_before_use_ms: 0.0,
-                was_used: false,
                 has_replied: false,
             },
         );
@@ -179,11 +181,8 @@
 
     fn write_on(&mut self, now: f64, link: LinkId, attempt: AttemptId, actions: &mut Vec<PoolAction>) {
         if let Some(l) = self.links.get_mut(&link) {
-            if l.in_flight.is_empty() {
-                l.idle_before_use_ms = if l.was_used { now - l.idle_since } else { 0.0 };
-                l.was_used = true;
-            }
-            l.in_flight.push_back(Some(attempt));
+            l.idle_before_use_ms = if l.has_replied { now - l.idle_since } else { 0.0 };
+            l.state = State::Busy(attempt);
             self.link_of.insert(attempt, link);
             actions.push(PoolAction::Write(link, attempt));
         }
@@ -192,8 +191,9 @@
     /// A link was opened.
     pub fn link_opened(&mut self, now: f64, link: LinkId, actions: &mut Vec<PoolAction>) {
         let Some(l) = self.links.get_mut(&link) else { return actions.push(PoolAction::Close(link)) };
-        (l.state, l.idle_since) = (State::Open, now);
+        (l.state, l.idle_since) = (State::Idle, now);
         self.write_next_waiting(now, link, actions);
+        self.assign_without_room(now, actions);
     }
 
     /// Whether a link is still being opened.
@@ -203,17 +203,28 @@
 
     /// A link could not be opened: one attempt that waited for it was never sent, unless another link will
     /// carry it.
-    pub fn open_failed(&mut self, link: LinkId, actions: &mut Vec<PoolAction>) {
+    pub fn open_failed(&mut self, now: f64, link: LinkId, actions: &mut Vec<PoolAction>) {
         let Some(l) = self.remove(link) else { return };
-        self.end_unserved(l.node, actions);
+        self.end_unserved(now, l.node, actions);
+        self.assign_without_room(now, actions);
     }
 
-    /// Ends attempts for which neither an open link nor one being opened is left.
-    fn end_unserved(&mut self, node: u32, actions: &mut Vec<PoolAction>) {
+    /// Ends attempts for which neither an open link nor one being opened is left. Others wait until an open
+    /// link may be used.
+    fn end_unserved(&mut self, now: f64, node: u32, actions: &mut Vec<PoolAction>) {
         let opening = self.opening_to(node);
-        let busy = self.links_to(node).any(|(_, l)| l.state == State::Open);
+        if self.waiting_for(node) <= opening {
+            return;
+        }
+        if self.links_to(node).any(|(_, l)| l.state != State::Opening) {
+            // An idle link may have been answered before anything waited for it.
+            let idle = self.links_to(node).filter(|(_, l)| l.state == State::Idle).map(|(id, _)| id);
+            let idle: Vec<LinkId> = idle.collect();
+            idle.into_iter().for_each(|link| self.note_quiet(now, link));
+            return;
+        }
         let Some(waiting) = self.waiting.get_mut(&node) else { return };
-        while waiting.len() > opening && !busy {
+        while waiting.len() > opening {
             actions.extend(waiting.pop_front().map(PoolAction::NeverSent));
         }
         if waiting.is_empty() {
@@ -221,6 +232,11 @@
         }
     }
 
+    /// Notes that attempts wait for an idle link of their node, which may be used after its quiet time.
+    fn note_quiet(&mut self, now: f64, link: LinkId) {
+        self.quiet_until.push_back((now + QUIET_MS, link));
+    }
+
     fn write_next_waiting(&mut self, now: f64, link: LinkId, actions: &mut Vec<PoolAction>) {
         let Some(node) = self.links.get(&link).map(|l| l.node) else { return };
         let Some(waiting) = self.waiting.get_mut(&node) else { return };
@@ -233,22 +249,24 @@
         }
     }
 
-    /// A reply arrived on a link. Returns the attempt it belongs to, unless that attempt was abandoned.
-    pub fn reply_received(&mut self, now: f64, link: LinkId) -> Option<AttemptId> {
+    /// A reply arrived on a link. Returns the attempt it belongs to.
+    pub fn reply_received(
+        &mut self,
+        now: f64,
+        link: LinkId,
+        actions: &mut Vec<PoolAction>,
+    ) -> Option<AttemptId> {
         let l = self.links.get_mut(&link)?;
-        if l.in_flight.len() == 1 {
-            self.idle_loss.record(l.idle_before_use_ms, false);
-        }
-        let owner = l.in_flight.pop_front().flatten();
-        (l.idle_since, l.has_replied) = (now, true);
-        let (idle, node) = (l.in_flight.is_empty(), l.node);
-        if let Some(attempt) = owner {
-            self.link_of.remove(&attempt);
-        }
-        if idle && self.waiting.contains_key(&node) {
-            self.quiet_until.push_back((now + QUIET_MS, link));
+        let State::Busy(attempt) = l.state else { return None };
+        self.idle_loss.record(l.idle_before_use_ms, false);
+        (l.state, l.idle_since, l.has_replied) = (State::Idle, now, true);
+        let node = l.node;
+        self.link_of.remove(&attempt);
+        if self.waiting.contains_key(&node) {
+            self.note_quiet(now, link);
         }
-        owner
+        self.assign_without_room(now, actions);
+        Some(attempt)
     }
 
     /// Time at which the next link that attempts wait for may be used.
@@ -264,6 +282,7 @@
                 self.write_next_waiting(now, link, actions);
             }
         }
+        self.assign_without_room(now, actions);
     }
 
     /// A link turned out to be unusable before anything of the attempt was written: the attempt is assigned
@@ -280,36 +299,21 @@
         actions: &mut Vec<PoolAction>,
     ) {
         self.link_of.remove(&attempt);
-        if let Some(l) = self.links.get_mut(&link) {
-            l.in_flight.retain(|a| *a != Some(attempt));
-            if l.in_flight.is_empty() {
-                self.remove(link);
-                actions.push(PoolAction::Close(link));
-            } else {
-                l.state = State::Retired;
-            }
+        if self.remove(link).is_some() {
+            actions.push(PoolAction::Close(link));
         }
         self.send(now, node, attempt, actions);
     }
 
-    /// The link that carries an attempt, and the number of commands behind it there.
-    pub fn position_of(&self, attempt: AttemptId) -> Option<(LinkId, usize)> {
-        let link = *self.link_of.get(&attempt)?;
-        let in_flight = &self.links.get(&link)?.in_flight;
-        let position = in_flight.iter().position(|a| *a == Some(attempt))?;
-        Some((link, in_flight.len() - 1 - position))
+    /// The link that carries an attempt.
+    pub fn link_of(&self, attempt: AttemptId) -> Option<LinkId> {
+        self.link_of.get(&attempt).copied()
     }
 
-    /// The attempts written on links of a node, without abandoned ones.
+    /// The attempts written on links of a node.
     pub fn attempts_on(&self, node: u32) -> Vec<AttemptId> {
-        self.links_to(node).flat_map(|(_, l)| l.in_flight.iter().flatten()).copied().collect()
-    }
-
-    /// The attempts among the last `commands` commands written on a link. Abandoned commands are counted but
-    /// not returned.
-    pub fn last_written(&self, link: LinkId, commands: usize) -> Vec<AttemptId> {
-        let in_flight = self.links.get(&link).map(|l| &l.in_flight);
-        in_flight.into_iter().flat_map(|queue| queue.iter().rev().take(commands)).copied().flatten().collect()
+        let attempt_of = |l: &Link| if let State::Busy(attempt) = l.state { Some(attempt) } else { None };
+        self.links_to(node).filter_map(|(_, l)| attempt_of(l)).collect()
     }
 
     /// Ends the attempts that wait for a link to a node whose state has changed; they were never sent.
@@ -318,67 +322,70 @@
     /// that is draining, was replaced or is cold after a restart.
     pub fn cancel_waiting(&mut self, node: u32, actions: &mut Vec<PoolAction>) {
         actions.extend(self.waiting.remove(&node).into_iter().flatten().map(PoolAction::NeverSent));
+        let without_room = self.without_room.iter().filter(|(n, _)| *n == node);
+        actions.extend(without_room.map(|(_, attempt)| PoolAction::NeverSent(*attempt)));
+        self.without_room.retain(|(n, _)| *n != node);
     }
 
-    /// Removes an attempt of which nothing was sent from its link.
+    /// Removes an attempt of which nothing was sent from its link, which may carry another one.
     pub fn retract(&mut self, now: f64, link: LinkId, attempt: AttemptId, actions: &mut Vec<PoolAction>) {
         self.link_of.remove(&attempt);
-        let Some(l) = self.links.get_mut(&link) else { return };
-        l.in_flight.retain(|a| *a != Some(attempt));
+        let Some(l) = self.links.get_mut(&link).filter(|l| l.state == State::Busy(attempt)) else { return };
+        l.state = State::Idle;
         let node = l.node;
         if l.is_ready(now) {
             self.write_next_waiting(now, link, actions);
-        } else if l.is_idle() && self.waiting.contains_key(&node) {
-            self.quiet_until.push_back((now + QUIET_MS, link));
+        } else if self.waiting.contains_key(&node) {
+            self.note_quiet(now, link);
         }
+        self.assign_without_room(now, actions);
     }
 
-    /// Whether a link carries at most one attempt that was not abandoned.
-    pub fn is_unshared(&self, link: LinkId) -> bool {
-        self.links.get(&link).is_none_or(|l| l.in_flight.iter().flatten().count() <= 1)
-    }
-
-    /// A link was closed. Returns the attempts that were in flight on it, in order.
-    pub fn link_closed(&mut self, link: LinkId, actions: &mut Vec<PoolAction>) -> Vec<AttemptId> {
-        let Some(l) = self.remove(link) else { return Vec::new() };
-        if l.in_flight.len() == 1 {
+    /// A link was closed. Returns the attempt that was in flight on it.
+    pub fn link_closed(
+        &mut self,
+        now: f64,
+        link: LinkId,
+        actions: &mut Vec<PoolAction>,
+    ) -> Option<AttemptId> {
+        let l = self.remove(link)?;
+        let lost = if let State::Busy(attempt) = l.state { Some(attempt) } else { None };
+        if let Some(attempt) = lost {
             self.idle_loss.record(l.idle_before_use_ms, true);
+            self.link_of.remove(&attempt);
         }
-        let lost: Vec<AttemptId> = l.in_flight.into_iter().flatten().collect();
-        self.link_of.retain(|attempt, _| !lost.contains(attempt));
-        if self.waiting.contains_key(&l.node) && self.links.len() < self.capacity {
+        if self.waiting_for(l.node) > self.opening_to(l.node) && self.links.len() < self.capacity {
             // An attempt that waited for this link to become available gets a new one.
-            if self.waiting.get(&l.node).map_or(0, VecDeque::len) > self.opening_to(l.node) {
-                self.open_link(l.node, actions);
-            }
+            self.open_link(l.node, actions);
         }
-        self.end_unserved(l.node, actions);
+        self.end_unserved(now, l.node, actions);
+        self.assign_without_room(now, actions);
         lost
     }
 
-    /// Abandons an attempt. Its link is closed if it carries no other attempt, which notifies the node;
-    /// otherwise the reply is discarded.
-    pub fn abandon(&mut self, node: u32, attempt: AttemptId, actions: &mut Vec<PoolAction>) {
+    /// Abandons an attempt. The link that carries it is closed, which notifies the node.
+    pub fn abandon(&mut self, now: f64, node: u32, attempt: AttemptId, actions: &mut Vec<PoolAction>) {
         if let Some(link) = self.link_of.remove(&attempt) {
-            let Some(l) = self.links.get_mut(&link) else { return };
-            if l.in_flight.iter().filter(|a| a.is_some()).count() <= 1 {
-                self.remove(link);
+            if self.remove(link).is_some() {
                 actions.push(PoolAction::Close(link));
-                return self.end_unserved(node, actions);
+                self.end_unserved(now, node, actions);
             }
-            l.in_flight.iter_mut().filter(|a| **a == Some(attempt)).for_each(|a| *a = None);
-        } else if let Some(waiting) = self.waiting.get_mut(&node) {
-            waiting.retain(|a| *a != attempt);
-            if waiting.is_empty() {
-                self.waiting.remove(&node);
+        } else {
+            self.without_room.retain(|(_, a)| *a != attempt);
+            if let Some(waiting) = self.waiting.get_mut(&node) {
+                waiting.retain(|a| *a != attempt);
+                if waiting.is_empty() {
+                    self.waiting.remove(&node);
+                }
             }
         }
+        self.assign_without_room(now, actions);
     }
 
     /// Closes the idle links of a node.
-    pub fn close_idle(&mut self, node: u32, actions: &mut Vec<PoolAction>) {
-        let idle = self.links_to(node).filter(|(_, l)| l.is_idle()).map(|(id, _)| id).collect();
-        self.close_all(idle, actions);
+    pub fn close_idle(&mut self, now: f64, node: u32, actions: &mut Vec<PoolAction>) {
+        let idle = self.links_to(node).filter(|(_, l)| l.state == State::Idle).map(|(id, _)| id).collect();
+        self.close_all(now, idle, actions);
     }
 
     /// Closes links that have been idle for almost as long as their node allows, or for longer than other
@@ -386,17 +393,18 @@
     pub fn close_expired(&mut self, now: f64, actions: &mut Vec<PoolAction>) {
         self.idle_loss.decay(now);
         let after = (self.settings.idle_timeout_ms * IDLE_TIMEOUT_FRACTION).min(self.idle_loss.limit());
-        let idle = self.links.iter().filter(|(_, l)| l.is_idle() && now - l.idle_since >= after);
-        let idle = idle.map(|(id, _)| *id).collect();
-        self.close_all(idle, actions);
+        let is_expired = |l: &Link| l.state == State::Idle && now - l.idle_since >= after;
+        let expired = self.links.iter().filter(|(_, l)| is_expired(l)).map(|(id, _)| *id).collect();
+        self.close_all(now, expired, actions);
     }
 
-    fn close_all(&mut self, links: Vec<LinkId>, actions: &mut Vec<PoolAction>) {
+    fn close_all(&mut self, now: f64, links: Vec<LinkId>, actions: &mut Vec<PoolAction>) {
         for link in links {
             let removed = self.remove(link);
             actions.push(PoolAction::Close(link));
-            removed.into_iter().for_each(|l| self.end_unserved(l.node, actions));
+            removed.into_iter().for_each(|l| self.end_unserved(now, l.node, actions));
         }
+        self.assign_without_room(now, actions);
     }
 
     /// The links of a node.
@@ -410,6 +418,11 @@
         self.links_to(node).filter(|(_, l)| l.state == State::Opening).count()
     }
 
+    /// Number of attempts that wait for a link of a node.
+    fn waiting_for(&self, node: u32) -> usize {
+        self.waiting.get(&node).map_or(0, VecDeque::len)
+    }
+
     fn remove(&mut self, link: LinkId) -> Option<Link> {
         let removed = self.links.remove(&link)?;
         if let Some(links) = self.by_node.get_mut(&removed.node) {
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -33,8 +33,8 @@
     LinkFailed(LinkId),
     /// A reply was received on a link.
     Reply { link: LinkId, reply: NodeReply, received_at: f64 },
-    /// A link was closed. The last `unsent` commands on it were not sent completely.
-    LinkClosed { link: LinkId, unsent: usize },
+    /// A link was closed. `is_sent` tells whether the command on it was sent completely.
+    LinkClosed { link: LinkId, is_sent: bool },
     /// A node list or changes to it.
     NodeList(NodeList),
     /// The host shuts down: every request gets its final answer within this time, however long its client
@@ -127,8 +127,10 @@
         Engine { driver, pool, node_table, clock, clients, node_links, connect_timeout_ms, hooks, state }
     }
 
-    /// Applies the node list that the host stored before its last restart.
-    pub(crate) fn load_cached_list(&mut self, list: &NodeList) {
+    /// Sets the limit of attempts in flight and applies the node list that the host stored before its last
+    /// restart.
+    pub(crate) fn prepare(&mut self, list: &NodeList) {
+        self.driver.set_attempt_limit(self.pool.capacity());
         self.apply_list(list, ListKind::Cached);
         self.run_all_actions();
     }
@@ -201,7 +203,7 @@
             if self.pool.is_opening(link) {
                 tracing::debug!(link, "connect timed out");
                 self.node_links.close(link);
-                self.pool.open_failed(link, &mut self.state.pool_actions);
+                self.pool.open_failed(now, link, &mut self.state.pool_actions);
             }
         }
     }
@@ -221,7 +223,7 @@
                 });
             }
             ConnectStart::ResourceShortage | ConnectStart::Failed => {
-                self.pool.open_failed(link, &mut self.state.pool_actions)
+                self.pool.open_failed(now, link, &mut self.state.pool_actions)
             }
         }
     }
@@ -247,22 +249,18 @@
                 self.state.links.insert(id, link);
                 self.pool.link_opened(now, id, &mut self.state.pool_actions);
             }
-            Message::LinkFailed(id) => self.pool.open_failed(id, &mut self.state.pool_actions),
+            Message::LinkFailed(id) => self.pool.open_failed(now, id, &mut self.state.pool_actions),
             Message::Reply { link, reply, received_at } => {
-                if let Some(attempt) = self.pool.reply_received(now, link) {
+                let attempt = self.pool.reply_received(now, link, &mut self.state.pool_actions);
+                if let Some(attempt) = attempt {
                     self.attempt_ended(received_at, attempt, reply);
                 }
             }
-            Message::LinkClosed { link, unsent } => {
+            Message::LinkClosed { link, is_sent } => {
                 self.state.links.remove(&link);
-                // A command that was written completely may have run, even if a later one was never sent.
-                let unsent_attempts = self.pool.last_written(link, unsent);
-                for attempt in self.pool.link_closed(link, &mut self.state.pool_actions) {
-                    let result = if unsent_attempts.contains(&attempt) {
-                        AttemptResult::ConnectFailed
-                    } else {
-                        AttemptResult::Reset
-                    };
+                if let Some(attempt) = self.pool.link_closed(now, link, &mut self.state.pool_actions) {
+                    // A command that was written completely may have run.
+                    let result = if is_sent { AttemptResult::Reset } else { AttemptResult::ConnectFailed };
                     self.attempt_lost(now, attempt, result);
                 }
             }
@@ -325,7 +323,7 @@
         let ids: Vec<u32> = self.state.by_client.range(range).map(|(_, id)| *id).collect();
         for id in ids {
             self.driver.abandon(id);
-            self.retract_unsent(id);
+            self.abandon_unsent(id);
             if let Some(open) = self.state.remove_request(id) {
                 let age_ms = self.clock.now_ms() - open.arrived_at;
                 tracing::debug!(request = id, age_ms, of_ms = open.request.wait_ms, "client disconnected");
@@ -334,37 +332,19 @@
         }
     }
 
-    /// Retracts the attempts of an ended request that have not been sent.
-    fn retract_unsent(&mut self, id: u32) {
+    /// Gives up the attempts of an ended request that have not been sent completely.
+    fn abandon_unsent(&mut self, id: u32) {
+        let now = self.clock.now_ms();
         for attempt in self.driver.attempts_of(id) {
             let Some(node) = self.driver.node_of(attempt) else { continue };
-            let position = self.pool.position_of(attempt);
-            let link = position.and_then(|(link, behind)| Some((self.state.links.get(&link)?, behind)));
-            let unsent = link.is_none_or(|(link, behind)| link.is_unsent(behind));
-            if unsent && self.give_up(attempt, node) {
-                self.attempt_lost(self.clock.now_ms(), attempt, AttemptResult::NotSent);
+            let link = self.pool.link_of(attempt).and_then(|link| self.state.links.get(&link));
+            if link.is_none_or(|link| link.is_unsent()) {
+                self.pool.abandon(now, node, attempt, &mut self.state.pool_actions);
+                self.attempt_lost(now, attempt, AttemptResult::NotSent);
             }
         }
     }
 
-    /// Gives up an attempt. It is removed from its link if nothing of it has been sent and it shares the link
-    /// with others; if it is alone, the link is closed. Returns `false` if it stays in flight and its reply
-    /// will be discarded.
-    fn give_up(&mut self, attempt: AttemptId, node: u32) -> bool {
-        if let Some((link, behind)) =
-            self.pool.position_of(attempt).filter(|(l, _)| !self.pool.is_unshared(*l))
-        {
-            if self.state.links.get(&link).is_some_and(|l| l.retract(behind)) {
-                self.pool.retract(self.clock.now_ms(), link, attempt, &mut self.state.pool_actions);
-                return true;
-            }
-            self.pool.abandon(node, attempt, &mut self.state.pool_actions);
-            return false;
-        }
-        self.pool.abandon(node, attempt, &mut self.state.pool_actions);
-        true
-    }
-
     /// Whether a shutdown has reached the time of the final answers.
     fn is_past_final_answers(&self, now: f64) -> bool {
         self.state.final_answers_at.is_some_and(|last| now >= last)
@@ -378,7 +358,7 @@
             self.state.requests.iter().map(|(id, o)| (*id, o.has_begun)).collect::<Vec<_>>()
         {
             self.driver.abandon(id);
-            self.retract_unsent(id);
+            self.abandon_unsent(id);
             let text = if has_begun { "ERR failed leaving" } else { "BUSY" };
             self.finish(id, write::bytes(|out| write::error(out, text)));
         }
@@ -407,7 +387,7 @@
             self.state.counters.served += 1;
             // Another attempt of the request may still wait for a link or in a write buffer, and would be
             // sent.
-            self.retract_unsent(attempt.request);
+            self.abandon_unsent(attempt.request);
             self.finish(attempt.request, write::bytes(|out| write::bulk(out, &value)));
         }
     }
@@ -425,24 +405,23 @@
     }
 
     fn apply_list(&mut self, list: &NodeList, kind: ListKind) {
+        let now = self.clock.now_ms();
         let (entries, changes) = self.node_table.apply(list);
         for node in changes.stale.iter().chain(&changes.draining).copied() {
             self.pool.cancel_waiting(node, &mut self.state.pool_actions);
             // A command of which nothing has been sent would reach the node in its new state.
             for attempt in self.pool.attempts_on(node) {
-                let position = self.pool.position_of(attempt);
+                let link = self.pool.link_of(attempt);
                 let links = &self.state.links;
-                let retracted =
-                    position.filter(|(l, behind)| links.get(l).is_some_and(|l| l.retract(*behind)));
-                if let Some((link, _)) = retracted {
-                    let now = self.clock.now_ms();
+                let retracted = link.filter(|id| links.get(id).is_some_and(|link| link.retract()));
+                if let Some(link) = retracted {
                     self.pool.retract(now, link, attempt, &mut self.state.pool_actions);
                     self.attempt_lost(now, attempt, AttemptResult::ConnectFailed);
                 }
             }
         }
         for node in changes.stale {
-            self.pool.close_idle(node, &mut self.state.pool_actions);
+            self.pool.close_idle(now, node, &mut self.state.pool_actions);
         }
         self.driver.update_node_list(kind, entries);
     }
@@ -497,7 +476,7 @@
                     verdict = ?result,
                     "attempt withdrawn"
                 );
-                self.give_up(attempt, node);
+                self.pool.abandon(now, node, attempt, &mut self.state.pool_actions);
             }
             Step::Refused { id, retry_after_ms, reason } => {
                 *self.state.counters.refused.entry(reason).or_insert(0) += 1;
@@ -511,7 +490,7 @@
                 tracing::debug!(request = id, %reason, "failed");
                 self.finish(id, write::bytes(|out| write::error(out, &format!("ERR failed {reason}"))));
             }
-            Step::CloseIdleConnections(node) => self.pool.close_idle(node, &mut self.state.pool_actions),
+            Step::CloseIdleConnections(node) => self.pool.close_idle(now, node, &mut self.state.pool_actions),
             // The node list is always watched, so these requests need no action.
             Step::Watch(_) | Step::FetchNodeList => {}
             Step::Log(text) => tracing::info!(target: "pearfork::module", "{text}"),
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -31,8 +31,8 @@
     decoder: ReplyDecoder,
     /// The connection is not established yet.
     connecting: bool,
-    /// Number of unanswered commands.
-    in_flight: usize,
+    /// A command was written and not answered.
+    awaits_reply: bool,
     /// The link must not be used again.
     closed: bool,
     /// For the log: number of replies received, time at which the link was last idle, and how long it had
@@ -46,39 +46,36 @@
 pub(crate) struct LinkUnusable;
 
 impl Link {
-    /// Writes a command. Fails, and marks the link as closed, if the link is closed or has something to read
-    /// although no reply is due.
+    /// Writes a command. Fails, and marks the link as closed, if the link is closed or in use, or has something
+    /// to read although no reply is due.
     ///
     /// A node may send more than its reply. The surplus would be taken for the reply to the next command.
     /// Data is read from the socket only under this lock, so none can be in transit between the socket and
     /// this check.
     pub(crate) fn send(&self, command: Bytes) -> Result<(), LinkUnusable> {
         let mut state = lock(&self.state);
-        if state.closed || (state.in_flight == 0 && self.write_buffer.peek() != PeekResult::Empty) {
+        if state.closed || state.awaits_reply || self.write_buffer.peek() != PeekResult::Empty {
             state.closed = true;
             return Err(LinkUnusable);
         }
-        if state.in_flight == 0 {
-            state.idle_ms = self.clock.now_ms() - state.idle_since;
-        }
-        state.in_flight += 1;
+        state.idle_ms = self.clock.now_ms() - state.idle_since;
+        state.awaits_reply = true;
         // A failed write closes the connection, which its reader notices.
         let _ = self.write_buffer.send(command);
         Ok(())
     }
 
-    /// Removes a command of which nothing has been sent from the write buffer; `behind` commands were written
-    /// after it.
-    pub(crate) fn retract(&self, behind: usize) -> bool {
+    /// Removes the command from the write buffer if nothing of it has been sent; returns whether it did.
+    pub(crate) fn retract(&self) -> bool {
         let mut state = lock(&self.state);
-        let retracted = self.write_buffer.cancel_unsent(behind);
-        state.in_flight -= usize::from(retracted);
+        let retracted = self.write_buffer.cancel_unsent(0);
+        state.awaits_reply &= !retracted;
         retracted
     }
 
-    /// Whether a command has not been sent completely; `behind` commands were written after it.
-    pub(crate) fn is_unsent(&self, behind: usize) -> bool {
-        self.write_buffer.unsent_chunks() > behind
+    /// Whether the command has not been sent completely.
+    pub(crate) fn is_unsent(&self) -> bool {
+        self.write_buffer.unsent_chunks() > 0
     }
 
     /// Reads data and decodes the replies in it. Returns whether the link may be used further.
@@ -92,20 +89,33 @@
             }
             Ok(Some(n)) => state.decoder.buffer().extend_from_slice(&chunk[..n]),
         }
-        let usable = state.decode(replies);
+        // A value that comes before its command has gone out whole was not made for it, and the rest of the
+        // command would go out ahead of the next one.
+        let is_unsent = self.is_unsent();
+        let is_valid = state.decode(replies);
+        let is_early = is_unsent && !replies.is_empty();
+        let usable = is_valid && !is_early;
+        if is_early {
+            replies.iter_mut().filter(|r| r.result == AttemptResult::Served).for_each(|r| *r = error_reply());
+        }
         state.idle_since = self.clock.now_ms();
         state.closed |= !usable;
         usable
     }
 }
 
+/// The reply that stands for one that cannot be used: its attempt failed and may have run.
+fn error_reply() -> NodeReply {
+    NodeReply { result: AttemptResult::Error, value: None, report: NodeReport::default() }
+}
+
 impl State {
-    /// Decodes the replies received. Returns `false` if the link must not be used further.
+    /// Decodes the reply that is due. Returns `false` if the link must not be used further.
     fn decode(&mut self, replies: &mut Vec<NodeReply>) -> bool {
-        while self.in_flight > 0 {
+        if self.awaits_reply {
             match self.decoder.next_reply() {
                 Ok(Some(reply)) => {
-                    (self.in_flight, self.reply_count) = (self.in_flight - 1, self.reply_count + 1);
+                    (self.awaits_reply, self.reply_count) = (false, self.reply_count + 1);
                     let reply = node_reply::parse(reply);
                     tracing::trace!(
                         rested_ms = self.idle_ms as u64,
@@ -117,13 +127,9 @@
                 }
                 Ok(None) => return true,
                 Err(error) => {
-                    self.in_flight -= 1;
+                    self.awaits_reply = false;
                     tracing::debug!(fault = %error, "malformed reply");
-                    replies.push(NodeReply {
-                        result: AttemptResult::Error,
-                        value: None,
-                        report: NodeReport::default(),
-                    });
+                    replies.push(error_reply());
                     return false;
                 }
             }
@@ -179,7 +185,7 @@
         let state = State {
             decoder: ReplyDecoder::new(node_reply::LIMITS),
             connecting: true,
-            in_flight: 0,
+            awaits_reply: false,
             closed: false,
             reply_count: 0,
             idle_since: 0.0,
@@ -264,15 +270,15 @@
     /// Closes a link that its node closed or that failed.
     fn link_ended(&self, id: LinkId, link: &Link) {
         // Nothing is sent after this count.
-        let unsent = link.write_buffer.abort();
+        let is_sent = link.write_buffer.abort() == 0;
         {
             let state = lock(&link.state);
-            if state.in_flight > 0 {
+            if state.awaits_reply {
                 let (answers, rested_ms) = (state.reply_count, state.idle_ms as u64);
-                tracing::debug!(link = id, out = state.in_flight, answers, rested_ms, unsent, "link closed");
+                tracing::debug!(link = id, answers, rested_ms, is_sent, "link closed under a command");
             }
         }
         self.close(id);
-        let _ = self.engine.send(Message::LinkClosed { link: id, unsent });
+        let _ = self.engine.send(Message::LinkClosed { link: id, is_sent });
     }
 }
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -142,7 +142,7 @@
         let mut engine_thread =
             Engine::new(driver, pool, clock, table.clone(), node_links, config.links.connect_timeout_ms);
         engine_thread.hooks = hooks.clone();
-        engine_thread.load_cached_list(&config.cached_nodes);
+        engine_thread.prepare(&config.cached_nodes);
         spawn_small_stack("engine", move || engine_thread.run(&messages))?;
         let discovery = Arc::new(DiscoveryTarget::new(config.discovery));
         let watcher = DiscoveryWatcher::new(discovery.clone(), engine.clone(), CallTiming::for_grace(grace));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -390,6 +390,12 @@
         /// When `rate_divisor` and `burst_divisor` stop to hold.
         until_ms: f64,
     },
+    /// Sets how many attempts may be in flight at once over all nodes, for a host whose connections carry one
+    /// attempt each. There is no such limit before the first of these events.
+    AttemptLimit {
+        /// Maximum number of attempts in flight.
+        attempts: usize,
+    },
     /// Another host sent a message.
     Message {
         /// Number of the sending host.
@@ -426,6 +432,8 @@
     Displaced,
     /// The in-flight limit of its node is reached.
     InFlightLimit,
+    /// The host's limit of attempts in flight over all nodes is reached.
+    AttemptLimit,
     /// Its node, or every node that it may go to, rejected it without running it.
     NodeRejected,
     /// Its node is in backoff, after rejections or connection failures.
@@ -456,12 +464,13 @@
 
 impl Reason {
     /// All reasons.
-    pub const ALL: [Reason; 18] = [
+    pub const ALL: [Reason; 19] = [
         Reason::Invalid,
         Reason::Envelope,
         Reason::Prediction,
         Reason::Displaced,
         Reason::InFlightLimit,
+        Reason::AttemptLimit,
         Reason::NodeRejected,
         Reason::Backoff,
         Reason::NoNode,
@@ -485,6 +494,7 @@
             Reason::Prediction => "prediction",
             Reason::Displaced => "standing",
             Reason::InFlightLimit => "in-flight",
+            Reason::AttemptLimit => "connections",
             Reason::NodeRejected => "node-full",
             Reason::Backoff => "rest",
             Reason::NoNode => "no-node",
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -175,6 +175,10 @@
                     (v.limit_tokens, v.limit_tokens_at) = (v.refilled(now, p, old), now);
                 }
             }
+            Event::AttemptLimit { attempts } => {
+                self.state.attempt_limit = Some(attempts);
+                self.on_tick(now, actions);
+            }
             Event::Message { .. } | Event::ProbeFinished { .. } => {}
         }
     }
@@ -501,7 +505,8 @@
         // node and do not count; otherwise they would have every other volume's requests refused there.
         let waits_for_node =
             |id: &u32| self.state.requests.get(id).is_some_and(|r| self.blocked_by(now, r).is_none());
-        if fits && (n.in_flight as f64) < n.in_flight_limit && !n.queued.iter().any(waits_for_node) {
+        let has_room = self.has_attempt_room() && (n.in_flight as f64) < n.in_flight_limit;
+        if fits && has_room && !n.queued.iter().any(waits_for_node) {
             return true;
         }
         let never_sent =
@@ -531,49 +536,86 @@
 
     // ---- Dispatch --------------------------------------------------------------------------------------
 
+    /// Whether the host may have another attempt in flight.
+    fn has_attempt_room(&self) -> bool {
+        self.state.attempt_limit.map_or(true, |limit| self.state.attempts.len() < limit)
+    }
+
+    /// Whether the host's limit of attempts in flight may hold requests back.
+    fn may_lack_attempt_room(&self) -> bool {
+        let wanted = self.state.requests.len() + self.state.attempts.len();
+        self.state.attempt_limit.is_some_and(|limit| wanted >= limit)
+    }
+
     /// Sends the queued requests that may go to a node now, the one with the highest worth per unit first.
     fn dispatch(&mut self, now: f64, node: u32, actions: &mut Vec<Action>) {
-        loop {
-            let Some(n) = self.state.nodes.get(&node) else { return };
-            if n.queued.is_empty()
-                || n.entry.state != NodeState::Ready
-                || now < n.backoff_until
-                || n.in_flight >= MAX_OVERLAPPING_REQUESTS
+        while self.has_attempt_room() {
+            let Some((_, id)) = self.next_to_send(now, node) else { return };
+            self.send_attempt(now, node, id, actions);
+        }
+    }
+
+    /// Sends the queued requests of all nodes. Where the host's limit of attempts in flight does not let all
+    /// of them go, the one with the highest worth per unit goes first, and among equal ones the oldest.
+    fn dispatch_all(&mut self, now: f64, actions: &mut Vec<Action>) {
+        // Only requests without a final answer have a node here, so listed nodes without requests cost
+        // nothing.
+        let waiting: BTreeSet<u32> = self.state.requests.values().filter_map(|r| r.node).collect();
+        if !self.may_lack_attempt_room() {
+            waiting.into_iter().for_each(|node| self.dispatch(now, node, actions));
+            return;
+        }
+        while self.has_attempt_room() {
+            let arrived_at = |id: u32| self.state.requests.get(&id).map_or(now, |r| r.arrived_at);
+            let next = waiting.iter().filter_map(|node| Some((self.next_to_send(now, *node)?, *node)));
+            let best = next.max_by(|((score, id), _), ((other_score, other_id), _)| {
+                score.total_cmp(other_score).then(arrived_at(*other_id).total_cmp(&arrived_at(*id)))
+            });
+            let Some(((_, id), node)) = best else { return };
+            self.send_attempt(now, node, id, actions);
+        }
+    }
+
+    /// Returns the request that goes to a node next, if one may go now, with its worth per unit.
+    fn next_to_send(&self, now: f64, node: u32) -> Option<(f64, u32)> {
+        let n = self.state.nodes.get(&node)?;
+        if n.queued.is_empty()
+            || n.entry.state != NodeState::Ready
+            || now < n.backoff_until
+            || n.in_flight >= MAX_OVERLAPPING_REQUESTS
+        {
+            return None;
+        }
+        let is_full = n.in_flight as f64 >= n.in_flight_limit.floor();
+        let may_continue_run = n.same_key_run < MAX_SAME_KEY_REQUESTS && n.last_key != 0;
+        if is_full && !may_continue_run {
+            return None;
+        }
+        let cold = (self.cold_tokens_left(n, now), self.cold_admission_probability(n, now));
+        let mut best: Option<(f64, u32)> = None;
+        for id in &n.queued {
+            let Some(r) = self.state.requests.get(id) else { continue };
+            let is_same_key = may_continue_run && r.request.key == n.last_key;
+            if (is_full && !is_same_key)
+                || r.request.units > cold.0
+                || r.draw >= cold.1
+                || self.blocked_by(now, r).is_some()
             {
-                return;
+                continue;
             }
-            let is_full = n.in_flight as f64 >= n.in_flight_limit.floor();
-            let may_continue_run = n.same_key_run < MAX_SAME_KEY_REQUESTS && n.last_key != 0;
-            if is_full && !may_continue_run {
-                return;
+            let (worth, slack) = self.worth_and_slack(r, n.response_time_ms, now);
+            let score = worth + if is_same_key { 1e9 } else { 0.0 };
+            // Late requests earn little and would queue at the node ahead of other hosts' requests. So one
+            // late request is in flight at most, and only while nothing else is; it also keeps the response
+            // time up to date. LMAC has no such rule.
+            if slack < 0.0 && n.in_flight > 0 {
+                continue;
             }
-            let cold = (self.cold_tokens_left(n, now), self.cold_admission_probability(n, now));
-            let mut best: Option<(f64, u32)> = None;
-            for id in &n.queued {
-                let Some(r) = self.state.requests.get(id) else { continue };
-                let is_same_key = may_continue_run && r.request.key == n.last_key;
-                if (is_full && !is_same_key)
-                    || r.request.units > cold.0
-                    || r.draw >= cold.1
-                    || self.blocked_by(now, r).is_some()
-                {
-                    continue;
-                }
-                let (worth, slack) = self.worth_and_slack(r, n.response_time_ms, now);
-                let score = worth + if is_same_key { 1e9 } else { 0.0 };
-                // Late requests earn little and would queue at the node ahead of other hosts' requests. So
-                // one late request is in flight at most, and only while nothing else is; it also keeps the
-                // response time up to date. LMAC has no such rule.
-                if slack < 0.0 && n.in_flight > 0 {
-                    continue;
-                }
-                if best.map_or(true, |(b, _)| score > b) {
-                    best = Some((score, *id));
-                }
+            if best.map_or(true, |(b, _)| score > b) {
+                best = Some((score, *id));
             }
-            let Some((_, id)) = best else { return };
-            self.send_attempt(now, node, id, actions);
         }
+        best
     }
 
     fn send_attempt(&mut self, now: f64, node: u32, id: u32, actions: &mut Vec<Action>) {
@@ -629,6 +671,7 @@
     // ---- Ends of attempts ------------------------------------------------------------------------------
 
     fn on_attempt_ended(&mut self, now: f64, outcome: &AttemptOutcome, actions: &mut Vec<Action>) {
+        let lacked_room = !self.has_attempt_room();
         let Some(attempt) = self.state.attempts.remove(&(outcome.id, outcome.attempt)) else { return };
         let may_still_run = matches!(
             outcome.result,
@@ -664,7 +707,9 @@
             match if will_retry { self.choose_node(now, outcome.id) } else { None } {
                 Some(node) => {
                     self.enqueue(now, outcome.id, node);
-                    self.dispatch(now, node, actions);
+                    if !lacked_room {
+                        self.dispatch(now, node, actions);
+                    }
                 }
                 None if will_retry => self.state.unplaced.push(outcome.id),
                 // The other attempt in flight may still be served.
@@ -674,7 +719,11 @@
                 }
             }
         }
-        self.dispatch(now, attempt.node, actions);
+        if lacked_room {
+            self.dispatch_all(now, actions);
+        } else {
+            self.dispatch(now, attempt.node, actions);
+        }
         self.schedule_tick(now, actions);
     }
 
@@ -912,6 +961,7 @@
             None if !self.cold_node_accepts(n, r.request.units, r.draw, now) => Reason::ColdNode,
             None if now < n.backoff_until => Reason::Backoff,
             None if is_late => Reason::Late,
+            None if !self.has_attempt_room() => Reason::AttemptLimit,
             None => Reason::InFlightLimit,
         }
     }
@@ -1139,12 +1189,7 @@
             self.enqueue_hedges(now);
         }
         self.cancel_lost_attempts(now, actions);
-        // Only requests without a final answer have a node here, so listed nodes without requests cost
-        // nothing.
-        let waiting: BTreeSet<u32> = self.state.requests.values().filter_map(|r| r.node).collect();
-        for node in waiting {
-            self.dispatch(now, node, actions);
-        }
+        self.dispatch_all(now, actions);
         if now - self.state.swept_at > VOLUME_USE_WINDOW_MS {
             self.state.swept_at = now;
             self.sweep(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -285,6 +285,8 @@
     pub(crate) unplaced: Vec<u32>,
     /// Attempts in flight by request and number.
     pub(crate) attempts: BTreeMap<(u32, u16), Attempt>,
+    /// Maximum number of attempts in flight over all nodes, if there is one.
+    pub(crate) attempt_limit: Option<usize>,
     pub(crate) volumes: BTreeMap<u64, Volume>,
     /// Shares of volumes' limits that were leased to this host.
     pub(crate) limit_shares: BTreeMap<u64, LimitShare>,
