Half of the unreserved descriptors are for connections to nodes, 0.36 before

Cause: since a connection carries one command, the connections to nodes bound the attempts that are out.

Change: CLIENT_SHARE 0.64 to 0.5, so 116 connections to nodes and 116 of clients with 256 descriptors. A third of the descriptors (85) carries requests, so 31 places are left for clients that only connect (63 before).

--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -19,7 +19,7 @@
 /// Number of invalid commands after which the connection is closed, following the error reply.
 const MAX_INVALID_COMMANDS: u32 = 6;
 /// Share of the unreserved descriptors that client connections may use.
-const CLIENT_SHARE: f64 = 0.64;
+const CLIENT_SHARE: f64 = 0.5;
 /// Descriptors reserved for the listener, discovery, signals and standard streams.
 const RESERVED_DESCRIPTORS: usize = 24;
 
