The bytes that a host holds for clients, nodes and lists are bounded by memory_mb

Cause: nothing counted bytes. limits.memory_mb was not read. Of a connection up to 32 commands were open, 2 MiB of values, and as many replies waited for earlier ones or for their client; the decoders kept the capacity of the largest message, and the smallest argument kept the whole buffer that it came in; a list of discovery could have 16 MiB on any host.

Change: a budget for clients (a third of the limit) and one for replies of nodes (a sixth). Half of a budget is reserved in even parts for the connections, all draw on the other half. A connection is not read while what it holds beyond its reserve (commands, their copy for a node, replies until they are sent, partial input) is an eighth of what is free or more, so a few that send much leave room. Where nothing of its own could release bytes and nothing is free, the half command is answered -BUSY; a value that does not fit ends as failed; a node's reply that does not fit ends its link. A response of discovery has at most 1/32 of the limit: 1 MB at 32 MB, for some 3,400 indented entries. Requests are copied into an allocation of their size, empty decoders give theirs back.

--- a/crates/net/src/http.rs
+++ b/crates/net/src/http.rs
@@ -206,12 +206,27 @@
     stream.write_all(&response.body)
 }
 
+/// Limits of a request that this host sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestLimits {
+    /// Time limit for everything from the connect to the last byte of the response.
+    pub timeout: Duration,
+    /// Maximum size of the response's body in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl RequestLimits {
+    fn with_timeout(timeout: Duration) -> RequestLimits {
+        RequestLimits { timeout, max_body_bytes: response::MAX_BODY }
+    }
+}
+
 /// Sends a GET request; returns the response's status and body.
 ///
 /// # Errors
 /// No complete response came within `timeout`, which covers everything from the connect to the last byte.
 pub fn get(address: SocketAddr, path: &str, timeout: Duration) -> Result<StatusAndBody, RequestError> {
-    get_cancellable(address, path, timeout, |_| true)
+    get_cancellable(address, path, RequestLimits::with_timeout(timeout), |_| true)
 }
 
 /// Like [`get`], but the request can be cancelled from another thread.
@@ -224,10 +239,10 @@
 pub fn get_cancellable(
     address: SocketAddr,
     path: &str,
-    timeout: Duration,
+    limits: RequestLimits,
     on_connected: impl FnOnce(&TcpStream) -> bool,
 ) -> Result<StatusAndBody, RequestError> {
-    send(address, Request { method: Method::Get, path }, timeout, on_connected)
+    send(address, Request { method: Method::Get, path }, limits, on_connected)
 }
 
 /// Sends a POST request without a body; returns the response's status and body.
@@ -235,26 +250,27 @@
 /// # Errors
 /// As [`get`].
 pub fn post(address: SocketAddr, path: &str, timeout: Duration) -> Result<StatusAndBody, RequestError> {
-    send(address, Request { method: Method::Post, path }, timeout, |_| true)
+    let limits = RequestLimits::with_timeout(timeout);
+    send(address, Request { method: Method::Post, path }, limits, |_| true)
 }
 
 /// Sends a request and reads the response.
 ///
-/// `timeout` is for the whole exchange. With a timeout for each read, a server that sends its body byte by
+/// The timeout is for the whole exchange. With a timeout for each read, a server that sends its body byte by
 /// byte could block the caller forever.
 fn send(
     address: SocketAddr,
     request: Request<'_>,
-    timeout: Duration,
+    limits: RequestLimits,
     on_connected: impl FnOnce(&TcpStream) -> bool,
 ) -> Result<StatusAndBody, RequestError> {
     let socket_error = |source| RequestError::Socket { address, source };
-    let deadline = Instant::now() + timeout;
+    let deadline = Instant::now() + limits.timeout;
     let remaining = || match deadline.saturating_duration_since(Instant::now()) {
         Duration::ZERO => Err(socket_error(io::ErrorKind::TimedOut.into())),
         remaining => Ok(remaining),
     };
-    let mut stream = TcpStream::connect_timeout(&address, timeout).map_err(socket_error)?;
+    let mut stream = TcpStream::connect_timeout(&address, limits.timeout).map_err(socket_error)?;
     if !on_connected(&stream) {
         return Err(socket_error(io::ErrorKind::Interrupted.into()));
     }
@@ -267,7 +283,7 @@
     let head =
         format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\n{extra_headers}Connection: close\r\n\r\n");
     stream.write_all(head.as_bytes()).map_err(socket_error)?;
-    let mut parser = ResponseParser::default();
+    let mut parser = ResponseParser::with_max_body(limits.max_body_bytes);
     let mut chunk = vec![0; READ_BUFFER];
     let result = loop {
         stream.set_read_timeout(Some(remaining()?)).map_err(socket_error)?;
--- a/crates/net/src/http/response.rs
+++ b/crates/net/src/http/response.rs
@@ -6,8 +6,8 @@
 
 /// Maximum size of a response head in bytes.
 const MAX_HEAD: usize = 16 * 1024;
-/// Maximum size of a body in bytes.
-const MAX_BODY: usize = 16 << 20;
+/// Maximum size of a body in bytes, unless the caller gives another one.
+pub(super) const MAX_BODY: usize = 16 << 20;
 /// Maximum size in bytes of a chunk-size line, and of each line of the trailers.
 const MAX_LINE: usize = 4 * 1024;
 /// Maximum number of interim (1xx) responses before the final one.
@@ -61,6 +61,8 @@
 pub struct ResponseParser {
     buffer: Vec<u8>,
     body: Vec<u8>,
+    /// Maximum size of the body in bytes.
+    max_body: usize,
     /// Bytes missing of the current chunk, its CRLF included; `None` between chunks.
     chunk_remaining: Option<usize>,
     /// The last chunk has been read; the trailers that follow end with an empty line.
@@ -70,17 +72,23 @@
 
 impl Default for ResponseParser {
     fn default() -> Self {
+        ResponseParser::with_max_body(MAX_BODY)
+    }
+}
+
+impl ResponseParser {
+    /// Creates a parser that accepts a body of at most this many bytes.
+    pub fn with_max_body(max_body: usize) -> ResponseParser {
         ResponseParser {
             buffer: Vec::new(),
             body: Vec::new(),
+            max_body,
             chunk_remaining: None,
             in_trailers: false,
             stage: Stage::Head { interim: 0 },
         }
     }
-}
 
-impl ResponseParser {
     /// Parses received bytes; returns the response once its stated length or its last chunk has been read.
     ///
     /// # Errors
@@ -123,6 +131,9 @@
         };
         let status = response.code.unwrap_or(0);
         let framing = framing(status, response.headers)?;
+        if matches!(framing, Framing::Length(length) if length > self.max_body) {
+            return Err(ResponseError::TooLong);
+        }
         self.buffer.drain(..length);
         if (100..200).contains(&status) {
             let interim = interim + 1;
@@ -145,7 +156,7 @@
             }
             Framing::UntilClose => {
                 self.body.append(&mut self.buffer);
-                if self.body.len() > MAX_BODY {
+                if self.body.len() > self.max_body {
                     return Err(ResponseError::TooLong);
                 }
                 Ok(false)
@@ -187,7 +198,7 @@
             let is_hex = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_hexdigit());
             let size = usize::from_str_radix(digits, 16).ok().filter(|_| is_hex);
             let size = size.ok_or(ResponseError::Length("chunk"))?;
-            if size > MAX_BODY || self.body.len() + size > MAX_BODY {
+            if size > self.max_body || self.body.len() + size > self.max_body {
                 return Err(ResponseError::TooLong);
             }
             match size {
@@ -226,7 +237,6 @@
         content_length = Some(length);
     }
     match content_length {
-        Some(length) if length > MAX_BODY => Err(ResponseError::TooLong),
         Some(length) => Ok(Framing::Length(length)),
         None => Ok(Framing::UntilClose),
     }
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -4,11 +4,16 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 
+/// Bytes in a megabyte of the limits.
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+
 /// Resources that a host may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Number of file descriptors, including sockets.
     pub descriptors: usize,
+    /// Resident memory in bytes, beyond which the platform kills the host.
+    pub memory_bytes: usize,
 }
 
 /// Settings of the connections to nodes.
@@ -163,7 +168,10 @@
             listen: address(&v, "listen")?,
             discovery: address(&v, "discovery")?,
             seed,
-            limits: Limits { descriptors: positive_number(&v, "limits.sockets")? as usize },
+            limits: Limits {
+                descriptors: positive_number(&v, "limits.sockets")? as usize,
+                memory_bytes: (positive_number(&v, "limits.memory_mb")? * BYTES_PER_MB) as usize,
+            },
             cached_nodes,
             links: LinkSettings {
                 idle_timeout_ms: positive_number(settings, "Limits.ConnIdleMs")?,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`clients`]: which client connections are kept when descriptors run short.
 //! - [`lifecycle`]: the state machine of one client connection.
 //! - [`pool`]: which connection to a node carries an attempt.
+//! - [`memory`]: how many bytes from outside are held.
 //! - [`idle_loss`]: how long a connection may stay idle before attempts on it get lost.
 //!
 //! Requests are admitted and scheduled by the scheduler alone; this crate decides about connections only.
@@ -15,6 +16,7 @@
 pub mod config;
 pub mod idle_loss;
 pub mod lifecycle;
+pub mod memory;
 pub mod node_list;
 pub mod node_reply;
 pub mod pool;
--- a/crates/platform/src/request.rs
+++ b/crates/platform/src/request.rs
@@ -97,6 +97,15 @@
     units.filter(|u| *u <= max.max(1.0)).ok_or(RequestError::InvalidField("units"))
 }
 
+/// Copies arguments into one allocation of their size. The received ones are slices of a larger buffer, all of
+/// which would stay in memory with the smallest of them.
+fn copy_compact(args: &[Bytes]) -> Vec<Bytes> {
+    let mut copy = BytesMut::with_capacity(args.iter().map(Bytes::len).sum());
+    args.iter().for_each(|arg| copy.extend_from_slice(arg));
+    let mut copy = copy.freeze();
+    args.iter().map(|arg| copy.split_to(arg.len())).collect()
+}
+
 /// Parses and validates a command.
 ///
 /// Every field is validated before the command is forwarded, since a command that a node cannot use does harm
@@ -117,6 +126,7 @@
     if args.len() != expected {
         return Err(RequestError::ArgumentCount);
     }
+    let args = &copy_compact(args);
     let (piece, id, attribute_list) = (&args[1], &args[2], &args[3]);
     let key = parse_hex(piece, "piece")?;
     parse_hex(id, "id")?;
@@ -182,6 +192,11 @@
 }
 
 impl ClientRequest {
+    /// Size of the command in bytes.
+    pub fn command_bytes(&self) -> usize {
+        self.id.len() + self.piece.len() + self.attribute_list.len() + self.body.len()
+    }
+
     /// The request for the scheduler, with the host's own id and deadline.
     pub fn scheduler_request(&self, id: u32, valid_until_ms: f64) -> Request {
         Request { id, valid_until_ms, ..self.template }
--- a/crates/resp/src/command.rs
+++ b/crates/resp/src/command.rs
@@ -82,6 +82,11 @@
         self.remaining_args > 0 || !self.buffer.is_empty()
     }
 
+    /// Number of bytes that were received and do not belong to a command returned so far.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len() + self.args_bytes
+    }
+
     /// Decodes the next complete command, or returns `None` if more bytes are needed.
     ///
     /// # Errors
@@ -93,7 +98,7 @@
             None => self.read().inspect_err(|error| {
                 self.error = Some(*error);
                 self.buffer = BytesMut::new();
-                self.args = Vec::new();
+                (self.args, self.args_bytes) = (Vec::new(), 0);
             }),
         }
     }
@@ -140,6 +145,11 @@
             (self.arg_len, self.args_bytes, self.remaining_args) =
                 (None, self.args_bytes + len, self.remaining_args - 1);
         }
+        self.args_bytes = 0;
+        if self.buffer.is_empty() {
+            // Gives back the memory of a large command.
+            self.buffer = BytesMut::new();
+        }
         Ok(Some(std::mem::take(&mut self.args)))
     }
 
--- a/crates/resp/src/reply.rs
+++ b/crates/resp/src/reply.rs
@@ -79,6 +79,16 @@
         self.array.is_some() || self.bulk_len.is_some() || !self.buffer.is_empty()
     }
 
+    /// Number of bytes that were received and do not belong to a reply returned so far.
+    pub fn buffered_bytes(&self) -> usize {
+        let bytes_of = |reply: &Reply| match reply {
+            Reply::Simple(text) | Reply::Error(text) | Reply::Bulk(Some(text)) => text.len(),
+            Reply::Integer(_) | Reply::Bulk(None) | Reply::Array(_) => 0,
+        };
+        let elements = self.array.iter().flat_map(|(_, elements)| elements);
+        self.buffer.len() + elements.map(bytes_of).sum::<usize>()
+    }
+
     /// Decodes the next complete reply, or returns `None` if more bytes are needed.
     ///
     /// # Errors
@@ -99,11 +109,15 @@
         loop {
             let Some(reply) = self.next_element()? else { return Ok(None) };
             match &mut self.array {
-                None => return Ok(Some(reply)),
+                None => {
+                    self.release_empty_buffer();
+                    return Ok(Some(reply));
+                }
                 Some((remaining, elements)) => {
                     elements.push(reply);
                     *remaining -= 1;
                     if *remaining == 0 {
+                        self.release_empty_buffer();
                         return Ok(self.array.take().map(|(_, elements)| Reply::Array(Some(elements))));
                     }
                 }
@@ -111,6 +125,13 @@
         }
     }
 
+    /// Gives back the memory of a large reply.
+    fn release_empty_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Decodes the next scalar, empty array or null array. The header of a non-empty array is stored in
     /// `self.array`, and its first element is returned.
     fn next_element(&mut self) -> Result<Option<Reply>, ReplyError> {
--- a/crates/serving/src/client.rs
+++ b/crates/serving/src/client.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use pearfork_net::{lock, PeekResult, Poller, WriteBuffer};
 use pearfork_platform::clients::{ClientId, ClientTable};
+use pearfork_platform::memory::ByteAccount;
 use pearfork_platform::request::MAX_VALUE_BYTES;
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
@@ -54,6 +55,8 @@
 pub(crate) struct Client {
     pub(crate) id: ClientId,
     pub(crate) write_buffer: Arc<WriteBuffer>,
+    /// Counts the commands of this connection and the replies to them.
+    pub(crate) account: Arc<ByteAccount>,
     queue: Mutex<ReplyQueue>,
     mailbox: Arc<Mailbox>,
     /// Dropped after `write_buffer`, which closes the descriptor.
@@ -76,19 +79,21 @@
     pub(crate) fn new(
         id: ClientId,
         write_buffer: Arc<WriteBuffer>,
+        account: Arc<ByteAccount>,
         mailbox: Arc<Mailbox>,
         table: Arc<Mutex<ClientTable>>,
     ) -> Client {
         let _descriptor = CountedDescriptor::new(table);
-        Client { id, write_buffer, queue: Mutex::default(), mailbox, _descriptor }
+        Client { id, write_buffer, account, queue: Mutex::default(), mailbox, _descriptor }
     }
 
-    /// Whether another command may be accepted. If not, the mailbox is notified when one may.
+    /// Whether another command may be accepted. If not, the mailbox is notified when enough commands are
+    /// answered; the reader itself checks whether enough bytes are released.
     pub(crate) fn can_accept_command(&self) -> bool {
         let unread_replies = self.write_buffer.buffered_bytes().div_ceil(MAX_VALUE_BYTES);
         let mut queue = lock(&self.queue);
         queue.notify_below_limit = queue.replies.len() >= MAX_OPEN_COMMANDS;
-        queue.replies.len() + unread_replies < MAX_OPEN_COMMANDS
+        queue.replies.len() + unread_replies < MAX_OPEN_COMMANDS && self.account.may_read()
     }
 
     /// Whether the client has not yet taken all replies that were written.
@@ -96,6 +101,16 @@
         self.write_buffer.buffered_bytes() > 0
     }
 
+    /// Whether all commands are answered and the client has taken the replies.
+    pub(crate) fn owes_nothing(&self) -> bool {
+        !self.has_open_commands() && !self.has_unsent()
+    }
+
+    /// Whether the connection can be read again without a notification to the mailbox.
+    pub(crate) fn waits_for_bytes(&self) -> bool {
+        self.has_unsent() || !self.account.may_read()
+    }
+
     /// Reserves the slot for the reply to the next command.
     pub(crate) fn reserve_slot(&self) -> u64 {
         let mut queue = lock(&self.queue);
@@ -105,6 +120,7 @@
 
     /// Stores the reply to a command. It is sent once all earlier replies are.
     pub(crate) fn reply(&self, slot: u64, bytes: Bytes) {
+        let bytes = self.account.hold(bytes.len()).attach_to(bytes);
         let mut queue = lock(&self.queue);
         let Some(index) = slot.checked_sub(queue.first_slot) else { return };
         if let Some(reply) = queue.replies.get_mut(index as usize) {
--- a/crates/serving/src/client_reader.rs
+++ b/crates/serving/src/client_reader.rs
@@ -9,6 +9,7 @@
 use pearfork_platform::clients::{AfterError, ClientId, ClientTable};
 use pearfork_platform::config::RequestSchema;
 use pearfork_platform::lifecycle::{Effect, Event, Lifecycle, State};
+use pearfork_platform::memory::{request_bytes, ByteBudget, HeldBytes};
 use pearfork_platform::request::{self, ClientCommand};
 use pearfork_resp::{write, CommandDecoder};
 use std::collections::{BTreeSet, HashMap};
@@ -58,6 +59,8 @@
 struct Connection {
     client: Arc<Client>,
     decoder: CommandDecoder,
+    /// Counts what the decoder holds.
+    input: HeldBytes,
     lifecycle: Lifecycle,
     /// The data read last arrived after this time.
     arrived_after: f64,
@@ -109,10 +112,27 @@
     Close,
 }
 
+/// What bounds the client connections: their descriptors and the bytes that they hold.
+pub(crate) struct ClientBounds {
+    pub(crate) table: Arc<Mutex<ClientTable>>,
+    pub(crate) budget: Arc<ByteBudget>,
+}
+
+/// Whether a connection may hold more.
+enum Room {
+    /// It may.
+    Available,
+    /// It may once some of its commands are answered, or their replies are taken.
+    AfterReplies,
+    /// The host holds as much as its memory allows.
+    None,
+}
+
 /// Accepts and reads all client connections.
 pub(crate) struct ClientReader {
     pub(crate) mailbox: Arc<Mailbox>,
     pub(crate) table: Arc<Mutex<ClientTable>>,
+    pub(crate) budget: Arc<ByteBudget>,
     pub(crate) schema: RequestSchema,
     pub(crate) engine: Sender<Message>,
     pub(crate) clock: Clock,
@@ -134,7 +154,7 @@
 impl ClientReader {
     pub(crate) fn new(
         mailbox: Arc<Mailbox>,
-        table: Arc<Mutex<ClientTable>>,
+        bounds: ClientBounds,
         schema: RequestSchema,
         engine: Sender<Message>,
         clock: Clock,
@@ -143,7 +163,8 @@
     ) -> ClientReader {
         ClientReader {
             mailbox,
-            table,
+            table: bounds.table,
+            budget: bounds.budget,
             schema,
             engine,
             clock,
@@ -213,7 +234,9 @@
         let times = self.need_attention.iter().filter_map(|id| self.connections.get(id)).filter_map(|c| {
             match c.lifecycle.state() {
                 State::Flushing(_) => Some(self.clock.now_ms() + FLUSH_CHECK_MS),
-                State::AtRequestLimit if c.client.has_unsent() => Some(self.clock.now_ms() + FLUSH_CHECK_MS),
+                State::AtRequestLimit if c.client.waits_for_bytes() => {
+                    Some(self.clock.now_ms() + FLUSH_CHECK_MS)
+                }
                 _ => c.lifecycle.next_due(),
             }
         });
@@ -222,8 +245,10 @@
 
     /// Resumes a connection that has waited to accept commands, if it now may.
     fn resume_if_below_limit(&mut self, id: ClientId) {
-        let below_limit =
-            |c: &Connection| c.lifecycle.state() == State::AtRequestLimit && c.client.can_accept_command();
+        let below_limit = |c: &Connection| {
+            let may_resume = c.client.can_accept_command() || c.client.owes_nothing();
+            c.lifecycle.state() == State::AtRequestLimit && may_resume
+        };
         if self.connections.get(&id).is_some_and(below_limit) {
             self.handle_event(id, Event::BelowLimit);
             self.resume(id);
@@ -345,15 +370,24 @@
         // Data that Nagle's algorithm holds back would be lost if the connection is reset.
         let _ = stream.set_nodelay(true);
         let write_buffer = WriteBuffer::new(stream, &self.flusher);
-        let client = Arc::new(Client::new(id, write_buffer, self.mailbox.clone(), self.table.clone()));
+        let account = self.budget.open_account();
+        let input = account.hold(0);
+        let client = Client::new(id, write_buffer, account, self.mailbox.clone(), self.table.clone());
+        let client = Arc::new(client);
         if self.mailbox.poller.add(client.write_buffer.stream(), id, Interest::Readable).is_err() {
             lock(&self.table).remove(id);
             return;
         }
         let decoder = CommandDecoder::new(request::COMMAND_LIMITS);
         let (arrived_after, unread_since) = (now, self.queued_since);
-        let connection =
-            Connection { client, decoder, lifecycle: Lifecycle::default(), arrived_after, unread_since };
+        let connection = Connection {
+            client,
+            decoder,
+            input,
+            lifecycle: Lifecycle::default(),
+            arrived_after,
+            unread_since,
+        };
         self.connections.insert(id, connection);
         // Reads what arrived while the connection was queued, so that later data is not dated back to that
         // wait.
@@ -489,7 +523,7 @@
 }
 
 impl Connection {
-    /// Accepts complete commands.
+    /// Accepts complete commands and counts what is left in the decoder.
     fn accept_commands(
         &mut self,
         table: &Mutex<ClientTable>,
@@ -497,8 +531,50 @@
         engine: &Sender<Message>,
         clock: Clock,
     ) -> Accepted {
-        let client = &self.client;
-        while client.can_accept_command() {
+        let accepted = self.accept_each(table, schema, engine, clock);
+        if matches!(accepted, Accepted::Close) {
+            self.decoder = CommandDecoder::new(request::COMMAND_LIMITS);
+        }
+        self.input.set(self.decoder.buffered_bytes());
+        accepted
+    }
+
+    /// Whether the next command may be accepted, or the rest of it read.
+    fn check_room(&mut self) -> Room {
+        self.input.set(self.decoder.buffered_bytes());
+        if self.client.can_accept_command() {
+            return Room::Available;
+        }
+        if !self.client.owes_nothing() {
+            return Room::AfterReplies;
+        }
+        // Nothing of its own will release bytes. What others do not need is enough for one command.
+        if self.client.account.has_room(READ_CHUNK) {
+            Room::Available
+        } else {
+            Room::None
+        }
+    }
+
+    fn accept_each(
+        &mut self,
+        table: &Mutex<ClientTable>,
+        schema: &RequestSchema,
+        engine: &Sender<Message>,
+        clock: Clock,
+    ) -> Accepted {
+        loop {
+            match self.check_room() {
+                Room::Available => {}
+                Room::AfterReplies => return Accepted::AtLimit,
+                Room::None => {
+                    // Nothing of the command has been executed, so its client may send it again.
+                    self.client
+                        .reply(self.client.reserve_slot(), write::bytes(|out| write::error(out, "BUSY")));
+                    return Accepted::Close;
+                }
+            }
+            let client = &self.client;
             let args = match self.decoder.next_command() {
                 Ok(Some(args)) => args,
                 Ok(None) => {
@@ -522,10 +598,10 @@
             match request::parse(&args, schema) {
                 Ok(ClientCommand::Request(request)) => {
                     // The engine only goes away together with the host.
-                    if engine
-                        .send(Message::Request { client: client.clone(), slot, request, arrived_at })
-                        .is_err()
-                    {
+                    let held = client.account.hold(request_bytes(request.command_bytes()));
+                    let client = client.clone();
+                    let message = Message::Request { client, slot, request, arrived_at, held };
+                    if engine.send(message).is_err() {
                         return Accepted::Close;
                     }
                 }
@@ -548,7 +624,6 @@
                 }
             }
         }
-        Accepted::AtLimit
     }
 }
 
--- a/crates/serving/src/counters.rs
+++ b/crates/serving/src/counters.rs
@@ -16,6 +16,8 @@
     pub(crate) attempts_sent: u64,
     pub(crate) attempts_ended: BTreeMap<&'static str, u64>,
     pub(crate) links_opened: u64,
+    /// Values that were not passed on because the host could not hold them.
+    pub(crate) values_dropped: u64,
     /// Longest time a request waited between being read and being handled by the engine, in milliseconds.
     pub(crate) max_queue_wait_ms: f64,
 }
@@ -48,6 +50,9 @@
             t.links_opened,
             t.max_queue_wait_ms
         );
+        if t.values_dropped > 0 {
+            let _ = write!(line, ", values dropped {}", t.values_dropped);
+        }
         for (label, n) in &t.attempts_ended {
             let _ = write!(line, ", {label} {n}");
         }
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -10,6 +10,7 @@
 use pearfork_drive::{AttemptId, Driver, NodeReport, Step};
 use pearfork_net::{lock, Clock};
 use pearfork_platform::clients::{ClientId, ClientTable};
+use pearfork_platform::memory::HeldBytes;
 use pearfork_platform::node_list::{NodeList, NodeTable};
 use pearfork_platform::node_reply::NodeReply;
 use pearfork_platform::pool::{LinkId, Pool, PoolAction};
@@ -22,7 +23,7 @@
 /// Input of the engine.
 pub(crate) enum Message {
     /// A request was received. It arrived after `arrived_at`, the estimate of the client reader.
-    Request { client: Arc<Client>, slot: u64, request: Box<ClientRequest>, arrived_at: f64 },
+    Request { client: Arc<Client>, slot: u64, request: Box<ClientRequest>, arrived_at: f64, held: HeldBytes },
     /// A client connection was closed.
     ClientDisconnected(ClientId),
     /// An invalid command was answered with an error.
@@ -32,7 +33,7 @@
     /// A link to a node could not be opened.
     LinkFailed(LinkId),
     /// A reply was received on a link.
-    Reply { link: LinkId, reply: NodeReply, received_at: f64 },
+    Reply { link: LinkId, reply: NodeReply, received_at: f64, held: HeldBytes },
     /// A link was closed. `is_sent` tells whether the command on it was sent completely.
     LinkClosed { link: LinkId, is_sent: bool },
     /// A node list or changes to it.
@@ -54,6 +55,8 @@
     arrived_at: f64,
     /// Whether an attempt was written for it.
     has_begun: bool,
+    /// Counts the command.
+    _held: HeldBytes,
 }
 
 /// A link that the host lacked the resources to open.
@@ -240,9 +243,10 @@
     fn handle(&mut self, message: Message) {
         let now = self.clock.now_ms();
         match message {
-            Message::Request { client, slot, request, arrived_at } => {
-                self.handle_request(now, client, slot, request, arrived_at)
-            }
+            Message::Request { client, slot, request, arrived_at, held } => self.handle_request(
+                now,
+                OpenRequest { client, slot, request, arrived_at, has_begun: false, _held: held },
+            ),
             Message::ClientDisconnected(client) => self.client_disconnected(client),
             Message::InvalidCommand => self.state.counters.invalid_commands += 1,
             Message::LinkOpened(id, link) => {
@@ -250,7 +254,7 @@
                 self.pool.link_opened(now, id, &mut self.state.pool_actions);
             }
             Message::LinkFailed(id) => self.pool.open_failed(now, id, &mut self.state.pool_actions),
-            Message::Reply { link, reply, received_at } => {
+            Message::Reply { link, reply, received_at, held: _held } => {
                 let attempt = self.pool.reply_received(now, link, &mut self.state.pool_actions);
                 if let Some(attempt) = attempt {
                     self.attempt_ended(received_at, attempt, reply);
@@ -273,49 +277,42 @@
         }
     }
 
-    fn handle_request(
-        &mut self,
-        now: f64,
-        client: Arc<Client>,
-        slot: u64,
-        request: Box<ClientRequest>,
-        arrived_at: f64,
-    ) {
+    fn handle_request(&mut self, now: f64, open: OpenRequest) {
         // The client may have disconnected while the request was queued here. An attempt started now would
         // have no client.
-        if client.is_disconnected() {
+        if open.client.is_disconnected() {
             self.state.counters.disconnected += 1;
             return;
         }
         self.state.counters.requests += 1;
-        self.state.counters.max_queue_wait_ms = self.state.counters.max_queue_wait_ms.max(now - arrived_at);
+        let waited_ms = now - open.arrived_at;
+        self.state.counters.max_queue_wait_ms = self.state.counters.max_queue_wait_ms.max(waited_ms);
         // Requests that arrive after the final answers of a shutdown are refused, and nothing is sent for
         // them.
         if self.is_past_final_answers(now) {
-            return self.reply(&client, slot, write::bytes(|out| write::error(out, "BUSY")));
+            return self.reply(&open.client, open.slot, write::bytes(|out| write::error(out, "BUSY")));
         }
         // To a node that drops duplicates, two requests with one id are the same request, and one would get
         // the response to the other.
-        if !self.state.client_ids.insert(request.id.clone()) {
+        if !self.state.client_ids.insert(open.request.id.clone()) {
             self.state.counters.invalid_commands += 1;
-            self.reply(&client, slot, write::bytes(|out| write::error(out, "ERR id is in use")));
-            return;
+            let error = write::bytes(|out| write::error(out, "ERR id is in use"));
+            return self.reply(&open.client, open.slot, error);
         }
         let id = self.driver.allocate_id();
-        let until = arrived_at + request.wait_ms;
-        self.driver.submit(
-            request.scheduler_request(id, self.state.final_answers_at.map_or(until, |last| until.min(last))),
-        );
+        let until = open.arrived_at + open.request.wait_ms;
+        let until = self.state.final_answers_at.map_or(until, |last| until.min(last));
+        self.driver.submit(open.request.scheduler_request(id, until));
         tracing::debug!(
             request = id,
-            id = %request.id.escape_ascii(),
-            client = client.id,
-            wait_ms = request.wait_ms,
-            waited_ms = now - arrived_at,
+            id = %open.request.id.escape_ascii(),
+            client = open.client.id,
+            wait_ms = open.request.wait_ms,
+            waited_ms,
             "asked"
         );
-        self.state.by_client.insert((client.id, id));
-        self.state.requests.insert(id, OpenRequest { client, slot, request, arrived_at, has_begun: false });
+        self.state.by_client.insert((open.client.id, id));
+        self.state.requests.insert(id, open);
     }
 
     fn client_disconnected(&mut self, client: ClientId) {
@@ -388,8 +385,20 @@
             // Another attempt of the request may still wait for a link or in a write buffer, and would be
             // sent.
             self.abandon_unsent(attempt.request);
-            self.finish(attempt.request, write::bytes(|out| write::bulk(out, &value)));
+            self.finish_served(attempt.request, &value);
+        }
+    }
+
+    /// Sends the value of a request that was served, if the host may hold it until the client takes it. A
+    /// client that has left too much unread is told that its request failed.
+    fn finish_served(&mut self, id: u32, value: &[u8]) {
+        let has_room =
+            self.state.requests.get(&id).is_some_and(|open| open.client.account.has_room(value.len()));
+        if has_room {
+            return self.finish(id, write::bytes(|out| write::bulk(out, value)));
         }
+        self.state.counters.values_dropped += 1;
+        self.finish(id, write::bytes(|out| write::error(out, "ERR failed no memory for the value")));
     }
 
     /// Sends the final answer to a request.
--- a/crates/serving/src/links.rs
+++ b/crates/serving/src/links.rs
@@ -9,6 +9,7 @@
 use pearfork_net::{
     is_resource_shortage, lock, start_connect, Clock, Flusher, Interest, PeekResult, Poller, WriteBuffer,
 };
+use pearfork_platform::memory::{ByteAccount, ByteBudget, HeldBytes};
 use pearfork_platform::node_reply::{self, NodeReply};
 use pearfork_platform::pool::LinkId;
 use pearfork_resp::ReplyDecoder;
@@ -24,11 +25,15 @@
 pub(crate) struct Link {
     write_buffer: Arc<WriteBuffer>,
     state: Mutex<State>,
+    /// Counts the replies of this link until they are handled.
+    account: Arc<ByteAccount>,
     clock: Clock,
 }
 
 struct State {
     decoder: ReplyDecoder,
+    /// Counts what the decoder holds.
+    input: HeldBytes,
     /// The connection is not established yet.
     connecting: bool,
     /// A command was written and not answered.
@@ -87,6 +92,11 @@
                 state.closed = true;
                 return false;
             }
+            Ok(Some(n)) if !self.account.has_room(n) => {
+                tracing::warn!(bytes = self.account.held() + n, "no memory for the reply of a node");
+                state.closed = true;
+                return false;
+            }
             Ok(Some(n)) => state.decoder.buffer().extend_from_slice(&chunk[..n]),
         }
         // A value that comes before its command has gone out whole was not made for it, and the rest of the
@@ -98,6 +108,8 @@
         if is_early {
             replies.iter_mut().filter(|r| r.result == AttemptResult::Served).for_each(|r| *r = error_reply());
         }
+        let buffered = state.decoder.buffered_bytes();
+        state.input.set(buffered);
         state.idle_since = self.clock.now_ms();
         state.closed |= !usable;
         usable
@@ -156,15 +168,22 @@
     clock: Clock,
     flusher: Flusher,
     poller: Poller,
+    budget: Arc<ByteBudget>,
     links: Mutex<HashMap<LinkId, Arc<Link>>>,
     is_stopped: AtomicBool,
     pub(crate) hooks: TestHooks,
 }
 
 impl NodeLinks {
-    pub(crate) fn new(engine: Sender<Message>, clock: Clock, flusher: Flusher, poller: Poller) -> NodeLinks {
+    pub(crate) fn new(
+        engine: Sender<Message>,
+        clock: Clock,
+        flusher: Flusher,
+        poller: Poller,
+        budget: Arc<ByteBudget>,
+    ) -> NodeLinks {
         let (links, is_stopped, hooks) = (Mutex::default(), AtomicBool::new(false), TestHooks::default());
-        NodeLinks { engine, clock, flusher, poller, links, is_stopped, hooks }
+        NodeLinks { engine, clock, flusher, poller, budget, links, is_stopped, hooks }
     }
 
     /// Starts to connect. The engine is notified of the outcome.
@@ -182,7 +201,9 @@
         };
         let _ = stream.set_nodelay(true);
         self.hooks.connecting(&stream);
+        let account = self.budget.open_account();
         let state = State {
+            input: account.hold(0),
             decoder: ReplyDecoder::new(node_reply::LIMITS),
             connecting: true,
             awaits_reply: false,
@@ -192,7 +213,7 @@
             idle_ms: 0.0,
         };
         let write_buffer = WriteBuffer::new(stream, &self.flusher);
-        let link = Arc::new(Link { write_buffer, state: Mutex::new(state), clock: self.clock });
+        let link = Arc::new(Link { write_buffer, state: Mutex::new(state), account, clock: self.clock });
         let mut links = lock(&self.links);
         if let Err(error) = self.poller.add(link.write_buffer.stream(), id, Interest::Writable) {
             tracing::debug!(link = id, %address, %error, "link cannot be polled");
@@ -236,8 +257,9 @@
                 }
                 let usable = link.read(&mut chunk, &mut replies);
                 for reply in replies.drain(..) {
-                    let message =
-                        Message::Reply { link: event.token, reply, received_at: self.clock.now_ms() };
+                    let held = link.account.hold(reply.value.as_ref().map_or(0, Bytes::len));
+                    let received_at = self.clock.now_ms();
+                    let message = Message::Reply { link: event.token, reply, received_at, held };
                     let _ = self.engine.send(message);
                 }
                 if !usable {
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -1,7 +1,7 @@
 //! Starts and stops the threads of a host.
 
 use crate::client::Mailbox;
-use crate::client_reader::{ClientReader, ShutdownFlags};
+use crate::client_reader::{ClientBounds, ClientReader, ShutdownFlags};
 use crate::engine::{Engine, Message};
 use crate::links::NodeLinks;
 use crate::test_hooks::TestHooks;
@@ -11,6 +11,7 @@
 use pearfork_net::{lock, retry_startup_shortage, spawn_small_stack, Clock, Flusher, Poller};
 use pearfork_platform::clients::{max_client_connections, max_node_connections, ClientTable};
 use pearfork_platform::config::Config;
+use pearfork_platform::memory::{max_node_list_bytes, ByteBudget};
 use pearfork_platform::pool::Pool;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -134,7 +135,8 @@
         let (engine, messages) = bounded(ENGINE_QUEUE);
         let table = Arc::new(Mutex::new(ClientTable::new(max_client_connections(config.limits.descriptors))));
         let pool = Pool::new(config.links, max_node_connections(config.limits.descriptors));
-        let mut node_links = NodeLinks::new(engine.clone(), clock, flusher.clone(), node_poller);
+        let node_budget = ByteBudget::for_nodes(&config.limits);
+        let mut node_links = NodeLinks::new(engine.clone(), clock, flusher.clone(), node_poller, node_budget);
         node_links.hooks = hooks.clone();
         let node_links = Arc::new(node_links);
         let reader = node_links.clone();
@@ -145,12 +147,14 @@
         engine_thread.prepare(&config.cached_nodes);
         spawn_small_stack("engine", move || engine_thread.run(&messages))?;
         let discovery = Arc::new(DiscoveryTarget::new(config.discovery));
-        let watcher = DiscoveryWatcher::new(discovery.clone(), engine.clone(), CallTiming::for_grace(grace));
+        let timing = CallTiming::for_grace(grace);
+        let max_list_bytes = max_node_list_bytes(&config.limits);
+        let watcher = DiscoveryWatcher::new(discovery.clone(), engine.clone(), timing, max_list_bytes);
         spawn_small_stack("discovery", move || watcher.run())?;
         let (mailbox, shutdown) = (Arc::new(Mailbox::new(client_poller)), Arc::new(ShutdownFlags::default()));
         let mut client_reader = ClientReader::new(
             mailbox.clone(),
-            table.clone(),
+            ClientBounds { table: table.clone(), budget: ByteBudget::for_clients(&config.limits) },
             config.schema,
             engine.clone(),
             clock,
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -2,7 +2,8 @@
 
 use crate::engine::Message;
 use crossbeam_channel::Sender;
-use pearfork_net::{http, lock};
+use pearfork_net::http::{self, RequestLimits};
+use pearfork_net::lock;
 use pearfork_platform::node_list;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -114,6 +115,8 @@
     target: Arc<DiscoveryTarget>,
     engine: Sender<Message>,
     timing: CallTiming,
+    /// Maximum size of a response in bytes.
+    max_list_bytes: usize,
     /// Agent and version of the last list received.
     last_list: Option<(SocketAddr, u64)>,
     /// Time limit of the next call if the last one failed.
@@ -125,8 +128,9 @@
         target: Arc<DiscoveryTarget>,
         engine: Sender<Message>,
         timing: CallTiming,
+        max_list_bytes: usize,
     ) -> DiscoveryWatcher {
-        DiscoveryWatcher { target, engine, timing, last_list: None, retry_timeout: None }
+        DiscoveryWatcher { target, engine, timing, max_list_bytes, last_list: None, retry_timeout: None }
     }
 
     /// Runs until the engine is gone.
@@ -174,8 +178,9 @@
             Some(version) => format!("/discovery/hosts?since={version}&timeout_ms={}", wait.as_millis()),
         };
         let on_connect = |stream: &TcpStream| self.target.call_started(address, stream);
+        let limits = RequestLimits { timeout, max_body_bytes: self.max_list_bytes };
         let (status, body) =
-            http::get_cancellable(address, &path, timeout, on_connect).map_err(|e| e.to_string())?;
+            http::get_cancellable(address, &path, limits, on_connect).map_err(|e| e.to_string())?;
         if status != 200 {
             return Err(format!("{address}: status {status}"));
         }
