--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -128,6 +128,23 @@
     assert_eq!(pool.link_count(), 1);
 }
 
+/// Guards against a cancelled attempt that stays out on an open connection: its node goes on with it while
+/// the next attempt of its request runs elsewhere.
+#[test]
+fn at_capacity_cancelling_an_attempt_closes_the_link_that_carries_it() {
+    let mut pool = Pool::new(LINK_SETTINGS, 2);
+    for request in [1, 2] {
+        send(&mut pool, 0.0, request);
+        link_opened(&mut pool, 0.0, u64::from(request) - 1);
+    }
+    assert!(send(&mut pool, 0.0, 3).is_empty());
+    let mut actions = Vec::new();
+    pool.abandon(0.5, 1, attempt(1), &mut actions);
+    assert_eq!(actions, [PoolAction::Close(0), PoolAction::Open(2, 1)]);
+    assert_eq!(reply_received(&mut pool, 1.0, 0), None);
+    assert_eq!(reply_received(&mut pool, 1.0, 1), Some(attempt(2)));
+}
+
 /// Guards against a waiting attempt that nothing looks at again: its connection does not come up while
 /// another one of the node was answered a moment ago.
 #[test]
--- a/crates/serving/tests/few_links.rs
+++ b/crates/serving/tests/few_links.rs
@@ -4,12 +4,14 @@
 mod common;
 
 use common::{config, fake_discovery, start_host_with, value_reply, Client};
-use pearfork_resp::{CommandDecoder, CommandLimits};
+use pearfork_resp::{Command, CommandDecoder, CommandLimits};
 use pearfork_serving::Service;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 /// Descriptors of the host, of which fewer than ten are for connections to nodes.
 const DESCRIPTORS: u32 = 48;
@@ -23,9 +25,10 @@
 const NOMINAL_RATE: f64 = 5_000.0;
 
 /// Starts a host with few descriptors.
-fn start_small_host(discovery: SocketAddr, node: SocketAddr) -> (Service, SocketAddr) {
+fn start_small_host(discovery: SocketAddr, node: SocketAddr, second_copies: bool) -> (Service, SocketAddr) {
     let mut config = config(discovery, &[node]);
     config["limits"]["sockets"] = DESCRIPTORS.into();
+    config["settings"]["Limits"]["SecondCopies"] = second_copies.into();
     config["settings"]["Plans"][0]["Nominal"] = NOMINAL_RATE.into();
     start_host_with(&config)
 }
@@ -105,8 +108,100 @@
 fn with_too_few_connections_a_second_copy_is_never_taken_for_another_reply() {
     let node = listen(reply_twice);
     let agent = fake_discovery(1, &[node]);
-    let (_host, address) = start_small_host(agent.address(), node);
+    let (_host, address) = start_small_host(agent.address(), node, true);
     let (sent, served) = send_groups(address, 40);
     println!("{served} of {sent} served");
     assert!(served * 2 > sent, "{served} of {sent} served");
 }
+
+/// Time that a host has to end an earlier attempt once the next one has arrived.
+const RULE_SLACK: Duration = Duration::from_millis(50);
+/// Of the commands that reach the node, one in this many loses its reply and all later ones on its connection.
+const LOST_REPLY_INTERVAL: usize = 15;
+
+/// The attempts that reached a node.
+#[derive(Default)]
+struct Attempts {
+    arrived: usize,
+    /// The connection of the latest attempt of each request, until that attempt is answered.
+    out: HashMap<Vec<u8>, Arc<TcpStream>>,
+    retries: usize,
+    /// Requests with two attempts out at once.
+    doubled: Vec<String>,
+}
+
+/// Whether the host ends its sending on a connection within a time.
+fn is_ended_within(stream: &TcpStream, time: Duration) -> bool {
+    let until = Instant::now() + time;
+    loop {
+        let mut sockets = [PollFd::new(stream, PollFlags::RDHUP)];
+        let polled = poll(&mut sockets, Some(&Timespec { tv_sec: 0, tv_nsec: 0 }));
+        if polled.is_ok() && !sockets[0].revents().is_empty() {
+            return true;
+        }
+        if Instant::now() >= until {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Notes an attempt; returns whether its reply gets lost.
+fn note_attempt(attempts: &Mutex<Attempts>, command: &Command, stream: &Arc<TcpStream>) -> bool {
+    let id = command[2].to_vec();
+    let (earlier, is_lost) = {
+        let mut attempts = attempts.lock().unwrap();
+        attempts.arrived += 1;
+        (
+            attempts.out.insert(id.clone(), stream.clone()),
+            attempts.arrived.is_multiple_of(LOST_REPLY_INTERVAL),
+        )
+    };
+    if let Some(earlier) = earlier {
+        let is_over = is_ended_within(&earlier, RULE_SLACK);
+        let mut attempts = attempts.lock().unwrap();
+        attempts.retries += 1;
+        if !is_over {
+            attempts.doubled.push(String::from_utf8_lossy(&id).into_owned());
+        }
+    }
+    is_lost
+}
+
+/// Serves the commands of a connection until a reply gets lost; then it only reads.
+fn lose_replies(stream: TcpStream, attempts: &Mutex<Attempts>) {
+    let _ = stream.set_nodelay(true);
+    let stream = Arc::new(stream);
+    let (mut commands, mut chunk, mut is_silent) = (new_decoder(), [0; 4096], false);
+    while let Ok(n @ 1..) = (&*stream).read(&mut chunk) {
+        commands.buffer().extend_from_slice(&chunk[..n]);
+        while let Some(command) = commands.next_command().unwrap() {
+            is_silent |= note_attempt(attempts, &command, &stream);
+            if is_silent {
+                continue;
+            }
+            std::thread::sleep(SERVICE);
+            attempts.lock().unwrap().out.remove(&command[2][..]);
+            if (&*stream).write_all(&value_reply(&command)).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Guards against an attempt that is cancelled but stays out on an open connection while the next attempt of
+/// its request runs, although the settings forbid two at once.
+#[test]
+fn with_too_few_connections_a_cancelled_attempt_is_over_before_the_next_one() {
+    let attempts = Arc::new(Mutex::new(Attempts::default()));
+    let of_node = attempts.clone();
+    let node = listen(move |stream| lose_replies(stream, &of_node));
+    let agent = fake_discovery(1, &[node]);
+    let (_host, address) = start_small_host(agent.address(), node, false);
+    let (sent, served) = send_groups(address, 60);
+    let attempts = attempts.lock().unwrap();
+    assert!(attempts.retries > 5, "{} attempts were repeated", attempts.retries);
+    assert_eq!(attempts.doubled, Vec::<String>::new(), "out twice at once, of {} repeated", attempts.retries);
+    println!("{served} of {sent} served");
+    assert!(served * 2 > sent, "{served} of {sent} served");
+}
--- a/crates/serving/tests/races/links.rs
+++ b/crates/serving/tests/races/links.rs
@@ -1,11 +1,14 @@
 //! Attempts that wait for a link while something else happens, and links that end under attempts.
 
 use crate::common::{config, is_error, start_host_with, value_reply, wait_until, Client};
-use crate::ordering::{is_silent, node_entry, node_list, read_command, reset, GatedNode, ManualAgent};
+use crate::ordering::{
+    is_silent, node_entry, node_list, read_command, reset, start_host_with_small_buffers, GatedNode,
+    ManualAgent,
+};
 use bytes::Bytes;
 use pearfork_resp::{CommandDecoder, CommandLimits, Reply};
 use pearfork_serving::Service;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -170,3 +173,41 @@
     second.write_all(&value_reply(&command)).unwrap();
     assert_eq!(client.served_id(), Some(2));
 }
+
+/// Reads a connection until a command is complete; `None` if the connection ends before.
+fn read_whole_command(stream: &mut TcpStream) -> Option<Vec<Bytes>> {
+    let mut commands =
+        CommandDecoder::new(CommandLimits { args: 8, arg_bytes: 1 << 17, total_bytes: 1 << 18 });
+    let mut chunk = [0; 4096];
+    loop {
+        if let Some(command) = commands.next_command().unwrap() {
+            return Some(command);
+        }
+        match stream.read(&mut chunk) {
+            Ok(n @ 1..) => commands.buffer().extend_from_slice(&chunk[..n]),
+            Ok(0) | Err(_) => return None,
+        }
+    }
+}
+
+/// Guards against a value that arrives before its command has gone out whole: it was made for another command,
+/// and the rest of this one would go out ahead of the next.
+#[test]
+fn a_reply_that_precedes_the_end_of_its_command_is_an_error_and_ends_the_link() {
+    let node = GatedNode::new();
+    node.limit_receive_buffers();
+    let agent = ManualAgent::new();
+    let (_host, address) = start_host_with_small_buffers(&long_timeouts(agent.address, &[node.address()]));
+    let mut client = Client::connect(address);
+    let attributes =
+        "c=write,t=gold,d=8000,k=5c0f6e1a2b3d4c59,volume=0000000000000001,units=1,shard=0,hosts=3";
+    client.send(&["OBJ.PUT", "0000000000000005", "0000000000000001", attributes, &"v".repeat(60_000)]);
+    let mut first = node.accept();
+    std::thread::sleep(Duration::from_millis(100));
+    first.write_all(b"*3\r\n$16\r\n0000000000000bad\r\n$-1\r\n$-1\r\n").unwrap();
+    let mut second = node.accept();
+    assert_eq!(read_whole_command(&mut first), None, "the rest of the command went out");
+    let again = read_whole_command(&mut second).expect("the command of the retry");
+    second.write_all(&value_reply(&again)).unwrap();
+    assert_eq!(client.served_id(), Some(1));
+}
