A host remembers 16,384 volumes without requests at most; clients name them

Change: beyond 16,384, those that have been idle for longest are forgotten once a second; a volume that comes back starts with an empty bucket, as after the 60 s, so its limit holds.

Test: client_volumes.rs fails before (16,626,840 bytes over 100,000 volumes) and passes now (40,920).

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -92,6 +92,8 @@
 const HOST_STALL_MS: f64 = 150.0;
 /// Nodes that are gone and volumes without requests are remembered for this long.
 const IDLE_STATE_RETENTION_MS: f64 = 60_000.0;
+/// Volumes without requests are remembered up to this number, since clients name them.
+const MAX_IDLE_VOLUMES: usize = 16_384;
 
 const TIMER_TICK: u64 = 1 << 40;
 const TIMER_WATCH: u64 = 2 << 40;
@@ -1214,6 +1216,22 @@
         // A volume that was removed starts again with an empty bucket, which never holds more than it is
         // allowed.
         self.state.volumes.retain(|_, v| now - v.last_seen_at < IDLE_STATE_RETENTION_MS);
+        self.forget_excess_volumes();
+    }
+
+    /// Forgets the volumes that were idle for longest, beyond the number that is remembered.
+    fn forget_excess_volumes(&mut self) {
+        let excess = self.state.volumes.len().saturating_sub(MAX_IDLE_VOLUMES);
+        if excess == 0 {
+            return;
+        }
+        let in_use: HashSet<u64> = self.state.requests.values().map(|r| r.request.volume).collect();
+        let idle = self.state.volumes.iter().filter(|(id, _)| !in_use.contains(id));
+        let mut by_age: Vec<(f64, u64)> = idle.map(|(id, v)| (v.last_seen_at, *id)).collect();
+        by_age.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, id) in by_age.into_iter().take(excess) {
+            self.state.volumes.remove(&id);
+        }
     }
 }
 
