--- a/crates/serving/src/client_reader.rs
+++ b/crates/serving/src/client_reader.rs
@@ -1,17 +1,17 @@
 //! The thread that accepts client connections and reads them.
 
 use crate::client::{Client, Mailbox};
+use crate::client_connection::{Accepted, CommandSink, Connection, READ_CHUNK};
 use crate::engine::Message;
 use crate::test_hooks::{Point, TestHooks};
-use bytes::Bytes;
 use crossbeam_channel::Sender;
 use pearfork_net::{lock, set_accept_backlog, Clock, Flusher, Interest, Readiness, WriteBuffer, MAX_EVENTS};
-use pearfork_platform::clients::{AfterError, ClientId, ClientTable};
+use pearfork_platform::clients::{ClientId, ClientTable};
 use pearfork_platform::config::RequestSchema;
 use pearfork_platform::lifecycle::{Effect, Event, Lifecycle, State};
-use pearfork_platform::memory::{request_bytes, ByteBudget, HeldBytes};
-use pearfork_platform::request::{self, ClientCommand};
-use pearfork_resp::{write, CommandDecoder};
+use pearfork_platform::memory::ByteBudget;
+use pearfork_platform::request;
+use pearfork_resp::CommandDecoder;
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::{TcpListener, TcpStream};
@@ -24,8 +24,6 @@
 const LISTENER_TOKEN: u64 = 0;
 /// Maximum number of connections accepted before existing ones are read again.
 const MAX_ACCEPTS_PER_POLL: usize = 64;
-/// Maximum number of bytes read from one connection before the next one is read.
-const READ_CHUNK: usize = 16 * 1024;
 /// Interval between checks for connections to close, in normal operation.
 const SWEEP_INTERVAL_MS: f64 = 200.0;
 /// Interval between these checks during shutdown.
@@ -55,19 +53,6 @@
     pub(crate) stop: AtomicBool,
 }
 
-/// State of a connection that belongs to its reader.
-struct Connection {
-    client: Arc<Client>,
-    decoder: CommandDecoder,
-    /// Counts what the decoder holds.
-    input: HeldBytes,
-    lifecycle: Lifecycle,
-    /// The data read last arrived after this time.
-    arrived_after: f64,
-    /// Time since which the connection has not been read or, if it was just accepted, polled.
-    unread_since: Option<f64>,
-}
-
 /// Estimates when data arrived on the sockets.
 ///
 /// The time that a client waits runs from its sending of a request. If this thread is delayed, data has been
@@ -100,34 +85,12 @@
     }
 }
 
-/// Result of reading the commands of a connection.
-enum Accepted {
-    /// All complete commands were accepted.
-    All,
-    /// The maximum number of commands is open.
-    AtLimit,
-    /// An invalid command was received; read nothing until the given time.
-    Pause(f64),
-    /// No further commands are accepted.
-    Close,
-}
-
 /// What bounds the client connections: their descriptors and the bytes that they hold.
 pub(crate) struct ClientBounds {
     pub(crate) table: Arc<Mutex<ClientTable>>,
     pub(crate) budget: Arc<ByteBudget>,
 }
 
-/// Whether a connection may hold more.
-enum Room {
-    /// It may.
-    Available,
-    /// It may once some of its commands are answered, or their replies are taken.
-    AfterReplies,
-    /// The host holds as much as its memory allows.
-    None,
-}
-
 /// Accepts and reads all client connections.
 pub(crate) struct ClientReader {
     pub(crate) mailbox: Arc<Mailbox>,
@@ -513,7 +476,9 @@
         else {
             return;
         };
-        match connection.accept_commands(&self.table, &self.schema, &self.engine, self.clock) {
+        let sink =
+            CommandSink { table: &self.table, schema: &self.schema, engine: &self.engine, clock: self.clock };
+        match connection.accept_commands(&sink) {
             Accepted::All => {}
             Accepted::AtLimit => self.handle_event(id, Event::LimitReached),
             Accepted::Pause(until) => self.handle_event(id, Event::Pause(until)),
@@ -521,112 +486,3 @@
         }
     }
 }
-
-impl Connection {
-    /// Accepts complete commands and counts what is left in the decoder.
-    fn accept_commands(
-        &mut self,
-        table: &Mutex<ClientTable>,
-        schema: &RequestSchema,
-        engine: &Sender<Message>,
-        clock: Clock,
-    ) -> Accepted {
-        let accepted = self.accept_each(table, schema, engine, clock);
-        if matches!(accepted, Accepted::Close) {
-            self.decoder = CommandDecoder::new(request::COMMAND_LIMITS);
-        }
-        self.input.set(self.decoder.buffered_bytes());
-        accepted
-    }
-
-    /// Whether the next command may be accepted, or the rest of it read.
-    fn check_room(&mut self) -> Room {
-        self.input.set(self.decoder.buffered_bytes());
-        if self.client.can_accept_command() {
-            return Room::Available;
-        }
-        if !self.client.owes_nothing() {
-            return Room::AfterReplies;
-        }
-        // Nothing of its own will release bytes. What others do not need is enough for one command.
-        if self.client.account.has_room(READ_CHUNK) {
-            Room::Available
-        } else {
-            Room::None
-        }
-    }
-
-    fn accept_each(
-        &mut self,
-        table: &Mutex<ClientTable>,
-        schema: &RequestSchema,
-        engine: &Sender<Message>,
-        clock: Clock,
-    ) -> Accepted {
-        loop {
-            match self.check_room() {
-                Room::Available => {}
-                Room::AfterReplies => return Accepted::AtLimit,
-                Room::None => {
-                    // Nothing of the command has been executed, so its client may send it again.
-                    self.client
-                        .reply(self.client.reserve_slot(), write::bytes(|out| write::error(out, "BUSY")));
-                    return Accepted::Close;
-                }
-            }
-            let client = &self.client;
-            let args = match self.decoder.next_command() {
-                Ok(Some(args)) => args,
-                Ok(None) => {
-                    if self.decoder.has_partial() {
-                        lock(table).partial_received(clock.now_ms(), client.id);
-                    }
-                    return Accepted::All;
-                }
-                Err(error) => {
-                    // The frame boundary is lost, so this error is the last reply on the connection.
-                    client.reply(client.reserve_slot(), error_reply(&format!("Protocol error: {error}")));
-                    let _ = engine.send(Message::InvalidCommand);
-                    return Accepted::Close;
-                }
-            };
-            let (now, arrived_at) = (clock.now_ms(), self.arrived_after);
-            if !lock(table).command_received(now, client.id) {
-                return Accepted::Close;
-            }
-            let slot = client.reserve_slot();
-            match request::parse(&args, schema) {
-                Ok(ClientCommand::Request(request)) => {
-                    // The engine only goes away together with the host.
-                    let held = client.account.hold(request_bytes(request.command_bytes()));
-                    let client = client.clone();
-                    let message = Message::Request { client, slot, request, arrived_at, held };
-                    if engine.send(message).is_err() {
-                        return Accepted::Close;
-                    }
-                }
-                Ok(ClientCommand::Ping) => {
-                    client.reply(slot, write::bytes(|out| write::simple(out, "PONG")));
-                    lock(table).command_answered(now, client.id);
-                }
-                Err(error) => {
-                    client.reply(slot, error_reply(&error.to_string()));
-                    let after = {
-                        let mut table = lock(table);
-                        table.command_answered(now, client.id);
-                        table.invalid_command(client.id)
-                    };
-                    let _ = engine.send(Message::InvalidCommand);
-                    return match after {
-                        AfterError::Pause(ms) => Accepted::Pause(now + ms as f64),
-                        AfterError::Close => Accepted::Close,
-                    };
-                }
-            }
-        }
-    }
-}
-
-fn error_reply(text: &str) -> Bytes {
-    write::bytes(|out| write::error(out, &format!("ERR {text}")))
-}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,7 +2,8 @@
 //! and nodes.
 //!
 //! - `client_reader`: the thread that accepts and reads all client connections.
-//! - `client`: one client connection.
+//! - `client`: one client connection, as the engine sees it.
+//! - `client_connection`: one client connection, as its reader sees it.
 //! - `links`: the connections to nodes and the thread that reads them.
 //! - `watch`: the thread that follows discovery.
 //! - `engine`: the thread that owns the driver of the scheduler.
@@ -12,6 +13,7 @@
 //! `pearfork_platform` decides which connections are kept and which of them carry attempts.
 
 mod client;
+mod client_connection;
 mod client_reader;
 mod counters;
 mod engine;
