Clients get their former share of descriptors while a crowd is connected

Cause: gave half of the unreserved descriptors to nodes for good.

Change: DescriptorSplit. Clients with requests hold at most a third of all descriptors; while clients hold over 0.42 of the unreserved ones (until below 0.38) they may have 0.64 and nodes 0.36, as before the faults were mended; otherwise half each. The pool shrinks as idle connections end and never cuts off an attempt; clients get the places once the pool has left them. Beyond 0.36, idle connections make room for new ones, so only attempts use the difference.

Tests: connections.rs holds the division over rising and falling numbers of clients, the smaller pool and the idle connections.

--- a/crates/gateway/tests/descriptors.rs
+++ b/crates/gateway/tests/descriptors.rs
@@ -3,7 +3,7 @@
 
 mod service_harness;
 
-use pearfork_platform::clients::{max_client_connections, max_node_connections};
+use pearfork_platform::descriptors::{max_client_connections, max_node_connections};
 use service_harness::fake_discovery::{DiscoveryBehavior, FakeDiscovery};
 use service_harness::idle_clients::IdleClients;
 use service_harness::{
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -18,22 +18,6 @@
 const MAX_ERROR_PAUSE_MS: u64 = 640;
 /// Number of invalid commands after which the connection is closed, following the error reply.
 const MAX_INVALID_COMMANDS: u32 = 6;
-/// Share of the unreserved descriptors that client connections may use.
-const CLIENT_SHARE: f64 = 0.5;
-/// Descriptors reserved for the listener, discovery, signals and standard streams.
-const RESERVED_DESCRIPTORS: usize = 24;
-
-/// Number of client connections that a host may hold with this many descriptors. At most a third of the
-/// descriptors carry requests; the rest leaves room for clients that only connect.
-pub fn max_client_connections(descriptors: usize) -> usize {
-    ((descriptors.saturating_sub(RESERVED_DESCRIPTORS)) as f64 * CLIENT_SHARE) as usize
-}
-
-/// Number of connections to nodes that a host may hold with this many descriptors.
-pub fn max_node_connections(descriptors: usize) -> usize {
-    descriptors.saturating_sub(RESERVED_DESCRIPTORS + max_client_connections(descriptors)).max(1)
-}
-
 /// Identifies a client connection.
 pub type ClientId = u64;
 
@@ -99,6 +83,16 @@
         self.capacity
     }
 
+    /// Changes the maximum number of connections. Those beyond it stay.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity.max(1);
+    }
+
+    /// Number of open descriptors of client connections.
+    pub fn descriptor_count(&self) -> usize {
+        self.clients.len().max(self.descriptors)
+    }
+
     /// Counts a descriptor that was opened for a client connection.
     pub fn descriptor_opened(&mut self) {
         self.descriptors += 1;
@@ -115,7 +109,7 @@
     /// waits in the engine's queue. If only the table counted, new connections would take the descriptors
     /// reserved for nodes and discovery.
     fn is_full(&self) -> bool {
-        self.clients.len().max(self.descriptors) >= self.capacity
+        self.descriptor_count() >= self.capacity
     }
 
     /// Adds a new connection and returns the connection to close if room is needed.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`request`]: commands of clients.
 //! - [`node_reply`]: replies of nodes.
 //! - [`node_list`]: the node list that discovery returns.
+//! - [`descriptors`]: how descriptors are divided between clients and nodes.
 //! - [`clients`]: which client connections are kept when descriptors run short.
 //! - [`lifecycle`]: the state machine of one client connection.
 //! - [`pool`]: which connection to a node carries an attempt.
@@ -14,6 +15,7 @@
 
 pub mod clients;
 pub mod config;
+pub mod descriptors;
 pub mod idle_loss;
 pub mod lifecycle;
 pub mod memory;
--- a/crates/platform/src/memory.rs
+++ b/crates/platform/src/memory.rs
@@ -5,8 +5,8 @@
 //! others, and all connections draw on the other half. A connection may take only a fraction of what is free
 //! there before it stops being read, so a few that send much always leave something to the rest.
 
-use crate::clients::{max_client_connections, max_node_connections};
 use crate::config::Limits;
+use crate::descriptors::{max_client_connections, DescriptorSplit};
 use bytes::Bytes;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -54,7 +54,7 @@
     /// The budget of the connections to nodes.
     pub fn for_nodes(limits: &Limits) -> Arc<ByteBudget> {
         let bytes = limits.memory_bytes as f64 * NODE_MEMORY_FRACTION;
-        ByteBudget::new(bytes as usize, max_node_connections(limits.descriptors))
+        ByteBudget::new(bytes as usize, DescriptorSplit::new(limits.descriptors).node_connections())
     }
 
     fn new(bytes: usize, connections: usize) -> Arc<ByteBudget> {
--- a/crates/platform/src/pool.rs
+++ b/crates/platform/src/pool.rs
@@ -70,6 +70,8 @@
 pub struct Pool {
     settings: LinkSettings,
     capacity: usize,
+    /// Idle links make room for new ones beyond this number of links.
+    kept_links: usize,
     next_id: LinkId,
     links: BTreeMap<LinkId, Link>,
     /// The links of each node that has any.
@@ -92,6 +94,7 @@
         Pool {
             settings,
             capacity: capacity.max(1),
+            kept_links: capacity.max(1),
             next_id: 0,
             links: BTreeMap::new(),
             by_node: HashMap::new(),
@@ -103,6 +106,12 @@
         }
     }
 
+    /// Lets idle links make room for new ones beyond a number of links that is below the capacity. Nodes hold
+    /// only so many connections of all hosts.
+    pub fn with_kept_links(self, kept_links: usize) -> Pool {
+        Pool { kept_links: kept_links.max(1), ..self }
+    }
+
     /// Number of links, including those being opened.
     pub fn link_count(&self) -> usize {
         self.links.len()
@@ -118,7 +127,8 @@
         if let Some(link) = self.ready_link(now, node) {
             return self.write_on(now, link, attempt, actions);
         }
-        if self.links.len() < self.capacity || self.evict_unneeded(actions) {
+        self.evict_excess(self.capacity.min(self.kept_links) - 1, actions);
+        if self.links.len() < self.capacity {
             self.waiting.entry(node).or_default().push_back(attempt);
             return self.open_link(node, actions);
         }
@@ -148,8 +158,20 @@
         true
     }
 
-    /// Assigns attempts that had no room for a link, while there is room now.
+    /// Closes links that nothing needs, as long as there are more than `kept`.
+    fn evict_excess(&mut self, kept: usize, actions: &mut Vec<PoolAction>) {
+        while self.links.len() > kept && self.evict_unneeded(actions) {}
+    }
+
+    /// Changes the maximum number of links. Those beyond it are closed once nothing needs them.
+    pub fn set_capacity(&mut self, now: f64, capacity: usize, actions: &mut Vec<PoolAction>) {
+        self.capacity = capacity.max(1);
+        self.assign_without_room(now, actions);
+    }
+
+    /// Closes links beyond the capacity, and assigns attempts that had no room for a link while there is room.
     fn assign_without_room(&mut self, now: f64, actions: &mut Vec<PoolAction>) {
+        self.evict_excess(self.capacity, actions);
         for _ in 0..self.without_room.len() {
             let Some((node, attempt)) = self.without_room.pop_front() else { return };
             let waiting_before = self.without_room.len();
--- a/crates/platform/tests/connections.rs
+++ b/crates/platform/tests/connections.rs
@@ -1,8 +1,9 @@
 //! The table of client connections and the pool of links to nodes.
 
 use pearfork_drive::AttemptId;
-use pearfork_platform::clients::{max_client_connections, max_node_connections, AfterError, ClientTable};
+use pearfork_platform::clients::{AfterError, ClientTable};
 use pearfork_platform::config::LinkSettings;
+use pearfork_platform::descriptors::{max_client_connections, max_node_connections, DescriptorSplit};
 use pearfork_platform::pool::{Pool, PoolAction};
 
 const LINK_SETTINGS: LinkSettings = LinkSettings { idle_timeout_ms: 30_000.0, connect_timeout_ms: 250.0 };
@@ -289,6 +290,67 @@
     assert!(max_client_connections(256) > 256 / 3 + 16);
 }
 
+/// Guards against descriptors that run out, and against requests that wait for connections to nodes while
+/// those of clients are not used.
+#[test]
+fn descriptors_go_to_nodes_unless_many_clients_are_connected() {
+    for descriptors in [25, 64, 256, 1024] {
+        let mut split = DescriptorSplit::new(descriptors);
+        let usual = split.node_connections();
+        let with_requests = descriptors / 3;
+        for clients in (0..descriptors).chain((0..descriptors).rev()) {
+            split.update(clients);
+            let (nodes, held) = (split.node_connections(), usual);
+            assert!((max_node_connections(descriptors)..=usual).contains(&nodes), "{descriptors}: {nodes}");
+            assert!(split.client_connections(nodes) <= max_client_connections(descriptors).max(1));
+            // Also while connections to nodes are still as many as before.
+            assert!(split.client_connections(held) + held < descriptors.max(held + 2), "{descriptors}");
+            assert!(
+                descriptors < 256 || clients > with_requests || nodes == usual,
+                "{descriptors}: {clients}"
+            );
+        }
+        assert_eq!(split.node_connections(), usual);
+    }
+}
+
+/// Guards against idle links that take the nodes' places for connections, of which all hosts have only so many,
+/// because one burst needed them.
+#[test]
+fn beyond_the_kept_links_idle_ones_make_room_and_busy_ones_do_not() {
+    let mut pool = Pool::new(LINK_SETTINGS, 4).with_kept_links(2);
+    for request in [1, 2, 3] {
+        assert_eq!(send(&mut pool, 0.0, request), [PoolAction::Open(u64::from(request) - 1, 1)]);
+        link_opened(&mut pool, 0.0, u64::from(request) - 1);
+    }
+    assert_eq!(reply_received(&mut pool, 1.0, 0), Some(attempt(1)));
+    assert_eq!(reply_received(&mut pool, 2.0, 1), Some(attempt(2)));
+    assert_eq!(send(&mut pool, 3.0, 4), [PoolAction::Close(0), PoolAction::Close(1), PoolAction::Open(3, 1)]);
+    assert_eq!(pool.link_count(), 2);
+}
+
+/// Guards against more links than descriptors after their number was reduced, and against an attempt that is
+/// cut off for that.
+#[test]
+fn a_smaller_pool_closes_idle_links_at_once_and_busy_ones_after_their_reply() {
+    let mut pool = Pool::new(LINK_SETTINGS, 3);
+    for request in [1, 2, 3] {
+        send(&mut pool, 0.0, request);
+        link_opened(&mut pool, 0.0, u64::from(request) - 1);
+    }
+    assert_eq!(reply_received(&mut pool, 1.0, 0), Some(attempt(1)));
+    let mut actions = Vec::new();
+    pool.set_capacity(2.0, 1, &mut actions);
+    assert_eq!((actions, pool.link_count()), (vec![PoolAction::Close(0)], 2));
+    assert!(send(&mut pool, 3.0, 4).is_empty(), "no link beyond the new capacity");
+    let mut actions = Vec::new();
+    assert_eq!(pool.reply_received(4.0, 1, &mut actions), Some(attempt(2)));
+    assert_eq!((actions, pool.link_count()), (vec![PoolAction::Close(1)], 1));
+    let mut actions = Vec::new();
+    assert_eq!(pool.reply_received(5.0, 2, &mut actions), Some(attempt(3)));
+    assert_eq!(actions, [PoolAction::Close(2), PoolAction::Open(3, 1)]);
+}
+
 /// Guards against clients that only connect taking the places of clients with requests.
 #[test]
 fn silent_connections_are_evicted_first_then_idle_ones_and_never_busy_ones() {
--- a/crates/platform/tests/memory.rs
+++ b/crates/platform/tests/memory.rs
@@ -1,8 +1,8 @@
 //! The bytes that a host holds for its connections, against its memory limit.
 
 use bytes::Bytes;
-use pearfork_platform::clients::max_client_connections;
 use pearfork_platform::config::Limits;
+use pearfork_platform::descriptors::max_client_connections;
 use pearfork_platform::memory::{max_node_list_bytes, request_bytes, ByteBudget, HeldBytes};
 use proptest::prelude::*;
 use std::sync::Arc;
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -10,6 +10,7 @@
 use pearfork_drive::{AttemptId, Driver, NodeReport, Step};
 use pearfork_net::{lock, Clock};
 use pearfork_platform::clients::{ClientId, ClientTable};
+use pearfork_platform::descriptors::DescriptorSplit;
 use pearfork_platform::memory::HeldBytes;
 use pearfork_platform::node_list::{NodeList, NodeTable};
 use pearfork_platform::node_reply::NodeReply;
@@ -83,6 +84,7 @@
 pub(crate) struct Engine {
     pub(crate) driver: Driver,
     pub(crate) pool: Pool,
+    pub(crate) split: DescriptorSplit,
     pub(crate) node_table: NodeTable,
     pub(crate) clock: Clock,
     pub(crate) clients: Arc<Mutex<ClientTable>>,
@@ -120,6 +122,7 @@
     pub(crate) fn new(
         driver: Driver,
         pool: Pool,
+        split: DescriptorSplit,
         clock: Clock,
         clients: Arc<Mutex<ClientTable>>,
         node_links: Arc<NodeLinks>,
@@ -127,7 +130,18 @@
     ) -> Engine {
         let (node_table, state) = (NodeTable::default(), State::default());
         let hooks = TestHooks::default();
-        Engine { driver, pool, node_table, clock, clients, node_links, connect_timeout_ms, hooks, state }
+        Engine {
+            driver,
+            pool,
+            split,
+            node_table,
+            clock,
+            clients,
+            node_links,
+            connect_timeout_ms,
+            hooks,
+            state,
+        }
     }
 
     /// Sets the limit of attempts in flight and applies the node list that the host stored before its last
@@ -183,6 +197,7 @@
             if now >= sweep {
                 sweep = now + SWEEP_INTERVAL_MS;
                 self.pool.close_expired(now, &mut self.state.pool_actions);
+                self.divide_descriptors(now);
             }
             self.run_all_actions();
             if now >= next_log {
@@ -200,6 +215,24 @@
         }
     }
 
+    /// Divides the descriptors between clients and nodes by the clients that are connected.
+    fn divide_descriptors(&mut self, now: f64) {
+        let client_descriptors = lock(&self.clients).descriptor_count();
+        if self.split.update(client_descriptors) {
+            let capacity = self.split.node_connections();
+            tracing::debug!(client_descriptors, capacity, "maximum number of connections to nodes");
+            // Clients first where nodes get more, so that both together never exceed the descriptors.
+            if capacity > self.pool.capacity() {
+                lock(&self.clients).set_capacity(self.split.client_connections(0));
+            }
+            self.pool.set_capacity(now, capacity, &mut self.state.pool_actions);
+            self.driver.set_attempt_limit(capacity);
+            self.run_all_actions();
+        }
+        let clients = self.split.client_connections(self.pool.link_count());
+        lock(&self.clients).set_capacity(clients);
+    }
+
     /// Abandons links that were not opened within the time limit.
     fn expire_connects(&mut self, now: f64) {
         while let Some((_, link)) = self.state.connecting.pop_front_if(|(at, _)| now >= *at) {
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -9,8 +9,9 @@
 use crossbeam_channel::{bounded, Sender};
 use pearfork_drive::Driver;
 use pearfork_net::{lock, retry_startup_shortage, spawn_small_stack, Clock, Flusher, Poller};
-use pearfork_platform::clients::{max_client_connections, max_node_connections, ClientTable};
+use pearfork_platform::clients::ClientTable;
 use pearfork_platform::config::Config;
+use pearfork_platform::descriptors::{max_node_connections, DescriptorSplit};
 use pearfork_platform::memory::{max_node_list_bytes, ByteBudget};
 use pearfork_platform::pool::Pool;
 use std::io;
@@ -133,16 +134,25 @@
             (retry_startup_shortage(Poller::new)?, retry_startup_shortage(Poller::new)?);
         let flusher = retry_startup_shortage(Flusher::start)?;
         let (engine, messages) = bounded(ENGINE_QUEUE);
-        let table = Arc::new(Mutex::new(ClientTable::new(max_client_connections(config.limits.descriptors))));
-        let pool = Pool::new(config.links, max_node_connections(config.limits.descriptors));
+        let split = DescriptorSplit::new(config.limits.descriptors);
+        let table = Arc::new(Mutex::new(ClientTable::new(split.client_connections(0))));
+        let pool = Pool::new(config.links, split.node_connections())
+            .with_kept_links(max_node_connections(config.limits.descriptors));
         let node_budget = ByteBudget::for_nodes(&config.limits);
         let mut node_links = NodeLinks::new(engine.clone(), clock, flusher.clone(), node_poller, node_budget);
         node_links.hooks = hooks.clone();
         let node_links = Arc::new(node_links);
         let reader = node_links.clone();
         spawn_small_stack("nodes", move || reader.run())?;
-        let mut engine_thread =
-            Engine::new(driver, pool, clock, table.clone(), node_links, config.links.connect_timeout_ms);
+        let mut engine_thread = Engine::new(
+            driver,
+            pool,
+            split,
+            clock,
+            table.clone(),
+            node_links,
+            config.links.connect_timeout_ms,
+        );
         engine_thread.hooks = hooks.clone();
         engine_thread.prepare(&config.cached_nodes);
         spawn_small_stack("engine", move || engine_thread.run(&messages))?;
