--- a/crates/net/tests/http_requests.rs
+++ b/crates/net/tests/http_requests.rs
@@ -56,6 +56,26 @@
     assert_eq!(parse(&endless), Err(ResponseError::TooLong));
 }
 
+/// Guards against a body that takes more memory than the caller has for it, however its end is told.
+#[test]
+fn a_body_beyond_the_callers_limit_is_rejected_and_one_at_the_limit_is_not() {
+    let framings: [(&str, &str); 3] = [
+        ("Content-Length: 8\r\n", "12345678"),
+        ("Transfer-Encoding: chunked\r\n", "4\r\n1234\r\n4\r\n5678\r\n0\r\n\r\n"),
+        ("", "12345678"),
+    ];
+    for (headers, body) in framings {
+        let response = format!("HTTP/1.1 200 OK\r\n{headers}\r\n{body}");
+        let parse_with = |max_body| {
+            let mut parser = ResponseParser::with_max_body(max_body);
+            let parsed = parser.feed(response.as_bytes())?;
+            parsed.map_or_else(|| parser.finish(), Ok)
+        };
+        assert_eq!(parse_with(8), Ok((200, b"12345678".to_vec())), "{headers}");
+        assert_eq!(parse_with(7), Err(ResponseError::TooLong), "{headers}");
+    }
+}
+
 /// Starts a server that calls `respond` with its first connection, once it has read the request head.
 fn server(respond: impl FnOnce(TcpStream) + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/platform/tests/protocol.rs
+++ b/crates/platform/tests/protocol.rs
@@ -250,8 +250,8 @@
 fn a_configuration_is_parsed_and_its_errors_name_the_field() {
     let config = Config::parse(CONFIG.as_bytes()).unwrap();
     assert_eq!(
-        (config.name.as_str(), config.seed, config.limits.descriptors),
-        ("n3", 0x8c1f_30d2_7a5b_e964, 256)
+        (config.name.as_str(), config.seed, config.limits.descriptors, config.limits.memory_bytes),
+        ("n3", 0x8c1f_30d2_7a5b_e964, 256, 32 << 20)
     );
     assert_eq!((config.links.idle_timeout_ms, config.links.connect_timeout_ms), (30_000.0, 250.0));
     assert_eq!(
@@ -265,6 +265,8 @@
     assert!(error_for("8c1f30d27a5be964", "eight").contains("seed is invalid"));
     assert!(error_for("127.0.0.1:6379", "there").contains("listen is invalid"));
     assert!(error_for("\"sockets\":256", "\"sockets\":0").contains("limits.sockets is invalid"));
+    assert!(error_for("\"memory_mb\":32,", "").contains("limits.memory_mb is missing"));
+    assert!(error_for("\"memory_mb\":32", "\"memory_mb\":-1").contains("limits.memory_mb is invalid"));
     assert!(error_for("\"GoalTimeMs\":120.0", "\"GoalTimeMs\":-1").contains("Classes[0].GoalTimeMs"));
     assert!(error_for("\"health\":\"SERVING\"", "\"health\":\"?\"").contains("known: hosts[0].health"));
     assert!(Config::parse(b"{").unwrap_err().to_string().contains("line 1"));
