A connection that waits for bytes is looked at each 5 ms until it is read

Cause, by reading: a connection that is not read for want of bytes was looked at each 5 ms only while there was still no room at that moment.

Change: it is looked at unless it waits for a notification, which is sent where 32 commands were open. The tests of pearfork-serving and gateway/tests/memory.rs pass; the gap itself is a few instructions wide and has no test.

--- a/crates/serving/src/client.rs
+++ b/crates/serving/src/client.rs
@@ -106,9 +106,10 @@
         !self.has_open_commands() && !self.has_unsent()
     }
 
-    /// Whether the connection can be read again without a notification to the mailbox.
+    /// Whether the connection, which is not read, can become readable without a notification to the mailbox:
+    /// as the client takes replies, or as any connection releases bytes.
     pub(crate) fn waits_for_bytes(&self) -> bool {
-        self.has_unsent() || !self.account.may_read()
+        self.has_unsent() || !lock(&self.queue).notify_below_limit
     }
 
     /// Reserves the slot for the reply to the next command.
