Number the review's cases by gravity, and drop the one of immediate writes

A graver one takes the place of the immediate write, which is of the same kind as case 10 and stays as a remark in its claim.

Change: the gone client's write is case 8, the restarted host's key is case 10. Ports are taken from below those that systems give to connections.

--- a/review/7/main.rs
+++ b/review/8/main.rs
@@ -16,7 +16,7 @@
 
 fn main() {
     main_with(|root, record| {
-        let folder = TempFolder::new("case7")?;
+        let folder = TempFolder::new("case8")?;
         let node = Node::start("1", BLOCK, Duration::from_millis(1_200), record)?;
         let directory = directory(vec![(1, 0, node.address)])?;
         let mut gateways = Vec::new();
@@ -25,7 +25,7 @@
             let config = folder.0.join(format!("host{number}.toml"));
             // A connection with its login has 1.5 s to come up.
             let transport = "connect_timeout = \"1500ms\"";
-            HostConfig { number, hosts: 2, listen, directory, transport, block: "512B" }.write(&config)?;
+            HostConfig { number, hosts: 2, listen, directory, transport, block: "512B", volumes_before: "" }.write(&config)?;
             gateways.push(Gateway::serve(root, &config, listen, &folder.0.join("log"))?);
         }
         let limit = Duration::from_secs(10);
--- a/review/9/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 set -um
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-program=$root/target/review-2/case9
+program=$root/target/review-2/case8
 for needed in "$program" "$root/target/release/pearfork-gateway"; do
     if [ ! -x "$needed" ]; then
         echo "$needed is missing: run the build of deploy/balancer.toml and review/build-2.sh" | tee "$here/record.txt"
--- a/review/standins-2/iscsi.rs
+++ b/review/standins-2/iscsi.rs
@@ -61,9 +61,19 @@
     }
 }
 
-/// A loopback address that nobody listens at now.
+/// A loopback address that nobody listens at now. Its port is below those that systems give to connections, so
+/// that none of these takes it before the gateway does.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let nanos = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos();
+    let start = nanos.wrapping_add(std::process::id().wrapping_mul(40_503));
+    for _ in 0..2_000 {
+        let port = 12_000 + start.wrapping_add(NEXT.fetch_add(7, Ordering::SeqCst)) % 18_000;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::other("no free port"))
 }
 
 /// The gateway as a process; killed at the end.
@@ -130,6 +140,18 @@
         matches!(self.child.lock().unwrap().try_wait(), Ok(None))
     }
 
+    /// SIGTERM, and the end of the process, which is waited for. Returns whether it ended by itself.
+    pub fn terminate(&mut self, limit: Duration) -> bool {
+        let _ = Command::new("kill").arg("-TERM").arg(self.pid().to_string()).status();
+        let until = Instant::now() + limit;
+        while self.is_running() && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let ended = !self.is_running();
+        self.kill();
+        ended
+    }
+
     /// SIGKILL, and the end of the process.
     pub fn kill(&mut self) {
         end(&self.child);
@@ -750,11 +772,13 @@
     pub directory: SocketAddr,
     pub transport: &'static str,
     pub block: &'static str,
+    /// Tables of volumes above that of the volume "demo".
+    pub volumes_before: &'static str,
 }
 
 impl HostConfig {
     pub fn write(&self, file: &Path) -> io::Result<()> {
-        let HostConfig { number, hosts, listen, directory, transport, block } = self;
+        let HostConfig { number, hosts, listen, directory, transport, block, volumes_before } = self;
         let text = format!(
             r#"[host]
 number = {number}
@@ -820,7 +844,7 @@
 name = "standard"
 nominal = 400
 
-[[volume]]
+{volumes_before}[[volume]]
 name = "demo"
 target = "iqn.2026-12.org.pearfork:demo"
 lun = 0
