A WRITE of the length that Block Limits state is stored whole; longer ones are refused

Cause: Block Limits stated 2,048 blocks whatever transport.max_transfer was (1 MiB by default). Beyond it the target fetched no data and passed the command on, and the frontend took the missing data for a client that had announced less than its CDB.

Change: volumes state the lower of 2,048 blocks and max_transfer, whose default is now what volumes have stated all along (8 MiB). A command whose announced data was not fetched, or that announces the wrong direction, is an illegal request without effect. A node's GOOD with a residual is an error of the attempt. A max_transfer below two blocks of a volume is an error of the settings.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -122,6 +122,7 @@
     pub connection: Arc<Connection<CommandId>>,
     events: Receiver<ConnectionEvent<CommandId>>,
     lun: u16,
+    block_len: u32,
     next_id: std::cell::Cell<u32>,
 }
 
@@ -147,25 +148,37 @@
         let tap = recorder.tap(Endpoint::Client { host }, |_, _, _| {}).map(|t| (t, 0));
         let on_event = move |e| drop(sender.send(e));
         let connection = Connection::open(address, config, TIMEOUT, StreamTap(tap), on_event)?;
-        Ok(TestInitiator { connection, events, lun: volume.lun, next_id: std::cell::Cell::new(1) })
+        let (lun, block_len) = (volume.lun, volume.unit.block_len);
+        Ok(TestInitiator { connection, events, lun, block_len, next_id: std::cell::Cell::new(1) })
     }
 
-    /// Sends a command without waiting for its completion.
-    pub fn submit(&self, op: MediaOp, lba: u64, blocks: u32, data: Vec<u8>) -> CommandId {
-        let media = MediaCommand { op, lba, blocks, fua: false, group: 0 };
+    /// Sends a command with any CDB without waiting for its completion.
+    pub fn submit_cdb(&self, cdb: [u8; 16], read_len: u32, data: Vec<u8>) -> CommandId {
         let id = CommandId(self.next_id.get());
         self.next_id.set(id.0 + 1);
-        let command = Command {
-            lun: encode_lun(self.lun),
-            cdb: media.to_cdb(),
-            read_len: media.data_in_length(512) as u32,
-            data: Payload::from(data),
-            metadata: None,
-        };
+        let data = Payload::from(data);
+        let command = Command { lun: encode_lun(self.lun), cdb, read_len, data, metadata: None };
         self.connection.submit(id, command).expect("an open session");
         id
     }
 
+    /// The length of the longest command that the volume states in its Block Limits page, in blocks.
+    pub fn stated_max_blocks(&self) -> u32 {
+        const BLOCK_LIMITS_PAGE: u8 = 0xb0;
+        const PAGE_LEN: u8 = 64;
+        let mut inquiry = [0; 16];
+        inquiry[..5].copy_from_slice(&[0x12, 1, BLOCK_LIMITS_PAGE, 0, PAGE_LEN]);
+        self.submit_cdb(inquiry, u32::from(PAGE_LEN), Vec::new());
+        let page = self.next_completion().1.data.to_bytes();
+        u32::from_be_bytes(page[8..12].try_into().expect("four bytes"))
+    }
+
+    /// Sends a command without waiting for its completion.
+    pub fn submit(&self, op: MediaOp, lba: u64, blocks: u32, data: Vec<u8>) -> CommandId {
+        let media = MediaCommand { op, lba, blocks, fua: false, group: 0 };
+        self.submit_cdb(media.to_cdb(), media.data_in_length(self.block_len) as u32, data)
+    }
+
     pub fn next_event(&self) -> ConnectionEvent<CommandId> {
         self.events.recv_timeout(TIMEOUT).expect("an event")
     }
@@ -187,7 +200,7 @@
     }
 
     pub fn write(&self, lba: u64, blocks: u32, fill: u8) -> CommandCompletion {
-        self.execute(MediaOp::Write, lba, blocks, vec![fill; blocks as usize * 512])
+        self.execute(MediaOp::Write, lba, blocks, vec![fill; (blocks * self.block_len) as usize])
     }
 
     pub fn read(&self, lba: u64, blocks: u32) -> CommandCompletion {
--- a/crates/host/src/frontend.rs
+++ b/crates/host/src/frontend.rs
@@ -9,7 +9,9 @@
 use crossbeam_channel::Sender;
 use pearfork_iscsi::{AccessControl, LoginStatus, Payload, Response, ScsiCommand, TaskTag, TmfFunction};
 use pearfork_net::{Clock, Session, SessionHandler};
-use pearfork_scsi::{decode_lun, encode_lun, report_luns, status, Cdb, MediaOp, Sense, UnitResponse};
+use pearfork_scsi::{
+    decode_lun, encode_lun, report_luns, status, Cdb, MediaCommand, MediaOp, Sense, UnitResponse,
+};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -151,8 +153,15 @@
             other => return Err(local_response(other)),
         };
         let block = volume.unit.block_len;
+        if !announces_direction(command, &media, block) {
+            return Err(check_condition(Sense::INVALID_FIELD));
+        }
         let full = media.transfer_length(block);
         let sent = command.data.len() as u64;
+        if sent < media.data_out_length(block) && !command.has_all_data() {
+            // The client announced more than one command may transfer, so its data was not fetched.
+            return Err(check_condition(Sense::INVALID_FIELD));
+        }
         if media.op == MediaOp::CompareAndWrite && sent != media.data_out_length(block) {
             // With too little or too much data, COMPARE AND WRITE would compare or write other blocks than
             // the client meant.
@@ -185,6 +194,15 @@
     all.into_iter()
 }
 
+/// Whether a command announces the direction in which its CDB transfers data, or that it transfers none: the
+/// residual count could not express that nothing was transferred in the other one.
+fn announces_direction(command: &ScsiCommand, media: &MediaCommand, block: u32) -> bool {
+    let contradicts = |is_announced: bool, length: u64| is_announced && length == 0;
+    media.transfer_length(block) == 0
+        || !(contradicts(command.reads, media.data_in_length(block))
+            || contradicts(command.writes, media.data_out_length(block)))
+}
+
 fn check_condition(sense: Sense) -> Response {
     Response { status: status::CHECK_CONDITION, sense: sense.to_bytes(), ..Default::default() }
 }
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -272,9 +272,11 @@
 /// Maps the SCSI status from a node to the outcome of the attempt.
 fn outcome_of(done: CommandCompletion, read_len: usize) -> AttemptEnd {
     match done.status {
-        // GOOD with fewer bytes than requested is an error; the client would take the short data for the
-        // whole.
-        status::GOOD if done.data.len() == read_len => AttemptEnd::Served(Completion::Good(done.data)),
+        // GOOD with fewer bytes than requested, or with a residual of a write, is an error: the client would
+        // take the short data for the whole.
+        status::GOOD if done.data.len() == read_len && done.residual == 0 => {
+            AttemptEnd::Served(Completion::Good(done.data))
+        }
         // SAM-5: with BUSY and TASK SET FULL the command never entered the task set.
         status::BUSY | status::TASK_SET_FULL => AttemptEnd::Rejected,
         status::CHECK_CONDITION => match Sense::key_and_code(&done.sense) {
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -32,6 +32,9 @@
 /// The format of settings files that this version reads.
 pub const FORMAT: u32 = 1;
 
+/// Blocks that any volume's commands may transfer: a COMPARE AND WRITE of one block transfers two.
+const MIN_TRANSFER_BLOCKS: u64 = 2;
+
 /// Alternative keys of a table: one that a later layer sets removes the other that an earlier layer set.
 const EXCLUSIVE: &[[&str; 3]] = &[["match", "rules", "file"]];
 
@@ -115,7 +118,7 @@
     pub sessions: usize,
     /// Maximum number of open commands of one session.
     pub commands: u32,
-    /// Maximum number of bytes of one command.
+    /// Maximum number of bytes of one command. No volume states a longer one to its clients.
     pub max_transfer: usize,
     /// How long a shutdown waits for open commands.
     pub drain: Span,
@@ -517,6 +520,10 @@
             if extent * 64 < u64::from(MAX_TRANSFER_BLOCKS) * block {
                 self.error(&entry, "extent is too small: one command could have more than 64 parts");
             }
+            let max_transfer = file.transport.max_transfer.bytes();
+            if max_transfer < MIN_TRANSFER_BLOCKS * block {
+                self.error("transport.max_transfer", format!("must be two blocks of {entry} at least"));
+            }
             if v.shards.is_empty() {
                 self.error(&entry, "shards is empty; the volume names no shard");
                 continue;
@@ -545,6 +552,7 @@
                 unit: LogicalUnit {
                     blocks: (size / block).max(1),
                     block_len: block as u32,
+                    max_transfer_blocks: (max_transfer / block).min(u64::from(MAX_TRANSFER_BLOCKS)) as u32,
                     serial: v.name.clone(),
                 },
                 extent_blocks: extent / block,
--- a/crates/host/src/settings/tables.rs
+++ b/crates/host/src/settings/tables.rs
@@ -161,7 +161,7 @@
             extension: true,
             sessions: 4096,
             commands: 64,
-            max_transfer: Size::from_bytes(1 << 20),
+            max_transfer: Size::from_bytes(8 << 20),
             drain: Span::from_ms(5_000.0),
         }
     }
--- a/crates/host/src/volumes.rs
+++ b/crates/host/src/volumes.rs
@@ -110,7 +110,12 @@
             name: "v".to_owned(),
             target: "t".to_owned(),
             lun: 0,
-            unit: LogicalUnit { blocks, block_len: 512, serial: "v".to_owned() },
+            unit: LogicalUnit {
+                blocks,
+                block_len: 512,
+                max_transfer_blocks: pearfork_scsi::MAX_TRANSFER_BLOCKS,
+                serial: "v".to_owned(),
+            },
             extent_blocks,
             shards,
             plan: 0,
--- a/crates/iscsi/src/target.rs
+++ b/crates/iscsi/src/target.rs
@@ -41,13 +41,20 @@
     pub reads: bool,
     /// Whether the initiator sends data.
     pub writes: bool,
-    /// The data that the initiator sent. It is shorter than `expected_length` only if that exceeds
-    /// [`Limits::max_transfer_bytes`].
+    /// The data that the initiator sent; see [`ScsiCommand::has_all_data`].
     pub data: Payload,
     /// The host's metadata, if the node extension was negotiated.
     pub metadata: Option<CommandMetadata>,
 }
 
+impl ScsiCommand {
+    /// Whether all data that the initiator announced was received. It is not if it announced more than
+    /// [`Limits::max_transfer_bytes`]: the target does not request the rest then.
+    pub fn has_all_data(&self) -> bool {
+        !self.writes || self.data.len() as u64 >= u64::from(self.expected_length)
+    }
+}
+
 /// The response to a command.
 #[derive(Clone, Debug, Default)]
 pub struct Response {
--- a/crates/scsi/src/unit.rs
+++ b/crates/scsi/src/unit.rs
@@ -3,8 +3,10 @@
 use crate::cdb::{Cdb, MediaCommand, MediaOp};
 use crate::sense::Sense;
 
-/// Maximum number of blocks of one transfer, as reported in the Block Limits page.
+/// Largest [`LogicalUnit::max_transfer_blocks`].
 pub const MAX_TRANSFER_BLOCKS: u32 = 2048;
+/// Number of blocks of a transfer that the Block Limits page recommends.
+const OPTIMAL_TRANSFER_BLOCKS: u32 = 128;
 /// Maximum number of blocks of a COMPARE AND WRITE; a single block never crosses an extent.
 const MAX_COMPARE_BLOCKS: u8 = 1;
 
@@ -15,6 +17,8 @@
     pub blocks: u64,
     /// Size of a block in bytes.
     pub block_len: u32,
+    /// Maximum number of blocks of one command, as the Block Limits page states it.
+    pub max_transfer_blocks: u32,
     /// A permanent ASCII identifier of the volume, used as serial number and in designators.
     pub serial: String,
 }
@@ -127,7 +131,7 @@
                 }
                 UnitResponse::Media(m)
             }
-            _ if m.blocks > MAX_TRANSFER_BLOCKS => UnitResponse::CheckCondition(Sense::INVALID_FIELD),
+            _ if m.blocks > self.max_transfer_blocks => UnitResponse::CheckCondition(Sense::INVALID_FIELD),
             _ => UnitResponse::Media(m),
         }
     }
@@ -174,8 +178,9 @@
             0xb0 => {
                 let mut d = vec![0; 60];
                 d[1] = MAX_COMPARE_BLOCKS;
-                d[4..8].copy_from_slice(&MAX_TRANSFER_BLOCKS.to_be_bytes());
-                d[8..12].copy_from_slice(&128u32.to_be_bytes());
+                d[4..8].copy_from_slice(&self.max_transfer_blocks.to_be_bytes());
+                let optimal = OPTIMAL_TRANSFER_BLOCKS.min(self.max_transfer_blocks);
+                d[8..12].copy_from_slice(&optimal.to_be_bytes());
                 d
             }
             0xb1 => {
@@ -250,7 +255,12 @@
     use super::*;
 
     fn unit(blocks: u64) -> LogicalUnit {
-        LogicalUnit { blocks, block_len: 512, serial: "vol0".to_owned() }
+        LogicalUnit {
+            blocks,
+            block_len: 512,
+            max_transfer_blocks: MAX_TRANSFER_BLOCKS,
+            serial: "vol0".to_owned(),
+        }
     }
 
     fn read(lba: u64, blocks: u32) -> Cdb {
--- a/crates/stand/src/node.rs
+++ b/crates/stand/src/node.rs
@@ -7,7 +7,7 @@
 use pearfork_net::{lock, spawn_small_stack, Portal, PortalConfig, Session, SessionHandler, SessionId};
 use pearfork_rulecheck::wire::opcode;
 use pearfork_rulecheck::{Endpoint, TraceEventKind};
-use pearfork_scsi::{decode_lun, status, Cdb, MediaCommand, MediaOp, Sense};
+use pearfork_scsi::{decode_lun, status, Cdb, MediaCommand, MediaOp, Sense, MAX_TRANSFER_BLOCKS};
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -15,6 +15,11 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Maximum number of commands of a session.
+const MAX_COMMANDS: u32 = 256;
+/// Maximum size of a command: the longest of a host, in the largest blocks that volumes have.
+const MAX_TRANSFER_BYTES: usize = MAX_TRANSFER_BLOCKS as usize * 4096;
+
 /// The properties of a node.
 #[derive(Clone, Debug)]
 pub struct FakeNodeSpec {
@@ -87,6 +92,8 @@
     /// Acknowledges writes without storing them. Only a client that verifies the data it reads can detect
     /// this.
     LoseWrites(bool),
+    /// Does not store the last block of a write, and reports it as a residual of its answer GOOD.
+    ShortWrites(bool),
     /// Pauses all work for a time and then continues.
     Pause(Duration),
     /// Requests a logout of all sessions, as a draining node does.
@@ -126,6 +133,7 @@
     rejects: AtomicBool,
     forgets_keys: AtomicBool,
     loses_writes: AtomicBool,
+    shortens_writes: AtomicBool,
     resets_at_r2t: AtomicBool,
     /// Factor on the time for work, in thousandths.
     slowdown: AtomicU32,
@@ -235,6 +243,7 @@
             NodeFault::RejectRequests(on) => s.rejects.store(on, Ordering::SeqCst),
             NodeFault::ForgetKeys(on) => s.forgets_keys.store(on, Ordering::SeqCst),
             NodeFault::LoseWrites(on) => s.loses_writes.store(on, Ordering::SeqCst),
+            NodeFault::ShortWrites(on) => s.shortens_writes.store(on, Ordering::SeqCst),
             NodeFault::ResetAtR2t(on) => s.resets_at_r2t.store(on, Ordering::SeqCst),
             NodeFault::Pause(span) => *lock(&s.paused_until) = Some(Instant::now() + span),
             NodeFault::Reset => process.sessions().iter().for_each(|s| s.close()),
@@ -286,7 +295,7 @@
         });
         let config = PortalConfig {
             access: Arc::new(AllowAll),
-            limits: Limits { max_commands: 256, max_transfer_bytes: 4 << 20 },
+            limits: Limits { max_commands: MAX_COMMANDS, max_transfer_bytes: MAX_TRANSFER_BYTES },
             max_sessions: 1024,
             max_unsent_bytes: 16 << 20,
             first_tsih: 0,
@@ -438,7 +447,7 @@
         drop(queue);
         let response = match result {
             Ok(data) => {
-                let full_length = job.command.expected_length.into();
+                let full_length = u64::from(job.command.expected_length) - self.untransferred_bytes(&job);
                 Response { data, full_length, report: Some(report), ..Default::default() }
             }
             Err(sense) => Response {
@@ -451,15 +460,27 @@
         job.session.respond(job.command.tag, response);
     }
 
+    /// Bytes of a block, which nodes do not know of a volume: it follows from the transfer length of the command
+    /// in bytes.
+    fn block_bytes(job: &Job) -> u64 {
+        u64::from(job.command.expected_length).checked_div(job.media.transfer_length(1)).unwrap_or(0)
+    }
+
+    /// Bytes of a write that the injected fault keeps from being stored.
+    fn untransferred_bytes(&self, job: &Job) -> u64 {
+        let is_short = self.faults.shortens_writes.load(Ordering::SeqCst) && job.media.op == MediaOp::Write;
+        if is_short {
+            Self::block_bytes(job)
+        } else {
+            0
+        }
+    }
+
     /// Executes a command on the store and returns the data read. A repeated WRITE whose key the rack has
     /// seen is discarded and succeeds, unless the node has the fault of forgetting keys. Every other write
     /// command with a key is recorded as applied, even where the injected fault of lost writes then skips it.
     fn apply(&self, job: &Job, key: Option<IdempotencyKey>) -> Result<Payload, Sense> {
-        // Nodes do not know the block size of a volume. It follows from the transfer length of the command in
-        // bytes.
-        let blocks_moved = job.media.transfer_length(1);
-        let block_bytes =
-            u64::from(job.command.expected_length).checked_div(blocks_moved).unwrap_or(0) as u32;
+        let block_bytes = Self::block_bytes(job) as u32;
         if !job.media.is_write() {
             return self.store.execute(job.volume, &job.media, block_bytes, &job.command.data);
         }
@@ -478,7 +499,8 @@
         if self.faults.loses_writes.load(Ordering::SeqCst) && job.media.op == MediaOp::Write {
             return Ok(Payload::new());
         }
-        self.store.execute(job.volume, &job.media, block_bytes, &job.command.data)
+        let stored_bytes = job.command.data.len() - self.untransferred_bytes(job) as usize;
+        self.store.execute(job.volume, &job.media, block_bytes, &job.command.data.slice(0, stored_bytes))
     }
 }
 
@@ -501,6 +523,11 @@
                 return session.respond(command.tag, response);
             }
         };
+        if !command.has_all_data() {
+            let sense = Sense::INVALID_FIELD.to_bytes();
+            let response = Response { status: status::CHECK_CONDITION, sense, ..Default::default() };
+            return session.respond(command.tag, response);
+        }
         let volume =
             command.metadata.map_or_else(|| u32::from(decode_lun(command.lun).unwrap_or(0)), |t| t.volume);
         let units = command.metadata.map_or(1.0, |t| f64::from(t.milli_units) / 1_000.0);
--- a/fuzz/fuzz_targets/target.rs
+++ b/fuzz/fuzz_targets/target.rs
@@ -33,7 +33,7 @@
         pdu.resize(pdu.len().next_multiple_of(4), 0);
         target.decoder().buffer().extend_from_slice(&pdu);
     }
-    let unit = LogicalUnit { blocks: 1 << 33, block_len: 512, serial: "s".to_owned() };
+    let unit = LogicalUnit { blocks: 1 << 33, block_len: 512, max_transfer_blocks: 2048, serial: "s".to_owned() };
     for piece in rest.chunks(97) {
         target.decoder().buffer().extend_from_slice(piece);
         target.process(&mut events);
