Attempts of ended requests are withdrawn wherever they wait, on both fronts by one step

Cause: the driver left attempts of an ended request to each host. The platform's host withdrew them (abandon_unsent), Dispatcher::abandon did not.

Change: Driver yields Step::WithdrawUnsent for each attempt in flight of a request that ends, and both hosts carry it out. A connection sends queued commands when its writer is free, so that what waits behind a node that does not read can be withdrawn; a write without all its data is aborted; aborted tasks get no more data. Dropped commands are reported as not sent instead of ending as timed out.

The test of an abandoned command expected no output; it now expects exactly the withdrawal and the cleared flag. A case of the driver's test of a disconnected client is stricter likewise.

--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -216,6 +216,7 @@
         unit_work: scenario.nodes.unit_work.duration(),
         deferred_fraction: scenario.nodes.deferred_fraction,
         repeat_window: scenario.nodes.repeat_window.duration(),
+        ..FakeClusterSpec::default()
     };
     let directory_delay = scenario.run.directory_delay.duration();
     let cluster = FakeCluster::start(&spec, &settings.scheduler, any_port, directory_delay, &recorder)?;
--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -67,6 +67,16 @@
         /// [`AttemptResult::Cancelled`] or [`AttemptResult::TimedOut`].
         result: AttemptResult,
     },
+    /// The request of an attempt in flight is over: it was answered, or its client has gone. An attempt that has
+    /// not been sent completely must not be sent any more, wherever it waits, and is reported as
+    /// [`AttemptResult::NotSent`]. One that has been sent is still waited for, since its response informs the
+    /// scheduler about the node.
+    WithdrawUnsent {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The node that it was to be sent to.
+        node: u32,
+    },
     /// The final answer: refused.
     Refused {
         /// The request.
@@ -136,6 +146,8 @@
     /// Requests that got their final answer while events were queued for the scheduler, with the numbers of
     /// their attempts. The scheduler may still send attempts for them, as it does not know of their end yet.
     ended_requests: HashMap<u32, u16>,
+    /// Attempts in flight whose requests are over and that are not withdrawn yet.
+    unneeded: Vec<AttemptId>,
     in_flight: HashMap<AttemptId, Attempt>,
     timers: BinaryHeap<Reverse<(FiniteTime, u64, TimerKind)>>,
     last_timer_number: u64,
@@ -156,6 +168,7 @@
             ids: RequestIds::default(),
             requests: HashMap::new(),
             ended_requests: HashMap::new(),
+            unneeded: Vec::new(),
             in_flight: HashMap::new(),
             timers: BinaryHeap::new(),
             last_timer_number: 0,
@@ -180,8 +193,8 @@
         self.events.push_back(Event::Request(request));
     }
 
-    /// Notes that the client of a request disconnected. Attempts in flight are still waited for, since their
-    /// responses inform the scheduler about the nodes.
+    /// Notes that the client of a request disconnected or no longer waits. The next [`Driver::process_events`]
+    /// yields a [`Step::WithdrawUnsent`] for each of its attempts in flight.
     pub fn abandon(&mut self, id: u32) {
         if self.end_request(id) {
             self.events.push_back(Event::Abandoned { id });
@@ -205,7 +218,8 @@
     }
 
     /// Notes that an attempt ended at `ended_at` on the caller's clock. Returns whether this served an open
-    /// request, so that the client gets the node's response.
+    /// request, so that the client gets the node's response. The next [`Driver::process_events`] withdraws the
+    /// request's other attempts.
     ///
     /// A response after the attempt's timeout returns false. The attempt is over for the scheduler by then,
     /// and a late success must not answer a request that was refused in the meantime, nor another one that
@@ -289,12 +303,14 @@
 
     /// Passes queued events to the scheduler and collects the resulting steps, until no event is left.
     pub fn process_events(&mut self, now: f64, steps: &mut Vec<Step>) {
+        self.withdraw_unneeded(steps);
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
             self.scheduler.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.carry_out(now, action, steps);
             }
+            self.withdraw_unneeded(steps);
             self.actions = actions;
         }
         self.ended_requests.clear();
@@ -304,9 +320,19 @@
     fn end_request(&mut self, id: u32) -> bool {
         let Some(open_request) = self.requests.remove(&id) else { return false };
         self.ended_requests.insert(id, open_request.attempts);
+        let attempts = (0..open_request.attempts).map(|number| AttemptId { request: id, number });
+        self.unneeded.extend(attempts.filter(|attempt| self.in_flight.contains_key(attempt)));
         true
     }
 
+    fn withdraw_unneeded(&mut self, steps: &mut Vec<Step>) {
+        for attempt in self.unneeded.drain(..) {
+            // It may have ended since.
+            let in_flight = self.in_flight.get(&attempt);
+            steps.extend(in_flight.map(|a| Step::WithdrawUnsent { attempt, node: a.node }));
+        }
+    }
+
     fn carry_out(&mut self, now: f64, action: Action, steps: &mut Vec<Step>) {
         match action {
             Action::Send { id, node, timeout_ms, write_deadline_ms } => {
--- a/crates/drive/tests/driver.rs
+++ b/crates/drive/tests/driver.rs
@@ -106,6 +106,7 @@
     driver.abandon(attempt.request);
     let mut steps = Vec::new();
     driver.process_events(1.0, &mut steps);
+    assert_eq!(steps, [Step::WithdrawUnsent { attempt, node: 7 }]);
     assert!(driver.is_in_flight(attempt));
     assert!(!driver.attempt_ended(20.0, attempt, AttemptResult::Served, NodeReport::default()));
     assert!(!driver.is_in_flight(attempt));
@@ -253,6 +254,21 @@
     }
 }
 
+/// Guards against a second attempt that waits for a connection and goes out although the first was served.
+#[test]
+fn the_other_attempts_of_a_served_request_are_withdrawn() {
+    for (served, withdrawn) in [(0, 1), (1, 0)] {
+        let mut driver = driver_with_nodes(hedging_after_50_ms(), &[7, 8]);
+        let first = send_first_attempt(&mut driver);
+        let attempts = [first, attempts_sent_between(&mut driver, 0..400)[0]];
+        let node = driver.node_of(attempts[withdrawn]).unwrap();
+        assert!(driver.attempt_ended(400.0, attempts[served], AttemptResult::Served, NodeReport::default()));
+        let mut steps = Vec::new();
+        driver.process_events(400.0, &mut steps);
+        assert!(steps.contains(&Step::WithdrawUnsent { attempt: attempts[withdrawn], node }), "{steps:?}");
+    }
+}
+
 #[test]
 fn no_retry_is_sent_after_the_client_disconnected() {
     for is_connected in [true, false] {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -116,8 +116,8 @@
         cores: embedded.cores,
         queue_capacity: embedded.waiting,
         unit_work: embedded.work.duration(),
-        deferred_fraction: 0.0,
         repeat_window: Duration::from_secs_f64(longest_window_ms / 1_000.0),
+        ..FakeClusterSpec::default()
     };
     FakeCluster::start(
         &spec,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Test environment of `pearfork_host`: hosts, fake nodes and an initiator in one process, on loopback.
 #![allow(dead_code)]
 
+pub mod node_relay;
+
 use pearfork_day::{check_events, rule_parameters};
 use pearfork_host::settings::HostSettings;
 use pearfork_host::Host;
@@ -43,12 +45,23 @@
     }
 
     pub fn with(hosts: u16, spec: &FakeClusterSpec, settings_text: &str) -> TestEnv {
+        Self::with_cluster(hosts, spec, settings_text, |_| {})
+    }
+
+    /// Like [`TestEnv::with`]; `prepare` changes the nodes before any host starts.
+    pub fn with_cluster(
+        hosts: u16,
+        spec: &FakeClusterSpec,
+        settings_text: &str,
+        prepare: impl FnOnce(&FakeCluster),
+    ) -> TestEnv {
         let mut settings = HostSettings::from_toml(settings_text).unwrap_or_else(|e| panic!("{e}"));
         settings.scheduler.hosts = u32::from(hosts);
         settings.volumes.iter_mut().for_each(|v| v.hosts = u32::from(hosts));
         let recorder = Recorder::default();
         let fleet =
             FakeCluster::start(spec, &settings.scheduler, any_port(), Duration::ZERO, &recorder).unwrap();
+        prepare(&fleet);
         let mut env = TestEnv { settings, fleet, hosts: Vec::new(), recorder };
         (0..hosts).for_each(|number| env.add_host(number));
         env
@@ -97,6 +110,17 @@
         .expect("a login")
     }
 
+    /// The number of PDUs with this opcode that a node has received.
+    pub fn received_by_node(&self, node: u32, opcode: u8) -> usize {
+        let is_counted = |kind: &TraceEventKind| match kind {
+            TraceEventKind::Pdu { endpoint, sent: false, header, .. } => {
+                *endpoint == Endpoint::Node { node } && header.opcode() == opcode
+            }
+            _ => false,
+        };
+        self.recorder.events().iter().filter(|event| is_counted(&event.kind)).count()
+    }
+
     /// The number of writes that nodes have applied.
     pub fn applied_count(&self) -> usize {
         self.recorder.events().iter().filter(|n| matches!(n.kind, TraceEventKind::Applied { .. })).count()
--- a/crates/host/src/dispatcher.rs
+++ b/crates/host/src/dispatcher.rs
@@ -155,6 +155,9 @@
     Send(u32, Box<OutgoingAttempt>),
     /// Abort an attempt at its node: its result is no longer needed.
     Abort(u32, AttemptId),
+    /// Give up an attempt that has not been sent completely, and report it as [`AttemptEnd::NotSent`]: its request
+    /// is over.
+    Withdraw(u32, AttemptId),
     /// Give a command its final answer.
     Answer(CommandId, FinalAnswer),
     /// Start or stop watching the directory for changes of the node list.
@@ -437,6 +440,10 @@
                     _ => counts.timed_out += 1,
                 }
             }
+            Step::WithdrawUnsent { attempt, node } => {
+                self.clear_wanted(attempt);
+                out.push(Output::Withdraw(node, attempt));
+            }
             Step::Refused { id, retry_after_ms, reason } => {
                 self.part_ended(now, id, PartOutcome::Refused(retry_after_ms), Some(reason), out)
             }
@@ -478,7 +485,8 @@
         out.push(Output::Send(node, Box::new(outgoing)));
     }
 
-    /// Clears the flag of an attempt that has ended for the host, so that a queued one is not sent.
+    /// Clears the flag of an attempt that has ended for the host or that nobody waits for, so that a queued one is
+    /// not sent.
     fn clear_wanted(&mut self, id: AttemptId) {
         self.wanted.remove(&id).iter().for_each(|wanted| wanted.store(false, Ordering::SeqCst));
     }
--- a/crates/host/src/engine.rs
+++ b/crates/host/src/engine.rs
@@ -101,6 +101,7 @@
         match output {
             Output::Send(node, attempt) => links.send(node, *attempt),
             Output::Abort(node, id) => links.abort(node, id),
+            Output::Withdraw(node, id) => links.withdraw(node, id),
             Output::Answer(id, answer) => handler.answer(id, answer),
             Output::Watch(on) => handler.watch(on),
             Output::FetchNodeList => handler.fetch_node_list(),
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -167,15 +167,7 @@
     }
 
     fn submit(&self, connection: &Connection<Sent>, attempt: OutgoingAttempt) {
-        if !attempt.wanted.load(Ordering::SeqCst) {
-            return;
-        }
         let not_after = attempt.not_after_ms.is_finite().then(|| self.clock.instant(attempt.not_after_ms));
-        if has_passed(not_after) {
-            // A host that was suspended between the decision and this point would send on a share of the
-            // volume's limit that may by now be lent to another host.
-            return self.report_unsent(attempt.id, AttemptEnd::NotSent);
-        }
         let read_len = attempt.media.data_in_length(attempt.block_len) as u32;
         let command = Command {
             lun: encode_lun(attempt.volume.0 as u16),
@@ -186,7 +178,7 @@
         };
         let sent = Sent { id: attempt.id, wanted: attempt.wanted, not_after, read_len: read_len as usize };
         if let Err(sent) = connection.submit(sent, command) {
-            self.report_connect_failed(sent.id);
+            self.report_unsent(sent.id, end_of_unsent(&sent));
         }
     }
 
@@ -220,6 +212,29 @@
         }
     }
 
+    /// Gives up an attempt that has not been sent completely, and reports it as not sent. One that has been sent
+    /// stays, and one on a connection that is being closed is reported by the connection.
+    pub(crate) fn withdraw(&self, node: u32, id: AttemptId) {
+        let Some(link) = lock(&self.links).get(&node).cloned() else { return };
+        let mut state = lock(&link.state);
+        let is_withdrawn = match &mut *state {
+            State::Open(c) => {
+                let c = c.clone();
+                drop(state);
+                !c.withdraw(|t| t.id == id).is_empty()
+            }
+            State::Opening(waiting) => {
+                let before = waiting.len();
+                waiting.retain(|a| a.id != id);
+                waiting.len() < before
+            }
+            State::Closed => false,
+        };
+        if is_withdrawn {
+            self.report_unsent(id, AttemptEnd::NotSent);
+        }
+    }
+
     /// Closes the connection to a node if nothing is in flight on it.
     pub(crate) fn close_idle(&self, node: u32) {
         let Some(link) = lock(&self.links).get(&node).cloned() else { return };
@@ -246,8 +261,18 @@
     }
 }
 
-/// Reports to the engine the end of each attempt that an event of a connection ends. Attempts that were not
-/// yet sent when the connection closed end as `ConnectFailed`, since they did not run.
+/// How an attempt ended that was not sent: for lack of a connection, or because it must not be sent any more. It
+/// must not if its request is over, or if the share of the volume's limit that pays for it may by now be lent to
+/// another host.
+fn end_of_unsent(sent: &Sent) -> AttemptEnd {
+    if sent.is_needed() {
+        AttemptEnd::ConnectFailed
+    } else {
+        AttemptEnd::NotSent
+    }
+}
+
+/// Reports to the engine the end of each attempt that an event of a connection ends.
 fn report_event(engine: &Sender<Message>, node: u32, event: ConnectionEvent<Sent>) {
     let report_end = |id, outcome, report| drop(engine.send(Message::attempt_ended(id, outcome, report)));
     match event {
@@ -257,14 +282,12 @@
         }
         // This host requested the abort and has already counted the attempt as ended.
         ConnectionEvent::Aborted(_) => {}
+        ConnectionEvent::Unsent(sent) => report_end(sent.id, end_of_unsent(&sent), None),
         ConnectionEvent::LogoutRequested => tracing::debug!(node, "the node requested a logout"),
         ConnectionEvent::Closed(why, sent, unsent) => {
             tracing::debug!(node, why, lost = sent.len(), "connection to the node closed");
             sent.into_iter().for_each(|s| report_end(s.id, AttemptEnd::Reset, None));
-            unsent
-                .into_iter()
-                .filter(CommandToken::is_needed)
-                .for_each(|s| report_end(s.id, AttemptEnd::ConnectFailed, None));
+            unsent.into_iter().for_each(|s| report_end(s.id, end_of_unsent(&s), None));
         }
     }
 }
--- a/crates/host/tests/dispatcher.rs
+++ b/crates/host/tests/dispatcher.rs
@@ -168,7 +168,12 @@
     let mut h = TestHost::new();
     let (command, out) = h.submit(MediaOp::Write, 0, 8);
     let attempt = sends(&out).remove(0).1;
-    assert!(h.give(Input::Abandon(command)).is_empty());
+    let out = h.give(Input::Abandon(command));
+    assert!(matches!(out[..], [Output::Withdraw(10, id)] if id == attempt.id), "{out:?}");
+    assert!(
+        !attempt.wanted.load(Ordering::SeqCst),
+        "an attempt that is still queued must not be sent any more"
+    );
     assert!(h.give(Input::AttemptEnded(attempt.id, AttemptEnd::Reset, None)).is_empty());
     let later = h.advance_to(T0 + 4_000.0);
     assert!(later.iter().all(|(_, e)| !matches!(e, Output::Answer(..) | Output::Send(..))));
@@ -186,6 +191,31 @@
     assert_eq!(h.dispatcher.open_commands(), 0);
 }
 
+/// Guards against attempts of a closed session that go out when their connection comes up.
+#[test]
+fn a_closed_session_withdraws_the_attempts_of_all_its_commands() {
+    let mut h = TestHost::new();
+    // The second command has a part on each of two nodes.
+    let attempts: Vec<(u32, AttemptId)> = [(0, 8), (2047, 2)]
+        .into_iter()
+        .flat_map(|(lba, blocks)| sends(&h.submit(MediaOp::Write, lba, blocks).1))
+        .map(|(node, attempt)| (node, attempt.id))
+        .collect();
+    assert_eq!(attempts.len(), 3);
+    let withdrawn: Vec<(u32, AttemptId)> = h
+        .give(Input::SessionClosed(1))
+        .iter()
+        .map(|o| match o {
+            Output::Withdraw(node, id) => (*node, *id),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(withdrawn, attempts);
+    for (_, id) in attempts {
+        assert!(h.give(Input::AttemptEnded(id, AttemptEnd::NotSent, None)).is_empty());
+    }
+}
+
 #[test]
 fn every_attempt_of_a_request_carries_the_same_key_and_its_own_number() {
     let mut h = TestHost::new();
--- a/crates/iscsi/src/initiator.rs
+++ b/crates/iscsi/src/initiator.rs
@@ -101,6 +101,10 @@
 #[derive(Debug)]
 struct Task {
     data_out: Payload,
+    /// Number of bytes of `data_out` that were handed to the encoder.
+    data_sent: usize,
+    /// The target was asked to abort the task, so it gets no more data.
+    aborted: bool,
     read_len: u32,
     received: Payload,
     data_sn: u32,
@@ -218,6 +222,26 @@
         self.is_logged_in() && !sn_less(self.max_cmd_sn, self.cmd_sn)
     }
 
+    /// Number of further commands that the command window allows.
+    pub fn window_room(&self) -> usize {
+        if self.window_open() {
+            self.max_cmd_sn.wrapping_sub(self.cmd_sn) as usize + 1
+        } else {
+            0
+        }
+    }
+
+    /// Whether a command without a response has been sent with all its data. The target requests data beyond the
+    /// first burst, and does not execute the command before it has all of it.
+    pub fn is_sent_whole(&self, itt: u32) -> bool {
+        self.tasks.get(&itt).is_none_or(|task| task.data_sent >= task.data_out.len())
+    }
+
+    /// Number of output bytes that were not taken yet.
+    pub fn unsent_bytes(&self) -> usize {
+        self.encoder.queued_bytes()
+    }
+
     /// Number of commands without a response.
     pub fn outstanding(&self) -> usize {
         self.tasks.len()
@@ -249,12 +273,17 @@
             pdu.data = command.data.slice(0, self.params.first_burst.min(self.params.peer_max_data));
         }
         self.cmd_sn = self.cmd_sn.wrapping_add(1);
+        let task = Task {
+            data_sent: pdu.data.len(),
+            data_out: command.data,
+            aborted: false,
+            read_len: command.read_len,
+            received: Payload::new(),
+            data_sn: 0,
+            lun: command.lun,
+        };
         self.encoder.push(pdu);
-        let (read_len, lun) = (command.read_len, command.lun);
-        self.tasks.insert(
-            itt,
-            Task { data_out: command.data, read_len, received: Payload::new(), data_sn: 0, lun },
-        );
+        self.tasks.insert(itt, task);
         Some(itt)
     }
 
@@ -269,10 +298,11 @@
         }
     }
 
-    /// Asks the target to abort a task. The task keeps its tag until the response to either of the two is
-    /// received.
+    /// Asks the target to abort a task, and sends it no more data. The task keeps its tag until the response to
+    /// either of the two is received.
     pub fn abort(&mut self, itt: u32) {
-        let Some(task) = self.tasks.get(&itt) else { return };
+        let Some(task) = self.tasks.get_mut(&itt) else { return };
+        task.aborted = true;
         let lun = task.lun;
         let tag = self.allocate_tag();
         let mut pdu = Pdu::new(opcode::TASK_MANAGEMENT | 0x40, tag);
@@ -478,16 +508,17 @@
     }
 
     /// Sends the requested bytes of a write in Data-Out PDUs of at most the peer's MaxRecvDataSegmentLength.
-    /// Ignores an R2T for an unknown task. An empty range, or one outside the task's data, is a protocol
+    /// Ignores an R2T for a task that is unknown or was aborted. An empty range, or one outside the task's data, is a protocol
     /// error.
     fn on_r2t(&mut self, pdu: &Pdu) -> Result<(), InitiatorError> {
-        let Some(task) = self.tasks.get(&pdu.itt()) else { return Ok(()) };
+        let Some(task) = self.tasks.get_mut(&pdu.itt()).filter(|task| !task.aborted) else { return Ok(()) };
         let (start, len) = (pdu.u32(40) as usize, pdu.u32(44) as usize);
         if len == 0 || start.saturating_add(len) > task.data_out.len() {
             return Err(InitiatorError::Protocol(format!(
                 "R2T for {len} bytes at offset {start}, outside the data"
             )));
         }
+        task.data_sent = task.data_sent.max(start + len);
         let (mut offset, mut sn) = (0, 0);
         while offset < len {
             let n = (len - offset).min(self.params.peer_max_data);
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -1,6 +1,6 @@
 //! An initiator's connection to a target; several threads may submit commands on it.
 
-use crate::stream::{read_once, spawn_small_stack, write_chunks, Direction, StreamTap};
+use crate::stream::{lock, read_once, spawn_small_stack, write_chunks, Direction, StreamTap};
 use crossbeam_channel::{bounded, Receiver, Sender};
 use pearfork_iscsi::{
     Command, CommandCompletion, Initiator, InitiatorConfig, InitiatorError, InitiatorEvent,
@@ -8,13 +8,12 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// The submitter's identifier of a command; it comes back with the command's completion.
 pub trait CommandToken: Send + 'static {
-    /// Whether the command is still to be sent. Checked just before a command that was queued for the command
-    /// window goes out.
+    /// Whether the command is still to be sent. Checked just before a queued command goes out.
     fn is_needed(&self) -> bool {
         true
     }
@@ -41,13 +40,15 @@
     },
 }
 
-/// An event of a connection, delivered on its reader thread.
+/// An event of a connection, delivered on one of its threads.
 #[derive(Debug)]
 pub enum ConnectionEvent<T> {
     /// A command completed.
     Completed(T, Box<CommandCompletion>),
     /// The target confirmed an abort before it responded to the command.
     Aborted(T),
+    /// A queued command was not sent and never will be: it was aborted, or not needed any more.
+    Unsent(T),
     /// The target asks the initiator to log out.
     LogoutRequested,
     /// The connection is closed: the reason, the commands that were sent and have no response, and the
@@ -59,22 +60,32 @@
     initiator: Initiator,
     /// Commands without a response, by initiator task tag.
     sent: BTreeMap<u32, T>,
-    /// Commands that wait for the command window.
+    /// Commands that wait for the command window and for the writer thread.
     queued: VecDeque<(T, Command)>,
+    /// Commands that were dropped from the queue and are not reported yet.
+    dropped: Vec<T>,
+    /// Output was taken from the initiator and is not written yet.
+    writing: bool,
     open: bool,
 }
 
+type EventHandler<T> = Box<dyn FnMut(ConnectionEvent<T>) + Send>;
+
 /// An iSCSI session with a single connection.
 pub struct Connection<T> {
     state: Mutex<State<T>>,
+    on_event: Mutex<EventHandler<T>>,
     /// Wakes the writer thread.
     wake: Sender<()>,
     stream: TcpStream,
     tsih: u16,
 }
 
-/// Most commands that are queued while the command window is closed.
+/// Most commands that are queued beyond the command window.
 const MAX_QUEUED: usize = 256;
+/// Commands leave the queue while the output to be written is shorter than this, in bytes. One that has left it can
+/// no longer be withdrawn, however long the target does not read.
+const WRITE_BATCH: usize = 16 * 1024;
 
 impl<T: CommandToken> Connection<T> {
     /// Connects and logs in; `timeout` covers both. Afterwards `on_event` is called for each event.
@@ -115,20 +126,36 @@
             _ => 0,
         };
         let (wake, wakeups) = bounded(1);
-        let state = State { initiator, sent: BTreeMap::new(), queued: VecDeque::new(), open: true };
-        let shared_stream = stream.try_clone().map_err(socket_error)?;
-        let connection = Arc::new(Connection { state: Mutex::new(state), wake, stream: shared_stream, tsih });
+        let state = State {
+            initiator,
+            sent: BTreeMap::new(),
+            queued: VecDeque::new(),
+            dropped: Vec::new(),
+            writing: false,
+            open: true,
+        };
+        let connection = Arc::new(Connection {
+            state: Mutex::new(state),
+            on_event: Mutex::new(Box::new(on_event)),
+            wake,
+            stream: stream.try_clone().map_err(socket_error)?,
+            tsih,
+        });
         let (writer, reader) = (connection.clone(), connection.clone());
         let (write_half, write_tap) = (stream.try_clone().map_err(socket_error)?, tap.clone());
         spawn_small_stack("node-writer", move || writer.write_loop(write_half, &wakeups, &write_tap))
             .map_err(socket_error)?;
-        spawn_small_stack("node-reader", move || reader.read_loop(stream, &tap, on_event))
-            .map_err(socket_error)?;
+        spawn_small_stack("node-reader", move || reader.read_loop(stream, &tap)).map_err(socket_error)?;
         Ok(connection)
     }
 
     fn lock(&self) -> MutexGuard<'_, State<T>> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
+    }
+
+    fn deliver(&self, events: impl IntoIterator<Item = ConnectionEvent<T>>) {
+        let mut on_event = lock(&self.on_event);
+        events.into_iter().for_each(&mut **on_event);
     }
 
     /// The TSIH (target session identifying handle) that the target assigned.
@@ -152,27 +179,48 @@
         state.sent.len() + state.queued.len()
     }
 
-    /// Sends a command, or queues it until the command window opens.
+    /// Queues a command, which is sent once the command window is open and the target reads.
     ///
     /// # Errors
-    /// Returns the token if the connection is closed or too many commands are queued. Nothing was sent.
+    /// Returns the token if the connection is closed, too many commands are queued, or the command is not needed.
+    /// Nothing was sent.
     pub fn submit(&self, token: T, command: Command) -> Result<(), T> {
         let mut state = self.lock();
-        if !state.open || state.queued.len() >= MAX_QUEUED {
+        let max_queued = MAX_QUEUED + state.initiator.window_room();
+        if !state.open || state.queued.len() >= max_queued || !token.is_needed() {
             return Err(token);
         }
         state.queued.push_back((token, command));
-        state.fill_window();
+        if !state.writing {
+            state.send_queued();
+        }
         drop(state);
         self.wake();
         Ok(())
     }
 
-    /// Asks the target to abort the commands that match the predicate. Queued ones that match are dropped
-    /// without an event.
+    /// Gives up the commands that match the predicate and that the target cannot execute yet: those in the queue,
+    /// and writes of which it has not received all data, which it is asked to abort. Returns their tokens; no
+    /// event follows for them. Commands that were sent whole stay.
+    pub fn withdraw(&self, matches: impl Fn(&T) -> bool) -> Vec<T> {
+        let mut state = self.lock();
+        let mut withdrawn = state.remove_queued(&matches);
+        let incomplete = |(itt, token): &(&u32, &T)| matches(token) && !state.initiator.is_sent_whole(**itt);
+        let tags: Vec<u32> = state.sent.iter().filter(incomplete).map(|(itt, _)| *itt).collect();
+        for itt in tags {
+            state.initiator.abort(itt);
+            withdrawn.extend(state.sent.remove(&itt));
+        }
+        drop(state);
+        self.wake();
+        withdrawn
+    }
+
+    /// Asks the target to abort the commands that match the predicate. Queued ones are not sent.
     pub fn abort(&self, matches: impl Fn(&T) -> bool) {
         let mut state = self.lock();
-        state.queued.retain(|(t, _)| !matches(t));
+        let queued = state.remove_queued(&matches);
+        state.dropped.extend(queued);
         let tags: Vec<u32> = state.sent.iter().filter(|(_, t)| matches(t)).map(|(itt, _)| *itt).collect();
         for itt in tags {
             state.initiator.abort(itt);
@@ -206,10 +254,14 @@
     fn write_loop(&self, mut stream: TcpStream, wakeups: &Receiver<()>, tap: &StreamTap) {
         while wakeups.recv().is_ok() {
             loop {
-                let (chunks, open) = {
+                let (chunks, dropped, open) = {
                     let mut state = self.lock();
-                    (state.initiator.take_output(), state.open)
+                    state.send_queued();
+                    let chunks = state.initiator.take_output();
+                    state.writing = !chunks.is_empty();
+                    (chunks, std::mem::take(&mut state.dropped), state.open)
                 };
+                self.deliver(dropped.into_iter().map(ConnectionEvent::Unsent));
                 if chunks.is_empty() {
                     if !open {
                         return;
@@ -224,12 +276,7 @@
         }
     }
 
-    fn read_loop(
-        &self,
-        mut stream: TcpStream,
-        tap: &StreamTap,
-        mut on_event: impl FnMut(ConnectionEvent<T>),
-    ) {
+    fn read_loop(&self, mut stream: TcpStream, tap: &StreamTap) {
         let reason = loop {
             let (mut buffer, missing) = {
                 let mut state = self.lock();
@@ -263,11 +310,10 @@
                         }
                     }
                 }
-                state.fill_window();
                 result
             };
             self.wake();
-            events.into_iter().for_each(&mut on_event);
+            self.deliver(events);
             if let Err(e) = result {
                 break e.to_string();
             }
@@ -281,17 +327,26 @@
         tap.closed();
         self.wake();
         let unsent = queued.into_iter().map(|(t, _)| t).collect();
-        on_event(ConnectionEvent::Closed(reason, sent.into_values().collect(), unsent));
+        self.deliver([ConnectionEvent::Closed(reason, sent.into_values().collect(), unsent)]);
     }
 }
 
 impl<T: CommandToken> State<T> {
-    /// Sends queued commands while the command window has room. Commands that were given up while queued are
-    /// dropped: they must not reach the target any more.
-    fn fill_window(&mut self) {
-        while self.initiator.window_open() {
+    /// Removes the queued commands that match the predicate.
+    fn remove_queued(&mut self, matches: impl Fn(&T) -> bool) -> Vec<T> {
+        let (removed, kept): (VecDeque<_>, VecDeque<_>) =
+            std::mem::take(&mut self.queued).into_iter().partition(|(token, _)| matches(token));
+        self.queued = kept;
+        removed.into_iter().map(|(token, _)| token).collect()
+    }
+
+    /// Hands queued commands to the initiator while the command window and the batch have room. Commands that are
+    /// not needed any more are dropped: they must not reach the target.
+    fn send_queued(&mut self) {
+        while self.initiator.window_open() && self.initiator.unsent_bytes() < WRITE_BATCH {
             let Some((token, command)) = self.queued.pop_front() else { return };
             if !token.is_needed() {
+                self.dropped.push(token);
                 continue;
             }
             if let Some(itt) = self.initiator.submit(command) {
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -353,7 +353,6 @@
         let ids: Vec<u32> = self.state.by_client.range(range).map(|(_, id)| *id).collect();
         for id in ids {
             self.driver.abandon(id);
-            self.abandon_unsent(id);
             if let Some(open) = self.state.remove_request(id) {
                 let age_ms = self.clock.now_ms() - open.arrived_at;
                 tracing::debug!(request = id, age_ms, of_ms = open.request.wait_ms, "client disconnected");
@@ -362,16 +361,12 @@
         }
     }
 
-    /// Gives up the attempts of an ended request that have not been sent completely.
-    fn abandon_unsent(&mut self, id: u32) {
-        let now = self.clock.now_ms();
-        for attempt in self.driver.attempts_of(id) {
-            let Some(node) = self.driver.node_of(attempt) else { continue };
-            let link = self.pool.link_of(attempt).and_then(|link| self.state.links.get(&link));
-            if link.is_none_or(|link| link.is_unsent()) {
-                self.pool.abandon(now, node, attempt, &mut self.state.pool_actions);
-                self.attempt_lost(now, attempt, AttemptResult::NotSent);
-            }
+    /// Gives up an attempt that has not been sent completely.
+    fn withdraw_unsent(&mut self, now: f64, node: u32, attempt: AttemptId) {
+        let link = self.pool.link_of(attempt).and_then(|link| self.state.links.get(&link));
+        if link.is_none_or(|link| link.is_unsent()) {
+            self.pool.abandon(now, node, attempt, &mut self.state.pool_actions);
+            self.attempt_lost(now, attempt, AttemptResult::NotSent);
         }
     }
 
@@ -388,7 +383,6 @@
             self.state.requests.iter().map(|(id, o)| (*id, o.has_begun)).collect::<Vec<_>>()
         {
             self.driver.abandon(id);
-            self.abandon_unsent(id);
             let text = if has_begun { "ERR failed leaving" } else { "BUSY" };
             self.finish(id, write::bytes(|out| write::error(out, text)));
         }
@@ -415,9 +409,6 @@
         let value = reply.value.unwrap_or_default();
         if self.driver.attempt_ended(at, attempt, reply.result, reply.report) {
             self.state.counters.served += 1;
-            // Another attempt of the request may still wait for a link or in a write buffer, and would be
-            // sent.
-            self.abandon_unsent(attempt.request);
             self.finish_served(attempt.request, &value);
         }
     }
@@ -520,6 +511,7 @@
                 );
                 self.pool.abandon(now, node, attempt, &mut self.state.pool_actions);
             }
+            Step::WithdrawUnsent { attempt, node } => self.withdraw_unsent(now, node, attempt),
             Step::Refused { id, retry_after_ms, reason } => {
                 *self.state.counters.refused.entry(reason).or_insert(0) += 1;
                 tracing::debug!(request = id, %reason, retry_after_ms, "refused");
--- a/crates/stand/src/client.rs
+++ b/crates/stand/src/client.rs
@@ -351,10 +351,7 @@
         };
         lock(&self.state).stats.sent += 1;
         if let Err(request) = connection.submit(request, command) {
-            let mut state = lock(&self.state);
-            state.stats.sent -= 1;
-            state.stats.not_sent += 1;
-            state.release(&request.media);
+            lock(&self.state).not_sent(&request);
         }
     }
 
@@ -362,13 +359,12 @@
         match event {
             ConnectionEvent::Completed(request, done) => self.on_completion(request, &done),
             ConnectionEvent::Aborted(request) => lock(&self.state).abandon(&request),
+            ConnectionEvent::Unsent(request) => lock(&self.state).not_sent(&request),
             ConnectionEvent::LogoutRequested => {}
             ConnectionEvent::Closed(_, sent, unsent) => {
                 let mut state = lock(&self.state);
                 sent.iter().for_each(|r| state.abandon(r));
-                state.stats.not_sent += unsent.len() as u64;
-                state.stats.sent -= unsent.len() as u64;
-                unsent.iter().for_each(|r| state.release(&r.media));
+                unsent.iter().for_each(|r| state.not_sent(r));
             }
         }
     }
@@ -436,6 +432,13 @@
         }
     }
 
+    /// Counts a request that was not sent after all.
+    fn not_sent(&mut self, request: &Request) {
+        self.stats.sent -= 1;
+        self.stats.not_sent += 1;
+        self.release(&request.media);
+    }
+
     fn acknowledge(&mut self, request: &Request) {
         for b in request.media.lba..request.media.lba + u64::from(request.media.blocks) {
             self.blocks.entry(b).or_default().acknowledged = request.stamp;
--- a/crates/stand/src/cluster.rs
+++ b/crates/stand/src/cluster.rs
@@ -19,6 +19,8 @@
     pub cores: u16,
     /// Maximum number of queued requests at each node.
     pub queue_capacity: u16,
+    /// Maximum number of open commands of a session with a node.
+    pub max_commands: u32,
     /// Time that one warm core takes for one unit.
     pub unit_work: Duration,
     /// Fraction of a write's work that is deferred to a flush.
@@ -37,6 +39,7 @@
             replicas: 1,
             cores: 2,
             queue_capacity: 64,
+            max_commands: 256,
             unit_work: Duration::from_millis(1),
             deferred_fraction: 0.0,
             repeat_window: Duration::from_millis(1200),
@@ -82,6 +85,7 @@
                 zone,
                 cores: spec.cores,
                 queue_capacity: spec.queue_capacity,
+                max_commands: spec.max_commands,
                 unit_work: spec.unit_work,
                 deferred_fraction: spec.deferred_fraction,
                 cold_from: settings.cold_from,
--- a/crates/stand/src/node.rs
+++ b/crates/stand/src/node.rs
@@ -15,8 +15,6 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Maximum number of commands of a session.
-const MAX_COMMANDS: u32 = 256;
 /// Maximum size of a command: the longest of a host, in the largest blocks that volumes have.
 const MAX_TRANSFER_BYTES: usize = MAX_TRANSFER_BLOCKS as usize * 4096;
 
@@ -33,6 +31,8 @@
     pub cores: u16,
     /// Maximum number of queued requests.
     pub queue_capacity: u16,
+    /// Maximum number of open commands of a session, which bounds its command window.
+    pub max_commands: u32,
     /// Time that one warm core takes for one unit.
     pub unit_work: Duration,
     /// Fraction of a write's work that is deferred to a flush.
@@ -60,6 +60,7 @@
             zone: 0,
             cores: 2,
             queue_capacity: 64,
+            max_commands: 256,
             unit_work: Duration::from_micros(400),
             deferred_fraction: 0.3,
             flush_interval: Duration::from_millis(1_500),
@@ -295,7 +296,7 @@
         });
         let config = PortalConfig {
             access: Arc::new(AllowAll),
-            limits: Limits { max_commands: MAX_COMMANDS, max_transfer_bytes: MAX_TRANSFER_BYTES },
+            limits: Limits { max_commands: self.spec.max_commands, max_transfer_bytes: MAX_TRANSFER_BYTES },
             max_sessions: 1024,
             max_unsent_bytes: 16 << 20,
             first_tsih: 0,
