Commands of clients are told apart by a number of their own, not by their task tag

Cause: Target::respond, Frontend::answer and the dispatcher's CommandId compared session and tag, while the completion of the old command stood in the engine's queue.

Change: the target numbers the commands of a session (TaskId), events and responses carry number and tag, and a response goes to that task alone, under the lock under which tags are freed.

--- a/crates/host/src/dispatcher.rs
+++ b/crates/host/src/dispatcher.rs
@@ -13,19 +13,29 @@
 pub use pearfork_drive::AttemptId;
 use pearfork_drive::{Driver, NodeReport, Step};
 use pearfork_iscsi::node_extension::{CommandMetadata, IdempotencyKey, LoadReport};
-use pearfork_iscsi::Payload;
+use pearfork_iscsi::{Payload, TaskId};
 use pearfork_scsi::MediaCommand;
 use std::collections::{BTreeMap, HashMap};
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 
-/// Identifies a command of a client: the session and the tag within it.
+/// Identifies a command of a client; never used again in the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CommandId {
     /// The session, unique in the process.
     pub session: u64,
-    /// The command's tag within it.
-    pub tag: u32,
+    /// The command within it.
+    pub task: TaskId,
+}
+
+impl CommandId {
+    /// All commands of a session.
+    fn all_of(session: u64) -> RangeInclusive<CommandId> {
+        let first = TaskId { number: 0, tag: 0 };
+        let last = TaskId { number: u64::MAX, tag: u32::MAX };
+        CommandId { session, task: first }..=CommandId { session, task: last }
+    }
 }
 
 /// A command as the frontend submits it. Its blocks exist and its data is complete.
@@ -252,8 +262,8 @@
             Input::Submit(s) => self.submit(now, *s, out),
             Input::Abandon(id) => self.abandon(id),
             Input::SessionClosed(session) => {
-                let all_tags = CommandId { session, tag: 0 }..=CommandId { session, tag: u32::MAX };
-                let open: Vec<CommandId> = self.commands.range(all_tags).map(|(id, _)| *id).collect();
+                let open = self.commands.range(CommandId::all_of(session));
+                let open: Vec<CommandId> = open.map(|(id, _)| *id).collect();
                 open.into_iter().for_each(|id| self.abandon(id));
             }
             Input::AttemptEnded(id, outcome, report) => self.attempt_ended(now, id, outcome, report, out),
--- a/crates/host/src/frontend.rs
+++ b/crates/host/src/frontend.rs
@@ -7,7 +7,7 @@
 use crate::settings::HostSettings;
 use crate::volumes::{Volume, VolumeId};
 use crossbeam_channel::Sender;
-use pearfork_iscsi::{AccessControl, LoginStatus, Payload, Response, ScsiCommand, TaskTag, TmfFunction};
+use pearfork_iscsi::{AccessControl, LoginStatus, Payload, Response, ScsiCommand, TaskId, TmfFunction};
 use pearfork_net::{Clock, Session, SessionHandler};
 use pearfork_scsi::{
     decode_lun, encode_lun, report_luns, status, Cdb, MediaCommand, MediaOp, Sense, UnitResponse,
@@ -53,8 +53,8 @@
     target: String,
     /// Volumes by LUN.
     units: HashMap<u16, VolumeId>,
-    /// Number of bytes that each open command transfers according to its CDB, by tag.
-    lengths: HashMap<u32, u64>,
+    /// Number of bytes that each open command transfers according to its CDB.
+    lengths: HashMap<TaskId, u64>,
     /// A unit attention condition is pending after a reset by another session (SAM-5, section 5.14).
     attention: bool,
 }
@@ -96,7 +96,7 @@
         let found = {
             let mut clients = self.lock();
             let Some(client) = clients.get_mut(&id.session) else { return };
-            let Some(length) = client.lengths.remove(&id.tag) else { return };
+            let Some(length) = client.lengths.remove(&id.task) else { return };
             (client.session.clone(), length)
         };
         let (session, full_length) = found;
@@ -117,7 +117,7 @@
             }
             FinalAnswer::Failed => check_condition(Sense::ABORTED),
         };
-        session.respond(TaskTag(id.tag), response);
+        session.respond(id.task, response);
     }
 
     /// Turns a command into a submission; as an error, the response to a command that needs no node.
@@ -174,9 +174,9 @@
             media.blocks = (sent / u64::from(block)) as u32;
         }
         let needed = media.data_out_length(block);
-        client.lengths.insert(command.tag.0, full);
+        client.lengths.insert(command.id, full);
         Ok(Submission {
-            id: CommandId { session: client.session.id().0, tag: command.tag.0 },
+            id: CommandId { session: client.session.id().0, task: command.id },
             session_handle: client.session.tsih(),
             command_number: command.cmd_sn,
             volume: volume.id,
@@ -249,15 +249,15 @@
         };
         match prepared {
             Ok(submission) => self.send(Input::Submit(Box::new(submission))),
-            Err(response) => session.respond(command.tag, response),
+            Err(response) => session.respond(command.id, response),
         }
     }
 
-    fn aborted(&self, session: &Arc<Session>, tag: TaskTag) {
+    fn aborted(&self, session: &Arc<Session>, task: TaskId) {
         if let Some(client) = self.lock().get_mut(&session.id().0) {
-            client.lengths.remove(&tag.0);
+            client.lengths.remove(&task);
         }
-        self.send(Input::Abandon(CommandId { session: session.id().0, tag: tag.0 }));
+        self.send(Input::Abandon(CommandId { session: session.id().0, task }));
     }
 
     fn task_management(&self, session: &Arc<Session>, function: TmfFunction, lun: u64) {
@@ -280,12 +280,12 @@
                 .collect()
         };
         for other in others {
-            for tag in other.abort_tasks(if all_units {
+            for task in other.abort_tasks(if all_units {
                 None
             } else {
                 Some(encode_lun(decode_lun(lun).unwrap_or(0)))
             }) {
-                self.aborted(&other, tag);
+                self.aborted(&other, task);
             }
         }
     }
--- a/crates/host/tests/dispatcher.rs
+++ b/crates/host/tests/dispatcher.rs
@@ -6,7 +6,7 @@
 };
 use pearfork_host::settings::HostSettings;
 use pearfork_host::volumes::VolumeId;
-use pearfork_iscsi::Payload;
+use pearfork_iscsi::{Payload, TaskId};
 use pearfork_scsi::{MediaCommand, MediaOp};
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -17,6 +17,7 @@
     dispatcher: Dispatcher,
     now: f64,
     next_tag: u32,
+    next_number: u64,
 }
 
 impl TestHost {
@@ -26,6 +27,7 @@
             dispatcher: Dispatcher::new(Arc::new(settings), 1, 77).unwrap(),
             now: T0,
             next_tag: 1,
+            next_number: 1,
         };
         let node = |n: u32| pearfork::NodeEntry {
             node: n + 10,
@@ -45,8 +47,9 @@
     }
 
     fn submit_at(&mut self, arrived_ms: f64, op: MediaOp, lba: u64, blocks: u32) -> (CommandId, Vec<Output>) {
-        let id = CommandId { session: 1, tag: self.next_tag };
+        let id = CommandId { session: 1, task: TaskId { number: self.next_number, tag: self.next_tag } };
         self.next_tag += 1;
+        self.next_number += 1;
         let media = MediaCommand { op, lba, blocks, fua: false, group: 0 };
         let data: Payload = vec![5; media.data_out_length(512) as usize].into();
         let submission = Submission {
@@ -191,6 +194,24 @@
     assert_eq!(h.dispatcher.open_commands(), 0);
 }
 
+/// Guards against a completion of an abandoned command that answers a later one with its tag.
+#[test]
+fn a_command_under_a_used_tag_is_not_answered_by_the_completion_of_an_earlier_one() {
+    let mut h = TestHost::new();
+    let (first, out) = h.submit(MediaOp::Read, 0, 8);
+    let abandoned = sends(&out).remove(0).1;
+    h.give(Input::Abandon(first));
+    h.next_tag = first.task.tag;
+    h.next_number += 100;
+    let (second, out) = h.submit(MediaOp::Read, 8, 8);
+    assert_eq!(second.task.tag, first.task.tag);
+    assert!(answers(&h.give(Input::AttemptEnded(abandoned.id, good(4096), None))).is_empty());
+    h.give(Input::Abandon(first));
+    let own = sends(&out).remove(0).1;
+    let done = answers(&h.give(Input::AttemptEnded(own.id, good(4096), None)));
+    assert!(matches!(done[..], [(id, FinalAnswer::Served(_))] if id == second), "{done:?}");
+}
+
 /// Guards against attempts of a closed session that go out when their connection comes up.
 #[test]
 fn a_closed_session_withdraws_the_attempts_of_all_its_commands() {
@@ -238,7 +259,7 @@
     {
         assert!(h.give(Input::AttemptEnded(unknown, outcome, None)).is_empty());
     }
-    assert!(h.give(Input::Abandon(CommandId { session: 9, tag: 9 })).is_empty());
+    assert!(h.give(Input::Abandon(CommandId { session: 9, task: TaskId { number: 9, tag: 9 } })).is_empty());
 }
 
 #[test]
--- a/crates/iscsi/src/lib.rs
+++ b/crates/iscsi/src/lib.rs
@@ -23,5 +23,5 @@
 pub use initiator::{Command, CommandCompletion, Initiator, InitiatorConfig, InitiatorError, InitiatorEvent};
 pub use login::{AccessControl, LoginStatus, Params};
 pub use payload::Payload;
-pub use target::{Limits, Response, ScsiCommand, Target, TargetEvent, TaskTag, TmfFunction};
+pub use target::{Limits, Response, ScsiCommand, Target, TargetEvent, TaskId, TmfFunction};
 pub use text::TextError;
--- a/crates/iscsi/src/target.rs
+++ b/crates/iscsi/src/target.rs
@@ -20,15 +20,21 @@
     pub max_transfer_bytes: usize,
 }
 
-/// The initiator task tag of a command.
+/// Identifies a command of a session. An initiator uses a task tag again as soon as its task is over, while what is
+/// left of that task may still be queued somewhere; the number tells the two apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TaskTag(pub u32);
+pub struct TaskId {
+    /// Position among the commands of the session; never used again.
+    pub number: u64,
+    /// The initiator task tag.
+    pub tag: u32,
+}
 
 /// A SCSI command with all its data.
 #[derive(Clone, Debug)]
 pub struct ScsiCommand {
-    /// The task tag.
-    pub tag: TaskTag,
+    /// Identifies the command within its session.
+    pub id: TaskId,
     /// The command's CmdSN.
     pub cmd_sn: u32,
     /// The LUN field.
@@ -103,7 +109,7 @@
     /// A command to execute. [`Target::respond`] must be called for it.
     Command(Box<ScsiCommand>),
     /// A task was aborted; its response would be dropped.
-    Aborted(TaskTag),
+    Aborted(TaskId),
     /// A task management function was carried out in this session and may affect tasks of other sessions.
     TaskManagement {
         /// The function.
@@ -155,7 +161,9 @@
     stat_sn: u32,
     exp_cmd_sn: u32,
     max_cmd_sn: u32,
+    /// Commands without a response, by task tag.
     tasks: BTreeMap<u32, Task>,
+    next_task_number: u64,
     next_transfer_tag: u32,
     /// Text of the current Text request, which may span several PDUs.
     text_in: Vec<u8>,
@@ -196,6 +204,7 @@
             exp_cmd_sn: 0,
             max_cmd_sn: 0,
             tasks: BTreeMap::new(),
+            next_task_number: 0,
             next_transfer_tag: 1,
             text_in: Vec::new(),
             text_out: Bytes::new(),
@@ -417,7 +426,7 @@
         cdb.copy_from_slice(&pdu.bhs[32..48]);
         let metadata = if self.params.extension { CommandMetadata::from_ahs(&pdu.ahs) } else { None };
         let command = Box::new(ScsiCommand {
-            tag: TaskTag(itt),
+            id: TaskId { number: self.next_task_number, tag: itt },
             cmd_sn: pdu.u32(24),
             lun: pdu.lun(),
             cdb,
@@ -427,6 +436,7 @@
             data: pdu.data,
             metadata,
         });
+        self.next_task_number += 1;
         // No R2T is sent for a transfer beyond the limit; the command is passed on without the rest of its
         // data.
         let data_length =
@@ -456,10 +466,9 @@
         let received = task.command.data.len();
         if received >= task.data_length {
             task.executing = true;
-            let mut command = task.command.clone();
+            let command = task.command.clone();
             // The payload moves to the event; the task keeps only the header fields.
             task.command.data = Payload::new();
-            command.tag = TaskTag(itt);
             events.push(TargetEvent::Command(command));
             return;
         }
@@ -530,8 +539,8 @@
     }
 
     /// Sends the response to a command; does nothing if the task was aborted.
-    pub fn respond(&mut self, tag: TaskTag, response: Response) {
-        let Some(task) = self.tasks.remove(&tag.0) else { return };
+    pub fn respond(&mut self, id: TaskId, response: Response) {
+        let Some(task) = self.remove_task(id) else { return };
         let c = &task.command;
         let expected = u64::from(c.expected_length);
         let announced = if c.reads || c.writes { expected } else { 0 };
@@ -555,7 +564,7 @@
         if status_in_data {
             return;
         }
-        let mut pdu = Pdu::new(opcode::SCSI_RESPONSE, tag.0);
+        let mut pdu = Pdu::new(opcode::SCSI_RESPONSE, id.tag);
         pdu.bhs[1] = flags;
         pdu.bhs[3] = response.status;
         if self.params.protocol_level >= 2 {
@@ -582,7 +591,7 @@
             let n = (length - offset).min(self.params.peer_max_data).min(self.params.max_burst - burst);
             burst += n;
             let last = offset + n == length;
-            let mut pdu = Pdu::new(opcode::DATA_IN, task.command.tag.0);
+            let mut pdu = Pdu::new(opcode::DATA_IN, task.command.id.tag);
             pdu.bhs[1] = if last || burst == self.params.max_burst { 0x80 } else { 0 };
             if burst == self.params.max_burst {
                 burst = 0;
@@ -604,13 +613,19 @@
     }
 
     /// Drops a task without a response, as a reset from another session requires.
-    pub fn abort(&mut self, tag: TaskTag) {
-        self.tasks.remove(&tag.0);
+    pub fn abort(&mut self, id: TaskId) {
+        self.remove_task(id);
+    }
+
+    /// Removes a task, unless it is over: its tag may belong to a later one.
+    fn remove_task(&mut self, id: TaskId) -> Option<Task> {
+        self.tasks.get(&id.tag).filter(|task| task.command.id == id)?;
+        self.tasks.remove(&id.tag)
     }
 
-    /// Tags of the tasks at a logical unit, or of all tasks.
-    pub fn tags(&self, lun: Option<u64>) -> Vec<TaskTag> {
+    /// The tasks at a logical unit, or all tasks.
+    pub fn task_ids(&self, lun: Option<u64>) -> Vec<TaskId> {
         let matches_lun = |t: &&Task| lun.is_none_or(|l| l == t.command.lun);
-        self.tasks.values().filter(matches_lun).map(|t| t.command.tag).collect()
+        self.tasks.values().filter(matches_lun).map(|t| t.command.id).collect()
     }
 }
--- a/crates/iscsi/src/target/services.rs
+++ b/crates/iscsi/src/target/services.rs
@@ -1,6 +1,6 @@
 //! Requests other than SCSI commands: task management, NOP-Out, Text and Logout.
 
-use super::{reject_reason, Phase, Target, TargetEvent, TaskTag, TmfFunction};
+use super::{reject_reason, Phase, Target, TargetEvent, TmfFunction};
 use crate::bhs::{opcode, Pdu, RESERVED_TAG};
 use crate::text::{self, put, MAX_TEXT};
 use bytes::Bytes;
@@ -19,32 +19,30 @@
         const NOT_SUPPORTED: u8 = 5;
         const REJECTED: u8 = 255;
         let lun = pdu.lun();
-        let (function, tags) = match pdu.bhs[1] & 0x7f {
+        let (function, tasks) = match pdu.bhs[1] & 0x7f {
             1 => {
-                let tag = TaskTag(pdu.u32(20));
-                (
-                    Some(TmfFunction::AbortTask),
-                    self.tags(Some(lun)).into_iter().filter(|t| *t == tag).collect(),
-                )
+                let tag = pdu.u32(20);
+                let tasks = self.task_ids(Some(lun)).into_iter().filter(|id| id.tag == tag).collect();
+                (Some(TmfFunction::AbortTask), tasks)
             }
-            2 => (Some(TmfFunction::AbortTaskSet), self.tags(Some(lun))),
-            4 => (Some(TmfFunction::ClearTaskSet), self.tags(Some(lun))),
-            5 => (Some(TmfFunction::LunReset), self.tags(Some(lun))),
-            6 | 7 => (Some(TmfFunction::TargetReset), self.tags(None)),
+            2 => (Some(TmfFunction::AbortTaskSet), self.task_ids(Some(lun))),
+            4 => (Some(TmfFunction::ClearTaskSet), self.task_ids(Some(lun))),
+            5 => (Some(TmfFunction::LunReset), self.task_ids(Some(lun))),
+            6 | 7 => (Some(TmfFunction::TargetReset), self.task_ids(None)),
             _ => (None, Vec::new()),
         };
         let response_code = match (function, pdu.bhs[1] & 0x7f) {
-            (Some(TmfFunction::AbortTask), _) if tags.is_empty() => TASK_DOES_NOT_EXIST,
+            (Some(TmfFunction::AbortTask), _) if tasks.is_empty() => TASK_DOES_NOT_EXIST,
             (Some(_), _) => COMPLETE,
             (None, 8) => REASSIGN_NOT_SUPPORTED,
             (None, 3) => NOT_SUPPORTED,
             (None, _) => REJECTED,
         };
-        for tag in &tags {
+        for id in tasks {
             // Only commands that were passed on for execution are reported; a write that still receives data
             // is just dropped.
-            if self.tasks.remove(&tag.0).is_some_and(|t| t.executing) {
-                events.push(TargetEvent::Aborted(*tag));
+            if self.remove_task(id).is_some_and(|task| task.executing) {
+                events.push(TargetEvent::Aborted(id));
             }
         }
         let mut response = Pdu::new(opcode::TASK_MANAGEMENT_RESPONSE, pdu.itt());
--- a/crates/iscsi/tests/session.rs
+++ b/crates/iscsi/tests/session.rs
@@ -121,12 +121,12 @@
             let c = p.take_commands().pop().expect("one command");
             assert_eq!(c.data.to_bytes(), pattern(n).to_bytes(), "{n}");
             let full_length = n as u64;
-            p.target.respond(c.tag, Response { full_length, ..Default::default() });
+            p.target.respond(c.id, Response { full_length, ..Default::default() });
             p.initiator.submit(Command { read_len: n as u32, ..Default::default() }).unwrap();
             p.exchange().unwrap();
             assert_eq!(p.take_completions()[0].status, 0);
             let c = p.take_commands().pop().expect("one command");
-            p.target.respond(c.tag, Response { data: pattern(n), full_length, ..Default::default() });
+            p.target.respond(c.id, Response { data: pattern(n), full_length, ..Default::default() });
             p.exchange().unwrap();
             let d = p.take_completions().pop().expect("a completion");
             assert_eq!((d.data.to_bytes(), d.residual), (pattern(n).to_bytes(), 0), "{n}");
@@ -142,8 +142,8 @@
         let mut p = Pair::logged_in(false, false);
         p.initiator.submit(Command { read_len: expected, ..Default::default() }).unwrap();
         p.exchange().unwrap();
-        let tag = p.take_commands()[0].tag;
-        p.target.respond(tag, Response { data: pattern(sent), full_length: full, ..Default::default() });
+        let id = p.take_commands()[0].id;
+        p.target.respond(id, Response { data: pattern(sent), full_length: full, ..Default::default() });
         p.exchange().unwrap();
         let d = p.take_completions().pop().unwrap();
         assert_eq!((d.residual, d.data.len()), (residual, sent));
@@ -159,8 +159,8 @@
     assert_eq!(sent, 4);
     p.exchange().unwrap();
     assert!(!p.initiator.window_open());
-    let tag = p.take_commands()[0].tag;
-    p.target.respond(tag, Response { status: 8, qualifier: 3, ..Default::default() });
+    let id = p.take_commands()[0].id;
+    p.target.respond(id, Response { status: 8, qualifier: 3, ..Default::default() });
     p.exchange().unwrap();
     assert!(p.initiator.window_open());
     let d = p.take_completions().pop().unwrap();
@@ -176,21 +176,21 @@
     let mut p = Pair::logged_in(false, false);
     let itt = p.initiator.submit(Command { read_len: 8, ..Default::default() }).unwrap();
     p.exchange().unwrap();
-    let tag = p.take_commands()[0].tag;
+    let id = p.take_commands()[0].id;
     p.initiator_events.clear();
     p.initiator.abort(itt);
     p.exchange().unwrap();
-    assert!(matches!(p.target_events[..], [TargetEvent::Aborted(t)] if t == tag));
+    assert!(matches!(p.target_events[..], [TargetEvent::Aborted(t)] if t == id));
     assert!(matches!(p.initiator_events[..], [InitiatorEvent::Aborted(i, 0)] if i == itt));
-    p.target.respond(tag, Response { data: pattern(8), ..Default::default() });
+    p.target.respond(id, Response { data: pattern(8), ..Default::default() });
     p.exchange().unwrap();
     assert!(p.take_completions().is_empty());
     p.target_events.clear();
     // The response is already on its way when the abort arrives: the target no longer knows the task.
     let itt = p.initiator.submit(Command { read_len: 8, ..Default::default() }).unwrap();
     p.exchange().unwrap();
-    let tag = p.take_commands()[0].tag;
-    p.target.respond(tag, Response { data: pattern(8), full_length: 8, ..Default::default() });
+    let id = p.take_commands()[0].id;
+    p.target.respond(id, Response { data: pattern(8), full_length: 8, ..Default::default() });
     p.initiator.abort(itt);
     p.exchange().unwrap();
     assert!(matches!(&p.initiator_events[..], [InitiatorEvent::Completed(_), InitiatorEvent::Aborted(_, 1)]));
@@ -209,7 +209,7 @@
         let both = initiator_enables && target_enables;
         assert_eq!(c.metadata, both.then_some(metadata));
         let report = both.then_some(report);
-        p.target.respond(c.tag, Response { data: pattern(8), full_length: 8, report, ..Default::default() });
+        p.target.respond(c.id, Response { data: pattern(8), full_length: 8, report, ..Default::default() });
         p.exchange().unwrap();
         assert_eq!(p.take_completions()[0].report, report);
     }
@@ -421,7 +421,7 @@
                 for e in events.drain(..) {
                     if let (TargetEvent::Command(c), true) = (e, respond) {
                         prop_assert!(c.data.len() <= limits().max_transfer_bytes);
-                        t.respond(c.tag, Response { data: pattern(700), full_length: 700, ..Default::default() });
+                        t.respond(c.id, Response { data: pattern(700), full_length: 700, ..Default::default() });
                     }
                 }
                 prop_assert!(t.task_count() <= 4 + 8);
@@ -446,3 +446,33 @@
         }
     }
 }
+
+/// Guards against a response to an aborted command that is sent as the response to a later one with its tag.
+#[test]
+fn a_response_to_an_aborted_command_is_dropped_although_its_tag_is_used_again() {
+    let mut target = Target::new(Arc::new(TestAccess { extension: false }), 7, limits());
+    let mut take = |pdu: Vec<u8>| {
+        let mut events = Vec::new();
+        target.decoder().buffer().extend_from_slice(&pdu);
+        target.process(&mut events);
+        target.take_output();
+        events
+    };
+    take(login_pdu(0x87, NAME_KEYS));
+    let read = |cmd_sn| raw_pdu(0x01, 0xc1, &[(16, 5), (20, 8), (24, cmd_sn)], &[]);
+    let command_id = |events: &[TargetEvent]| match events {
+        [TargetEvent::Command(command)] => command.id,
+        other => panic!("{other:?}"),
+    };
+    let first = command_id(&take(read(1)));
+    let aborted = take(raw_pdu(0x42, 0x81, &[(16, 77), (20, 5), (24, 2)], &[]));
+    assert!(matches!(aborted[..], [TargetEvent::Aborted(id)] if id == first), "{aborted:?}");
+    let second = command_id(&take(read(2)));
+    assert!(first.tag == second.tag && first != second);
+    let response = || Response { data: pattern(8), full_length: 8, ..Default::default() };
+    target.respond(first, response());
+    target.abort(first);
+    assert_eq!((target.unsent_bytes(), target.task_count()), (0, 1));
+    target.respond(second, response());
+    assert_eq!((target.take_output().concat().len(), target.task_count()), (BHS_LEN + 8, 0));
+}
--- a/crates/net/src/portal.rs
+++ b/crates/net/src/portal.rs
@@ -3,7 +3,7 @@
 use crate::stream::{lock, read_once, spawn_small_stack, write_chunks, Direction, StreamTap};
 use crossbeam_channel::{bounded, Receiver, Sender};
 use pearfork_iscsi::{
-    AccessControl, Limits, LoginStatus, Response, ScsiCommand, Target, TargetEvent, TaskTag, TmfFunction,
+    AccessControl, Limits, LoginStatus, Response, ScsiCommand, Target, TargetEvent, TaskId, TmfFunction,
 };
 use std::collections::HashMap;
 use std::io;
@@ -31,7 +31,7 @@
     /// A command was received with all its data. [`Session::respond`] must be called for it.
     fn command(&self, session: &Arc<Session>, command: ScsiCommand);
     /// A command was aborted; its response would be dropped.
-    fn aborted(&self, session: &Arc<Session>, tag: TaskTag);
+    fn aborted(&self, session: &Arc<Session>, id: TaskId);
     /// A task management function was carried out in this session and may affect tasks of other sessions.
     fn task_management(&self, _session: &Arc<Session>, _function: TmfFunction, _lun: u64) {}
     /// The session is over; responses would be dropped. Called once, on the thread that ended the session.
@@ -94,8 +94,8 @@
     }
 
     /// Sends the response to a command; does nothing if the command was aborted. Never blocks on the client.
-    pub fn respond(&self, tag: TaskTag, response: Response) {
-        lock(&self.target).respond(tag, response);
+    pub fn respond(&self, id: TaskId, response: Response) {
+        lock(&self.target).respond(id, response);
         self.wake_writer();
     }
 
@@ -105,12 +105,12 @@
         self.wake_writer();
     }
 
-    /// Drops the tasks of a logical unit, or all tasks, without a response; returns their tags.
-    pub fn abort_tasks(&self, lun: Option<u64>) -> Vec<TaskTag> {
+    /// Drops the tasks of a logical unit, or all tasks, without a response, and returns them.
+    pub fn abort_tasks(&self, lun: Option<u64>) -> Vec<TaskId> {
         let mut target = lock(&self.target);
-        let tags = target.tags(lun);
-        tags.iter().for_each(|t| target.abort(*t));
-        tags
+        let tasks = target.task_ids(lun);
+        tasks.iter().for_each(|id| target.abort(*id));
+        tasks
     }
 
     /// Number of commands without a response.
@@ -403,7 +403,7 @@
                         }
                     }
                     TargetEvent::Command(c) => self.shared.handler.command(&session, *c),
-                    TargetEvent::Aborted(tag) => self.shared.handler.aborted(&session, tag),
+                    TargetEvent::Aborted(id) => self.shared.handler.aborted(&session, id),
                     TargetEvent::TaskManagement { function, lun } => {
                         self.shared.handler.task_management(&session, function, lun);
                     }
--- a/crates/stand/src/node.rs
+++ b/crates/stand/src/node.rs
@@ -3,7 +3,7 @@
 use crate::recorder::Recorder;
 use crate::store::{RackKeyCache, ShardStore};
 use pearfork_iscsi::node_extension::{IdempotencyKey, LoadReport};
-use pearfork_iscsi::{AccessControl, Limits, LoginStatus, Payload, Response, ScsiCommand, TaskTag};
+use pearfork_iscsi::{AccessControl, Limits, LoginStatus, Payload, Response, ScsiCommand, TaskId};
 use pearfork_net::{lock, spawn_small_stack, Portal, PortalConfig, Session, SessionHandler, SessionId};
 use pearfork_rulecheck::wire::opcode;
 use pearfork_rulecheck::{Endpoint, TraceEventKind};
@@ -458,7 +458,7 @@
                 ..Default::default()
             },
         };
-        job.session.respond(job.command.tag, response);
+        job.session.respond(job.command.id, response);
     }
 
     /// Bytes of a block, which nodes do not know of a volume: it follows from the transfer length of the command
@@ -517,17 +517,17 @@
         let process = &self.0;
         let media = match Cdb::parse(&command.cdb) {
             Ok(Cdb::Media(media)) => media,
-            Ok(_) => return session.respond(command.tag, Response::default()),
+            Ok(_) => return session.respond(command.id, Response::default()),
             Err(sense) => {
                 let sense = sense.to_bytes();
                 let response = Response { status: status::CHECK_CONDITION, sense, ..Default::default() };
-                return session.respond(command.tag, response);
+                return session.respond(command.id, response);
             }
         };
         if !command.has_all_data() {
             let sense = Sense::INVALID_FIELD.to_bytes();
             let response = Response { status: status::CHECK_CONDITION, sense, ..Default::default() };
-            return session.respond(command.tag, response);
+            return session.respond(command.id, response);
         }
         let volume =
             command.metadata.map_or_else(|| u32::from(decode_lun(command.lun).unwrap_or(0)), |t| t.volume);
@@ -546,7 +546,7 @@
             let report = Some(process.report(&mut queue, volume, host));
             drop(queue);
             let response = Response { status: status::TASK_SET_FULL, report, ..Default::default() };
-            return session.respond(command.tag, response);
+            return session.respond(command.id, response);
         }
         queue.jobs.push_back(Job { session: session.clone(), command, media, volume, units });
         drop(queue);
@@ -554,8 +554,8 @@
     }
 
     /// Drops the request if it is still queued. A request in execution is completed.
-    fn aborted(&self, session: &Arc<Session>, tag: TaskTag) {
-        let is_aborted = |j: &Job| j.session.id() == session.id() && j.command.tag == tag;
+    fn aborted(&self, session: &Arc<Session>, id: TaskId) {
+        let is_aborted = |j: &Job| j.session.id() == session.id() && j.command.id == id;
         lock(&self.0.queue).jobs.retain(|j| !is_aborted(j));
     }
 
--- a/fuzz/fuzz_targets/target.rs
+++ b/fuzz/fuzz_targets/target.rs
@@ -42,7 +42,7 @@
                 assert!(c.data.len() <= limits.transfer);
                 let _ = Cdb::parse(&c.cdb).map(|cdb| unit.respond(&cdb));
                 let data = vec![1u8; 600].into();
-                target.respond(c.tag, Response { data, full_length: 600, ..Default::default() });
+                target.respond(c.id, Response { data, full_length: 600, ..Default::default() });
             }
         }
         target.take_output();
