A poll reports all ready sockets, so requests beside a flood are no longer dated back

Cause: a poll reported 64 sockets at most, and while it reported as many, the estimate of arrival times stood still. With 64 connections that are always readable each request was dated back to the beginning of the flood, and its time was over. Evidence: debug log, told_ms below zero and refusals as "silent" with sound nodes.

Change: the buffer of a poll holds as many events as sockets are watched; the estimate needs no special case.

--- /dev/null
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -0,0 +1,197 @@
+//! The program on the platform's protocol beside clients that write slowly, stop half way, send short fields or small
+//! commands without a pause, or leave: its memory, and what usual clients get.
+
+mod service_harness;
+
+use service_harness::{
+    config, connect, full_list, node_line, start_discovery, start_node, unused_address, wait_until_ready,
+    GatewayProcess, SERVED_REPLY,
+};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const VALUE_BYTES: usize = 64 * 1024;
+/// Usual clients, and the pause of each between its requests.
+const USUAL_CLIENTS: u64 = 8;
+const USUAL_PAUSE: Duration = Duration::from_millis(20);
+/// A request waits for 1.2 s at most, and an answer is due half a second after that at the latest.
+const LATEST_ANSWER: Duration = Duration::from_millis(1_700);
+/// How long the usual clients work beside the others.
+const LENGTH: Duration = Duration::from_secs(2);
+
+/// The limits of the program and the number of clients that misbehave.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    memory_mb: usize,
+    descriptors: usize,
+    clients: u64,
+}
+
+/// The smallest limits, the largest, and the least memory with the most descriptors.
+const LIMITS: [Limits; 3] = [
+    Limits { memory_mb: 32, descriptors: 256, clients: 75 },
+    Limits { memory_mb: 192, descriptors: 1024, clients: 300 },
+    Limits { memory_mb: 32, descriptors: 1024, clients: 300 },
+];
+
+struct Host {
+    program: GatewayProcess,
+    address: SocketAddr,
+    _folder: tempfile::TempDir,
+    _discovery: pearfork_net::http::Server,
+}
+
+fn start_host(limits: Limits) -> Host {
+    let folder = tempfile::tempdir().unwrap();
+    let nodes: Vec<SocketAddr> = (0..2).map(|_| start_node(Duration::from_millis(2))).collect();
+    let lines = [node_line("s-1", nodes[0], 0, "SERVING"), node_line("s-2", nodes[1], 1, "SERVING")];
+    let list = full_list(1, &lines);
+    let discovery = start_discovery(Arc::new(Mutex::new((1, list.clone()))));
+    let address = unused_address();
+    let mut config = config(address, discovery.address(), &list, 1);
+    config["limits"]["memory_mb"] = limits.memory_mb.into();
+    config["limits"]["sockets"] = limits.descriptors.into();
+    config["settings"]["Plans"][0]["Nominal"] = 10_000.0.into();
+    let file = folder.path().join("config.json");
+    std::fs::write(&file, config.to_string()).unwrap();
+    let program = GatewayProcess::start_limited(&file, limits.descriptors);
+    wait_until_ready(address, Instant::now());
+    Host { program, address, _folder: folder, _discovery: discovery }
+}
+
+fn write_command(id: u64, shard: u16, value_bytes: usize) -> Vec<u8> {
+    let list = format!(
+        "c=write,t=gold,d=1200,k=0000000000000001,volume=0000000000000001,units=1,shard={shard},hosts=1"
+    );
+    let mut command = format!(
+        "*5\r\n$7\r\nOBJ.PUT\r\n$16\r\n{id:016x}\r\n$16\r\n{id:016x}\r\n${}\r\n{list}\r\n${value_bytes}\r\n",
+        list.len()
+    )
+    .into_bytes();
+    command.resize(command.len() + value_bytes, b'v');
+    command.extend_from_slice(b"\r\n");
+    command
+}
+
+fn read_command(id: u64, shard: u16, volume: u64) -> Vec<u8> {
+    let list = format!("c=read,t=gold,d=1000,volume={volume:016x},units=1,shard={shard},hosts=1");
+    format!("*4\r\n$7\r\nOBJ.GET\r\n$16\r\n{id:016x}\r\n$16\r\n{id:016x}\r\n${}\r\n{list}\r\n", list.len())
+        .into_bytes()
+}
+
+/// What the usual clients got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    sent: u64,
+    served: u64,
+    refused: u64,
+    /// Connections that ended without the answer, which the client asked for again.
+    closed: u64,
+    worst_wait: Duration,
+}
+
+impl Share {
+    fn add(&mut self, other: Share) {
+        self.sent += other.sent;
+        self.served += other.served;
+        self.refused += other.refused;
+        self.closed += other.closed;
+        self.worst_wait = self.worst_wait.max(other.worst_wait);
+    }
+}
+
+/// Sends requests one at a time: reads, and each fourth a write of the largest value.
+fn run_usual_client(address: SocketAddr, number: u64, until: Instant) -> Share {
+    let mut share = Share::default();
+    let mut stream = connect(address);
+    let mut id = (1 << 40) + number * (1 << 20);
+    while Instant::now() < until {
+        id += 1;
+        let command = if id % 4 == 0 { write_command(id, 1, VALUE_BYTES) } else { read_command(id, 1, 1) };
+        share.sent += 1;
+        let began = Instant::now();
+        let mut reply = [0; 256];
+        let read = stream.write_all(&command).and_then(|()| stream.read(&mut reply)).unwrap_or(0);
+        match &reply[..read] {
+            [] => {
+                share.closed += 1;
+                stream = connect(address);
+            }
+            served if served == SERVED_REPLY.as_bytes() => share.served += 1,
+            _ => share.refused += 1,
+        }
+        share.worst_wait = share.worst_wait.max(began.elapsed());
+        std::thread::sleep(USUAL_PAUSE);
+    }
+    share
+}
+
+/// Runs the usual clients beside others; each of these does its work again and again until it is told to stop.
+fn run_beside(limits: Limits, what: &str, work: fn(SocketAddr, u64, &AtomicBool)) -> (Share, usize) {
+    let host = start_host(limits);
+    let stopped = Arc::new(AtomicBool::new(false));
+    let others: Vec<_> = (0..limits.clients)
+        .map(|number| {
+            let (stopped, address) = (stopped.clone(), host.address);
+            std::thread::spawn(move || {
+                while !stopped.load(Ordering::SeqCst) {
+                    work(address, number, &stopped);
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(300));
+    let until = Instant::now() + LENGTH;
+    let address = host.address;
+    let usual: Vec<_> =
+        (0..USUAL_CLIENTS).map(|n| std::thread::spawn(move || run_usual_client(address, n, until))).collect();
+    let mut share = Share::default();
+    usual.into_iter().for_each(|client| share.add(client.join().unwrap()));
+    let peak_mb = host.program.peak_resident_kb() / 1024;
+    println!("{what}, {limits:?}: peak {peak_mb} MB, {share:?}");
+    stopped.store(true, Ordering::SeqCst);
+    drop(host);
+    others.into_iter().for_each(|other| other.join().unwrap());
+    (share, peak_mb)
+}
+
+fn try_connect(address: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_millis(500)).ok();
+    if stream.is_none() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    stream
+}
+
+/// Sends heads of very many short fields, of all kinds.
+fn send_short_fields(address: SocketAddr, number: u64, _: &AtomicBool) {
+    let Some(mut stream) = try_connect(address) else { return };
+    let head = match number % 4 {
+        0 => [b"*1000000\r\n".to_vec(), b"$1\r\na\r\n".repeat(20_000)].concat(),
+        1 => b"*8\r\n".iter().copied().chain(b"$1\r\na\r\n".repeat(8)).collect::<Vec<u8>>().repeat(2_000),
+        2 => {
+            let list = "a=1,".repeat(100_000);
+            format!("*4\r\n$7\r\nOBJ.GET\r\n$1\r\na\r\n$1\r\na\r\n${}\r\n{list}", list.len()).into_bytes()
+        }
+        _ => b"\r\n".repeat(100_000),
+    };
+    let _ = stream.write_all(&head);
+    let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
+    let mut buffer = [0; 4096];
+    while stream.read(&mut buffer).is_ok_and(|n| n > 0) {}
+}
+
+/// Guards against requests that are dated back and refused unasked, because more sockets are ready than one poll
+/// reports.
+#[test]
+fn usual_clients_are_served_beside_hundreds_that_send_very_many_short_fields() {
+    for limits in LIMITS {
+        let (share, peak_mb) = run_beside(limits, "short fields", send_short_fields);
+        assert!(peak_mb < limits.memory_mb, "{limits:?}: {peak_mb} MB");
+        assert!(share.served * 10 >= share.sent * 9, "{limits:?}: {share:?}");
+        assert!(share.worst_wait < LATEST_ANSWER, "{limits:?}: {share:?}");
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use clock::Clock;
 pub use connection::{CommandToken, ConnectError, Connection, ConnectionEvent};
-pub use poll::{start_connect, Interest, Poller, Readiness, MAX_EVENTS};
+pub use poll::{start_connect, Interest, Poller, Readiness};
 pub use portal::{Portal, PortalConfig, Session, SessionHandler, SessionId};
 pub use ports::free_addresses;
 pub use stream::{
--- a/crates/net/src/poll.rs
+++ b/crates/net/src/poll.rs
@@ -3,6 +3,7 @@
 //! A thread for each connection is cheap in one host, but three hundred hosts on one machine would exhaust
 //! its threads, and a host that cannot start a thread can neither accept nor open a connection.
 
+use rustix::buffer::spare_capacity;
 use rustix::event::epoll;
 use rustix::event::{eventfd, EventfdFlags, Timespec};
 use rustix::io::{retry_on_intr, Errno};
@@ -10,12 +11,11 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// The token of the eventfd behind [`Poller::wake`]; sockets must use others.
 const WAKE_TOKEN: u64 = u64::MAX;
-/// Most sockets that one wait reports; if it reports as many, others may be ready too.
-pub const MAX_EVENTS: usize = 64;
 
 /// The events that a socket is watched for, besides errors and hang-ups, which epoll always reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +57,8 @@
 pub struct Poller {
     epoll_fd: OwnedFd,
     waker: OwnedFd,
+    /// Number of sockets that are watched.
+    watched: AtomicUsize,
 }
 
 impl Poller {
@@ -73,7 +75,7 @@
             epoll::EventData::new_u64(WAKE_TOKEN),
             Interest::Readable.epoll_flags(),
         )?;
-        Ok(Poller { epoll_fd, waker })
+        Ok(Poller { epoll_fd, waker, watched: AtomicUsize::new(0) })
     }
 
     /// Starts to watch a socket.
@@ -81,7 +83,9 @@
     /// # Errors
     /// The error of `epoll_ctl`: the socket is watched already, or a system limit is reached.
     pub fn add(&self, socket: impl AsFd, token: u64, interest: Interest) -> io::Result<()> {
-        Ok(epoll::add(&self.epoll_fd, socket, epoll::EventData::new_u64(token), interest.epoll_flags())?)
+        epoll::add(&self.epoll_fd, socket, epoll::EventData::new_u64(token), interest.epoll_flags())?;
+        self.watched.fetch_add(1, Ordering::SeqCst);
+        Ok(())
     }
 
     /// Changes what a socket is watched for.
@@ -95,7 +99,9 @@
     /// Stops watching a socket. Closing it is not enough: while another descriptor refers to the same socket,
     /// it stays watched until this is called.
     pub fn remove(&self, socket: impl AsFd) {
-        let _ = epoll::delete(&self.epoll_fd, socket);
+        if epoll::delete(&self.epoll_fd, socket).is_ok() {
+            self.watched.fetch_sub(1, Ordering::SeqCst);
+        }
     }
 
     /// Ends the current wait, or the next one if none is under way.
@@ -103,27 +109,25 @@
         let _ = retry_on_intr(|| rustix::io::write(&self.waker, &1u64.to_ne_bytes()));
     }
 
-    /// Waits until a socket has an event, [`Poller::wake`] is called, or the deadline passes.
+    /// Waits until a socket has an event, [`Poller::wake`] is called, or the deadline passes. Reports all sockets
+    /// that have one, however many.
     ///
     /// # Errors
     /// The error of `epoll_wait`; the poller cannot be used any more.
     pub fn wait(&self, ready: &mut Vec<Readiness>, deadline: Option<Instant>) -> io::Result<()> {
         ready.clear();
-        let mut events =
-            [epoll::Event { flags: epoll::EventFlags::empty(), data: epoll::EventData::new_u64(0) };
-                MAX_EVENTS];
+        let mut events = Vec::with_capacity(self.watched.load(Ordering::SeqCst) + 1);
         // In whole milliseconds, rounded up: a wait that ended just before its deadline would be followed by
         // another.
         let remaining = deadline.map(|at| at.saturating_duration_since(Instant::now()));
         let remaining = remaining.map(|d| Duration::from_millis(d.as_nanos().div_ceil(1_000_000) as u64));
         let timeout =
             remaining.map(|d| Timespec { tv_sec: d.as_secs() as i64, tv_nsec: d.subsec_nanos().into() });
-        let n = match epoll::wait(&self.epoll_fd, &mut events[..], timeout.as_ref()) {
-            Ok(n) => n,
-            Err(Errno::INTR | Errno::NOMEM) => 0,
+        match epoll::wait(&self.epoll_fd, spare_capacity(&mut events), timeout.as_ref()) {
+            Ok(_) | Err(Errno::INTR | Errno::NOMEM) => {}
             Err(e) => return Err(e.into()),
-        };
-        for event in &events[..n] {
+        }
+        for event in &events {
             let (token, flags) = (event.data.u64(), event.flags);
             if token == WAKE_TOKEN {
                 let _ = rustix::io::read(&self.waker, &mut [0u8; 8]);
@@ -194,6 +198,23 @@
         assert!(ready_tokens(&poller, Duration::ZERO).is_empty());
     }
 
+    /// Guards against sockets that stay unread while others are always ready.
+    #[test]
+    fn one_wait_reports_all_sockets_that_are_ready() {
+        const SOCKETS: u64 = 200;
+        let poller = Poller::new().unwrap();
+        let mut pairs: Vec<_> = (0..SOCKETS).map(|_| connected_pair()).collect();
+        for (token, (local, remote)) in (0..SOCKETS).zip(&mut pairs) {
+            poller.add(&*local, token, Interest::Readable).unwrap();
+            remote.write_all(b"x").unwrap();
+        }
+        let mut tokens = ready_tokens(&poller, Duration::from_secs(10));
+        tokens.sort_unstable();
+        assert_eq!(tokens, (0..SOCKETS).collect::<Vec<u64>>());
+        pairs.iter().skip(1).for_each(|(local, _)| poller.remove(local));
+        assert_eq!(ready_tokens(&poller, Duration::ZERO), [0]);
+    }
+
     #[test]
     fn a_non_blocking_connect_reports_success_or_failure_through_the_poller() {
         let poller = Poller::new().unwrap();
--- a/crates/serving/src/client_reader.rs
+++ b/crates/serving/src/client_reader.rs
@@ -5,7 +5,7 @@
 use crate::engine::Message;
 use crate::test_hooks::{Point, TestHooks};
 use crossbeam_channel::Sender;
-use pearfork_net::{lock, set_accept_backlog, Clock, Flusher, Interest, Readiness, WriteBuffer, MAX_EVENTS};
+use pearfork_net::{lock, set_accept_backlog, Clock, Flusher, Interest, Readiness, WriteBuffer};
 use pearfork_platform::clients::{ClientId, ClientTable};
 use pearfork_platform::config::RequestSchema;
 use pearfork_platform::lifecycle::{Effect, Event, Lifecycle, State};
@@ -67,19 +67,12 @@
 }
 
 impl ArrivalEstimate {
-    /// Records a poll that ran from `began_at` to `ended_at` and reported `sockets` ready sockets.
-    fn record_poll(&mut self, began_at: f64, ended_at: f64, sockets: usize) {
+    /// Records a poll that ran from `began_at` to `ended_at`. Each poll reports all ready sockets, so what it
+    /// reports arrived after the one before.
+    fn record_poll(&mut self, began_at: f64, ended_at: f64) {
         let before = self.last_poll_end.replace(ended_at);
         self.arrived_after = match before {
-            Some(last_poll_end) if ended_at - began_at < MIN_BLOCKED_MS => {
-                // With this many ready sockets others may have been left out and waited for longer, so the
-                // estimate is not advanced.
-                if sockets < MAX_EVENTS {
-                    last_poll_end
-                } else {
-                    self.arrived_after
-                }
-            }
+            Some(last_poll_end) if ended_at - began_at < MIN_BLOCKED_MS => last_poll_end,
             _ => ended_at,
         };
     }
@@ -166,7 +159,7 @@
                 tracing::error!(%why, "polling client connections failed");
                 return;
             }
-            self.arrivals.record_poll(began_at, self.clock.now_ms(), ready.len());
+            self.arrivals.record_poll(began_at, self.clock.now_ms());
             self.hooks.reach(Point::ReaderPoll);
             for event in &ready {
                 match event.token {
