A client's socket is asked before its commands go out of the iSCSI gateway's queues

Cause: the notice of a close is queued behind the commands. The platform's host asks the socket, this one did not.

Change: a submission carries its requester, whose session knows whether it has ended or its peer has closed; it is asked when the command is taken and before an attempt is written. The check of a socket is one function for both fronts.

--- a/crates/gateway/tests/reused_tags.rs
+++ b/crates/gateway/tests/reused_tags.rs
@@ -156,3 +156,25 @@
     assert_eq!(session.read_answer(), vec![3; BYTES]);
     env.assert_rules_kept();
 }
+
+/// Guards against commands that go out for a client that closed its connection while they were unread or queued.
+#[test]
+fn commands_of_a_client_that_has_closed_are_not_sent_from_the_queue() {
+    let env = TestEnv::new(1);
+    assert_eq!(env.initiator(0, 0).read(FIRST_NODE_LBA, BLOCKS).status, status::GOOD);
+    let mut session = RawSession::login(env.hosts[0].address());
+    let sent = || env.hosts[0].node_counts().unwrap().values().map(|n| n.sent).sum::<u64>();
+    let before = sent();
+    env.hosts[0].stall_engine(ms(STALL_MS));
+    for n in 0..32 {
+        let cdb =
+            MediaCommand { op: MediaOp::Write, lba: n * 8, blocks: BLOCKS, fua: false, group: 0 }.to_cdb();
+        let length = (BYTES as u32).to_be_bytes();
+        session.send(0x01, 0xa1, 100 + n as u32, &[(20, &length), (32, &cdb)], vec![4; BYTES]);
+        session.cmd_sn += 1;
+    }
+    drop(session);
+    std::thread::sleep(ms(2 * STALL_MS));
+    assert_eq!(sent(), before);
+    assert_eq!(env.applied_count(), 0);
+}
--- a/crates/host/src/dispatcher.rs
+++ b/crates/host/src/dispatcher.rs
@@ -38,11 +38,19 @@
     }
 }
 
+/// The client of a command.
+pub trait Requester: Send + Sync {
+    /// Whether the client has gone. The notice of its end may still be queued behind its commands.
+    fn has_left(&self) -> bool;
+}
+
 /// A command as the frontend submits it. Its blocks exist and its data is complete.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Submission {
     /// Identifies the command in its final answer.
     pub id: CommandId,
+    /// The client; nothing is sent once it has left.
+    pub requester: Arc<dyn Requester>,
     /// The session's handle (TSIH), for the repeat key.
     pub session_handle: u16,
     /// The command's number within the session (CmdSN), for the repeat key.
@@ -84,7 +92,7 @@
 }
 
 /// An attempt to be sent to a node.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct OutgoingAttempt {
     /// Request and attempt number, as the scheduler counts them.
     pub id: AttemptId,
@@ -100,6 +108,8 @@
     pub metadata: CommandMetadata,
     /// Cleared once the attempt has ended for the host: it must not be sent any more.
     pub wanted: Arc<AtomicBool>,
+    /// The client of the request; the attempt must not be sent once it has left.
+    pub requester: Arc<dyn Requester>,
     /// The attempt must not be sent from this time on, in milliseconds of the dispatcher's clock; infinite for
     /// no bound. For the first attempt of a request to a volume with a leased limit it is the time when the
     /// lease expires: the share that pays for the request may then belong to another host. For any other
@@ -125,7 +135,6 @@
 }
 
 /// An event that the dispatcher handles.
-#[derive(Debug)]
 pub enum Input {
     /// A client sent a command.
     Submit(Box<Submission>),
@@ -159,7 +168,6 @@
 }
 
 /// An operation that the caller of the dispatcher carries out.
-#[derive(Debug)]
 pub enum Output {
     /// Send an attempt to a node.
     Send(u32, Box<OutgoingAttempt>),
@@ -193,6 +201,7 @@
 /// A request of the scheduler without a final answer: one part of a command.
 struct OpenRequest {
     command: CommandId,
+    requester: Arc<dyn Requester>,
     part: usize,
     volume: VolumeId,
     extent_part: Part,
@@ -355,6 +364,9 @@
     }
 
     fn submit(&mut self, now: f64, s: Submission, out: &mut Vec<Output>) {
+        if s.requester.has_left() {
+            return;
+        }
         let settings = self.settings.clone();
         let Some(volume) = settings.volumes.get(s.volume.0 as usize) else {
             return out.push(Output::Answer(s.id, FinalAnswer::Failed));
@@ -381,6 +393,7 @@
             let valid_until = arrived + rule.deadline_ms;
             let request = OpenRequest {
                 command: s.id,
+                requester: s.requester.clone(),
                 part: n,
                 volume: s.volume,
                 extent_part: *part,
@@ -482,6 +495,7 @@
                 milli_units: (request.units * 1_000.0) as u32,
             },
             wanted: wanted.clone(),
+            requester: request.requester.clone(),
             // Only the first attempt draws the request's units from the leased share; retries draw nothing.
             not_after_ms: match self.lease_expiry.get(&request.volume) {
                 Some(until) if id.number == 0 => *until,
--- a/crates/host/src/frontend.rs
+++ b/crates/host/src/frontend.rs
@@ -2,7 +2,7 @@
 //!
 //! Commands that read or write the medium go to the engine; the frontend answers the others itself.
 
-use crate::dispatcher::{CommandId, Completion, FinalAnswer, Input, Submission};
+use crate::dispatcher::{CommandId, Completion, FinalAnswer, Input, Requester, Submission};
 use crate::engine::Message;
 use crate::settings::HostSettings;
 use crate::volumes::{Volume, VolumeId};
@@ -46,6 +46,12 @@
     }
 }
 
+impl Requester for Session {
+    fn has_left(&self) -> bool {
+        self.has_ended()
+    }
+}
+
 /// A session that is logged in.
 struct Client {
     session: Arc<Session>,
@@ -177,6 +183,7 @@
         client.lengths.insert(command.id, full);
         Ok(Submission {
             id: CommandId { session: client.session.id().0, task: command.id },
+            requester: client.session.clone(),
             session_handle: client.session.tsih(),
             command_number: command.cmd_sn,
             volume: volume.id,
--- a/crates/host/src/links.rs
+++ b/crates/host/src/links.rs
@@ -3,7 +3,7 @@
 //! A link neither retries nor delays an attempt on its own: an attempt that cannot be sent is reported as not
 //! sent, one that was sent and lost its connection as reset, and the next attempt to that node reconnects.
 
-use crate::dispatcher::{AttemptEnd, AttemptId, Completion, OutgoingAttempt};
+use crate::dispatcher::{AttemptEnd, AttemptId, Completion, OutgoingAttempt, Requester};
 use crate::engine::Message;
 use crossbeam_channel::Sender;
 use pearfork_iscsi::{Command, CommandCompletion, InitiatorConfig};
@@ -19,13 +19,14 @@
 pub(crate) struct Sent {
     id: AttemptId,
     wanted: Arc<AtomicBool>,
+    requester: Arc<dyn Requester>,
     not_after: Option<Instant>,
     read_len: usize,
 }
 
 impl CommandToken for Sent {
     fn is_needed(&self) -> bool {
-        self.wanted.load(Ordering::SeqCst) && !has_passed(self.not_after)
+        self.wanted.load(Ordering::SeqCst) && !has_passed(self.not_after) && !self.requester.has_left()
     }
 }
 
@@ -176,7 +177,13 @@
             data: attempt.data,
             metadata: Some(attempt.metadata),
         };
-        let sent = Sent { id: attempt.id, wanted: attempt.wanted, not_after, read_len: read_len as usize };
+        let sent = Sent {
+            id: attempt.id,
+            wanted: attempt.wanted,
+            requester: attempt.requester,
+            not_after,
+            read_len: read_len as usize,
+        };
         if let Err(sent) = connection.submit(sent, command) {
             self.report_unsent(sent.id, end_of_unsent(&sent));
         }
--- a/crates/net/src/portal.rs
+++ b/crates/net/src/portal.rs
@@ -1,6 +1,6 @@
 //! An iSCSI portal: a listener, and the target's end of a session for each connection.
 
-use crate::stream::{lock, read_once, spawn_small_stack, write_chunks, Direction, StreamTap};
+use crate::stream::{lock, peer_closed, read_once, spawn_small_stack, write_chunks, Direction, StreamTap};
 use crossbeam_channel::{bounded, Receiver, Sender};
 use pearfork_iscsi::{
     AccessControl, Limits, LoginStatus, Response, ScsiCommand, Target, TargetEvent, TaskId, TmfFunction,
@@ -124,6 +124,12 @@
         target.unsent_bytes() > 0 || self.writing.load(Ordering::SeqCst)
     }
 
+    /// Whether the session is over, or its client has closed the connection and the reader has not got there yet: it
+    /// may be reading commands that the client sent before.
+    pub fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::SeqCst) || peer_closed(&self.stream)
+    }
+
     /// Closes the connection immediately.
     pub fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,7 +1,8 @@
 //! Blocking reads and vectored writes, taps, retries after resource shortages, and threads with small stacks.
 
 use bytes::{Buf, Bytes, BytesMut};
-use rustix::io::Errno;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::{retry_on_intr, Errno};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice, Read, Write};
 use std::net::TcpStream;
@@ -66,6 +67,15 @@
     matches!(error, Errno::AGAIN | Errno::NOBUFS | Errno::NOMEM)
 }
 
+/// Whether the peer of a socket has closed its sending side or the connection is lost, even with unread data before
+/// the end. Asks the system; the reader of the socket may not have seen the end yet.
+pub(crate) fn peer_closed(stream: &TcpStream) -> bool {
+    let mut sockets = [PollFd::new(stream, PollFlags::RDHUP)];
+    let no_wait = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let polled = retry_on_intr(|| poll(&mut sockets, Some(&no_wait)));
+    polled.is_ok() && !sockets[0].revents().is_empty()
+}
+
 /// Whether a call on a blocking socket failed for lack of memory; sleeps before it returns true, so that
 /// memory may be freed before the call is repeated.
 fn wait_if_out_of_memory(error: &io::Error) -> bool {
--- a/crates/net/src/write_buffer.rs
+++ b/crates/net/src/write_buffer.rs
@@ -4,10 +4,9 @@
 //! the kernel does not accept at once are buffered, up to a limit, and one shared flusher thread sends them
 //! later.
 
-use crate::stream::{is_transient, lock, spawn_small_stack};
+use crate::stream::{is_transient, lock, peer_closed, spawn_small_stack};
 use bytes::{Buf, Bytes};
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
-use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::io::{retry_on_intr, Errno};
 use rustix::net::{RecvFlags, SendFlags};
 use std::collections::VecDeque;
@@ -165,10 +164,7 @@
     /// Whether the peer has closed its sending side or the connection is lost, even with unread data before
     /// the end.
     pub fn peer_closed(&self) -> bool {
-        let mut sockets = [PollFd::new(&self.stream, PollFlags::RDHUP)];
-        let no_wait = Timespec { tv_sec: 0, tv_nsec: 0 };
-        let polled = retry_on_intr(|| poll(&mut sockets, Some(&no_wait)));
-        polled.is_ok() && !sockets[0].revents().is_empty()
+        peer_closed(&self.stream)
     }
 
     /// Reads available bytes without blocking. Returns their number, 0 at the end of the stream, or `None` if
