The id of a request whose client has left stays in use while its attempt may run

Cause: client_ids held the ids of open requests, and a client that leaves ends its request, not the attempt. Evidence: an_id_that_comes_again..., forced for close, half close and reset: before, the second is forwarded.

Change: ClientIds keeps the id of a request of which an attempt was written until its client would have stopped waiting, for 10 s and 16,384 ids at most; the second gets the error of an id in use. A request of which nothing was written may come again at once.

--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -45,8 +45,12 @@
 }
 
 fn start_host(limits: Limits) -> Host {
+    start_host_with_nodes(limits, [0, 1].map(|_| start_node(Duration::from_millis(2))))
+}
+
+/// Starts the program before a node for each of the two shards.
+fn start_host_with_nodes(limits: Limits, nodes: [SocketAddr; 2]) -> Host {
     let folder = tempfile::tempdir().unwrap();
-    let nodes: Vec<SocketAddr> = (0..2).map(|_| start_node(Duration::from_millis(2))).collect();
     let lines = [node_line("s-1", nodes[0], 0, "SERVING"), node_line("s-2", nodes[1], 1, "SERVING")];
     let list = full_list(1, &lines);
     let discovery = start_discovery(Arc::new(Mutex::new((1, list.clone()))));
@@ -298,3 +302,75 @@
         }
     }
 }
+
+/// When a node received the command with an id, and when its client had closed, by id.
+type Times = Arc<Mutex<std::collections::HashMap<u64, Instant>>>;
+
+/// Starts a node that takes 2 ms for a command and notes when each arrives.
+fn start_noting_node(arrivals: Times) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let arrivals = arrivals.clone();
+            std::thread::spawn(move || {
+                let limits =
+                    pearfork_resp::CommandLimits { args: 8, arg_bytes: 1 << 17, total_bytes: 1 << 18 };
+                let (mut commands, mut chunk) = (pearfork_resp::CommandDecoder::new(limits), [0; 4096]);
+                while let Ok(n @ 1..) = stream.read(&mut chunk) {
+                    commands.buffer().extend_from_slice(&chunk[..n]);
+                    while let Ok(Some(command)) = commands.next_command() {
+                        let id = u64::from_str_radix(std::str::from_utf8(&command[2]).unwrap(), 16).unwrap();
+                        arrivals.lock().unwrap().insert(id, Instant::now());
+                        std::thread::sleep(Duration::from_millis(2));
+                        let _ = stream.write_all(b"*3\r\n$2\r\nok\r\n$-1\r\n$-1\r\n");
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against requests that go out over 0.1 s after their clients have closed with much still unread. The wait of
+/// a node for a descheduled host is allowed for.
+#[test]
+fn nothing_is_sent_for_clients_that_close_with_much_unread() {
+    const PIPELINED: u64 = 200;
+    const MAX_AFTER_CLOSE: Duration = Duration::from_millis(150);
+    for limits in LIMITS {
+        let (arrivals, closes) = (Times::default(), Times::default());
+        let host = start_host_with_nodes(limits, [0, 1].map(|_| start_noting_node(arrivals.clone())));
+        let until = Instant::now() + LENGTH;
+        let leave = |number: u64| {
+            let (closes, address) = (closes.clone(), host.address);
+            std::thread::spawn(move || {
+                let mut next = (number + 1) << 32;
+                while Instant::now() < until {
+                    let Some(mut stream) = try_connect(address) else { continue };
+                    let ids = next..next + PIPELINED;
+                    next += PIPELINED;
+                    let commands: Vec<u8> = ids.clone().flat_map(|id| read_command(id, 0, 1)).collect();
+                    let _ = stream.write_all(&commands);
+                    std::thread::sleep(Duration::from_millis(5));
+                    drop(stream);
+                    let now = Instant::now();
+                    closes.lock().unwrap().extend(ids.map(|id| (id, now)));
+                    std::thread::sleep(Duration::from_millis(100));
+                }
+            })
+        };
+        let clients: Vec<_> = (0..limits.clients.min(20)).map(leave).collect();
+        clients.into_iter().for_each(|client| client.join().unwrap());
+        std::thread::sleep(Duration::from_millis(500));
+        let (arrivals, closes) = (arrivals.lock().unwrap(), closes.lock().unwrap());
+        let after = |id: &u64| arrivals[id].checked_duration_since(*closes.get(id)?);
+        let late: Vec<Duration> =
+            arrivals.keys().filter_map(after).filter(|d| *d > MAX_AFTER_CLOSE).collect();
+        let peak_mb = host.program.peak_resident_kb() / 1024;
+        let (sent, reached) = (closes.len(), arrivals.len());
+        println!("leaving, {limits:?}: {sent} sent, {reached} at nodes, late {late:?}, peak {peak_mb} MB");
+        assert!(late.is_empty(), "{limits:?}: {late:?}");
+        assert!(peak_mb < limits.memory_mb, "{limits:?}: {peak_mb} MB");
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 //!
 //! Requests are admitted and scheduled by the scheduler alone; this crate decides about connections only.
 
+pub mod client_ids;
 pub mod clients;
 pub mod config;
 pub mod descriptors;
--- a/crates/platform/tests/protocol.rs
+++ b/crates/platform/tests/protocol.rs
@@ -296,3 +296,22 @@
         }
     }
 }
+
+/// Guards against ids that stay in use for good, or are released while an attempt may run.
+#[test]
+fn an_id_is_kept_after_its_client_has_left_until_its_time_is_over() {
+    let mut ids = pearfork_platform::client_ids::ClientIds::default();
+    let id = |n: u32| bytes::Bytes::from(format!("{n:016x}"));
+    assert!(ids.take(0.0, &id(1)) && !ids.take(0.0, &id(1)));
+    ids.release(&id(1));
+    assert!(ids.take(1.0, &id(1)));
+    ids.release(&id(1));
+    ids.keep(2.0, id(1), 1_000.0);
+    assert!(!ids.take(999.0, &id(1)));
+    assert!(ids.take(1_000.0, &id(1)));
+    // A client that waits for an hour does not hold its id for an hour, and the number of kept ids is bounded.
+    ids.keep(2_000.0, id(2), 3_600_000.0);
+    assert!(!ids.take(11_999.0, &id(2)) && ids.take(12_000.0, &id(2)));
+    (0..20_000).for_each(|n| ids.keep(20_000.0, id(100 + n), 25_000.0));
+    assert!(ids.take(20_001.0, &id(100)) && !ids.take(20_001.0, &id(20_099)));
+}
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -9,6 +9,7 @@
 use pearfork::{AttemptResult, ListKind};
 use pearfork_drive::{AttemptId, Driver, NodeReport, Step};
 use pearfork_net::{lock, Clock};
+use pearfork_platform::client_ids::ClientIds;
 use pearfork_platform::clients::{ClientId, ClientTable};
 use pearfork_platform::descriptors::DescriptorSplit;
 use pearfork_platform::memory::HeldBytes;
@@ -17,7 +18,7 @@
 use pearfork_platform::pool::{LinkId, Pool, PoolAction};
 use pearfork_platform::request::ClientRequest;
 use pearfork_resp::write;
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -100,8 +101,7 @@
 struct State {
     requests: HashMap<u32, OpenRequest>,
     by_client: BTreeSet<(ClientId, u32)>,
-    /// Client ids of open requests.
-    client_ids: HashSet<Bytes>,
+    client_ids: ClientIds,
     /// For each attempt in flight, the time until which its response is awaited and the time by which it must
     /// be written.
     deadlines: HashMap<AttemptId, (f64, f64)>,
@@ -325,9 +325,7 @@
         if self.is_past_final_answers(now) {
             return self.reply(&open.client, open.slot, write::bytes(|out| write::error(out, "BUSY")));
         }
-        // To a node that drops duplicates, two requests with one id are the same request, and one would get
-        // the response to the other.
-        if !self.state.client_ids.insert(open.request.id.clone()) {
+        if !self.state.client_ids.take(now, &open.request.id) {
             self.state.counters.invalid_commands += 1;
             let error = write::bytes(|out| write::error(out, "ERR id is in use"));
             return self.reply(&open.client, open.slot, error);
@@ -349,12 +347,17 @@
     }
 
     fn client_disconnected(&mut self, client: ClientId) {
+        let now = self.clock.now_ms();
         let range = (client, 0)..=(client, u32::MAX);
         let ids: Vec<u32> = self.state.by_client.range(range).map(|(_, id)| *id).collect();
         for id in ids {
             self.driver.abandon(id);
             if let Some(open) = self.state.remove_request(id) {
-                let age_ms = self.clock.now_ms() - open.arrived_at;
+                let age_ms = now - open.arrived_at;
+                if open.has_begun {
+                    let until = open.arrived_at + open.request.wait_ms;
+                    self.state.client_ids.keep(now, open.request.id.clone(), until);
+                }
                 tracing::debug!(request = id, age_ms, of_ms = open.request.wait_ms, "client disconnected");
             }
             self.state.counters.disconnected += 1;
@@ -581,7 +584,7 @@
     fn remove_request(&mut self, id: u32) -> Option<OpenRequest> {
         let open = self.requests.remove(&id)?;
         self.by_client.remove(&(open.client.id, id));
-        self.client_ids.remove(&open.request.id);
+        self.client_ids.release(&open.request.id);
         Some(open)
     }
 }
--- a/crates/serving/tests/races/disconnects.rs
+++ b/crates/serving/tests/races/disconnects.rs
@@ -7,7 +7,8 @@
 //! disconnect.
 
 use crate::common::{
-    config, fake_discovery, fake_node, is_error, value_reply, wait_until, Client, Reaction, ReceivedCommands,
+    config, fake_discovery, fake_node, is_error, start_host_with, value_reply, wait_until, Client, Reaction,
+    ReceivedCommands,
 };
 use crate::ordering::{
     is_silent, node_entry, node_list, read_command, reset, respond_to, start_host_with_gate,
@@ -274,6 +275,36 @@
 }
 
 /// Reads all data up to the end of a connection.
+/// Guards against a request that runs twice: its client leaves while it runs, and its id comes again on a new
+/// connection. One of which nothing was sent may come again.
+#[test]
+fn an_id_that_comes_again_after_its_client_has_left_does_not_run_twice() {
+    for disconnect in Disconnect::ALL {
+        let node = GatedNode::new();
+        let agent = ManualAgent::new();
+        let configuration = long_timeouts(agent.address, &[node.address()]);
+        let (host, address) = start_host_with(&configuration);
+        let mut leaving = connect_and_ping(address);
+        send_read(&mut leaving, DISCONNECTING_ID, UNLIMITED, 1);
+        let mut stream = node.accept();
+        assert!(has_id(&read_one(&mut stream, &[]), DISCONNECTING_ID));
+        let open_connection = disconnect.apply(leaving.stream);
+        let mut again = connect_and_ping(address);
+        wait_until("the disconnect is noticed", || host.client_count() == 1);
+        send_read(&mut again, DISCONNECTING_ID, UNLIMITED, 1);
+        let reply = again.reply();
+        assert!(is_error(&reply, "ERR id is in use"), "{disconnect:?}: {reply:?}");
+        // A new id is served, also on the connection that has carried the other.
+        send_read(&mut again, STAYING_ID, UNLIMITED, 1);
+        let mut other = node.accept();
+        let command = read_one(&mut other, &[]);
+        assert!(has_id(&command, STAYING_ID));
+        other.write_all(&value_reply(&command)).unwrap();
+        assert_eq!(again.served_id(), Some(STAYING_ID));
+        drop(open_connection);
+    }
+}
+
 fn read_to_end(stream: &mut TcpStream) -> Vec<u8> {
     let mut received_bytes = Vec::new();
     let mut chunk = [0; 4096];
