The iSCSI gateway bounds the bytes that it holds for initiators by transport.memory

Cause: counts bounded what a session holds (64 commands), and no bytes did; a read took its buffer of 256 KiB before a byte had come; text of logins had no bound on keys; the listener's queue held 128 connections, so that clients refused in a row made others lose a second.

Change: ByteBudget is in crates/drive for both fronts. A command reserves its bytes when it comes, until the last reference to its data is gone, else TASK SET FULL. Data segments, output and text follow the same limit, reads grow by 16 KiB, aborted commands towards nodes give their data back, the accept queue is that of the platform's host. The default is 4GiB.

--- a/crates/drive/src/lib.rs
+++ b/crates/drive/src/lib.rs
@@ -6,8 +6,10 @@
 //! answer.
 
 mod ids;
+mod memory;
 
 pub use ids::RequestIds;
+pub use memory::{ByteAccount, ByteBudget, HeldBytes};
 
 use pearfork::{
     Action, AttemptOutcome, AttemptResult, Event, ListKind, NodeEntry, Reason, Request, Scheduler, Settings,
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -8,6 +8,7 @@
 use crate::fleet::SharedLimits;
 use crate::frontend::{Frontend, InitiatorAccess};
 use crate::links::Links;
+use crate::memory::ClientMemory;
 use crate::settings::{HostSettings, HostSettingsErrors};
 use crate::status::{self, Snapshot};
 use crossbeam_channel::{bounded, Receiver, Sender};
@@ -45,8 +46,6 @@
 
 /// Capacity of the engine's message queue.
 const ENGINE_QUEUE: usize = 8192;
-/// Number of unsent bytes for a client from which on no further commands are read from it.
-const MAX_UNSENT: usize = 8 << 20;
 
 /// A running host. Dropping it stops it at once; [`Host::stop`] finishes the open commands first.
 pub struct Host {
@@ -133,11 +132,17 @@
             engine: engine.clone(),
         };
         spawn_small_stack("directory", move || watcher.run(&watch_receiver))?;
+        let memory = ClientMemory::divide(settings.memory, settings.sessions);
         let config = PortalConfig {
             access: Arc::new(InitiatorAccess { settings: settings.clone(), address }),
-            limits: Limits { max_commands: settings.commands, max_transfer_bytes: settings.max_transfer },
+            limits: Limits {
+                max_commands: settings.commands,
+                max_transfer_bytes: settings.max_transfer,
+                max_data_segment: memory.max_data_segment,
+            },
+            memory: Some(memory.commands),
             max_sessions: settings.sessions,
-            max_unsent_bytes: MAX_UNSENT,
+            max_unsent_bytes: memory.max_unsent,
             first_tsih: (boot.wrapping_mul(40_503) >> 8) as u16,
             tap: None,
         };
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,7 @@
 mod host;
 pub mod join;
 mod links;
+mod memory;
 pub mod settings;
 mod status;
 pub mod units;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -35,6 +35,9 @@
 /// Blocks that any volume's commands may transfer: a COMPARE AND WRITE of one block transfers two.
 const MIN_TRANSFER_BLOCKS: u64 = 2;
 
+/// Memory below which a host could not hold the commands of a few clients, in bytes.
+const MIN_MEMORY: u64 = 16 << 20;
+
 /// Alternative keys of a table: one that a later layer sets removes the other that an earlier layer set.
 const EXCLUSIVE: &[[&str; 3]] = &[["match", "rules", "file"]];
 
@@ -118,6 +121,8 @@
     pub sessions: usize,
     /// Maximum number of open commands of one session.
     pub commands: u32,
+    /// Bytes of memory that the process may take, as far as clients decide on it.
+    pub memory: usize,
     /// Maximum number of bytes of one command. No volume states a longer one to its clients.
     pub max_transfer: usize,
     /// How long a shutdown waits for open commands.
@@ -425,6 +430,9 @@
             let place = self.location_of(&file, violation.entry, violation.key);
             self.errors.push(HostSettingsError::Rule { entry, place, violation });
         }
+        if file.transport.memory.bytes() < MIN_MEMORY {
+            self.error("transport.memory", format!("must be {} MiB at least", MIN_MEMORY >> 20));
+        }
         let fleet = self.fleet(&file);
         let (Some(matching), true) = (matching, self.errors.is_empty()) else {
             return Err(HostSettingsErrors(self.errors));
@@ -442,6 +450,7 @@
             extension: file.transport.extension,
             sessions: file.transport.sessions,
             commands: file.transport.commands,
+            memory: file.transport.memory.bytes() as usize,
             max_transfer: file.transport.max_transfer.bytes() as usize,
             drain: file.transport.drain,
             scheduler,
--- a/crates/host/src/settings/tables.rs
+++ b/crates/host/src/settings/tables.rs
@@ -149,6 +149,7 @@
     pub(super) extension: bool,
     pub(super) sessions: usize,
     pub(super) commands: u32,
+    pub(super) memory: Size,
     pub(super) max_transfer: Size,
     pub(super) drain: Span,
 }
@@ -161,6 +162,7 @@
             extension: true,
             sessions: 4096,
             commands: 64,
+            memory: Size::from_bytes(4 << 30),
             max_transfer: Size::from_bytes(8 << 20),
             drain: Span::from_ms(5_000.0),
         }
--- a/crates/iscsi/src/initiator.rs
+++ b/crates/iscsi/src/initiator.rs
@@ -303,6 +303,8 @@
     pub fn abort(&mut self, itt: u32) {
         let Some(task) = self.tasks.get_mut(&itt) else { return };
         task.aborted = true;
+        // The target may never answer.
+        task.data_out = Payload::new();
         let lun = task.lun;
         let tag = self.allocate_tag();
         let mut pdu = Pdu::new(opcode::TASK_MANAGEMENT | 0x40, tag);
--- a/crates/iscsi/src/lib.rs
+++ b/crates/iscsi/src/lib.rs
@@ -22,6 +22,8 @@
 pub use framer::{Decoder, Encoder, FrameError};
 pub use initiator::{Command, CommandCompletion, Initiator, InitiatorConfig, InitiatorError, InitiatorEvent};
 pub use login::{AccessControl, LoginStatus, Params};
-pub use payload::Payload;
-pub use target::{Limits, Response, ScsiCommand, Target, TargetEvent, TaskId, TmfFunction};
+pub use payload::{Payload, Reservation};
+pub use target::{
+    CommandMemory, Limits, Response, ScsiCommand, Target, TargetEvent, TaskId, TmfFunction, MAX_DATA_SEGMENT,
+};
 pub use text::TextError;
--- a/crates/iscsi/src/login.rs
+++ b/crates/iscsi/src/login.rs
@@ -2,7 +2,7 @@
 
 use crate::bhs::{opcode, Pdu};
 use crate::node_extension;
-use crate::text::{self, put, TextError, MAX_TEXT};
+use crate::text::{self, put, TextError, MAX_KEYS, MAX_TEXT};
 
 /// Negotiated session parameters; before login, the defaults of the standard.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -108,7 +108,6 @@
 const FULL_FEATURE: u8 = 3;
 
 /// The largest values that the target offers, in bytes.
-const OWN_MAX_DATA: usize = 262_144;
 const MAX_BURST: usize = 1 << 20;
 const FIRST_BURST: usize = 262_144;
 /// The target portal group tag of all targets.
@@ -117,6 +116,8 @@
 /// The state of a login on the target's side.
 #[derive(Debug, Default)]
 pub(crate) struct Login {
+    /// The MaxRecvDataSegmentLength that the target declares.
+    pub(crate) max_data_segment: usize,
     pub(crate) params: Params,
     pub(crate) initiator: Option<String>,
     pub(crate) target: Option<String>,
@@ -145,6 +146,10 @@
 }
 
 impl Login {
+    pub(crate) fn new(max_data_segment: usize) -> Login {
+        Login { max_data_segment, ..Login::default() }
+    }
+
     /// Processes a login request. The session sets StatSN and the command window of the response.
     pub(crate) fn step(&mut self, pdu: &Pdu, tsih: u16, access: &dyn AccessControl) -> LoginStep {
         match self.try_step(pdu, tsih, access) {
@@ -207,6 +212,10 @@
             .map_err(|e| (LoginStatus::INITIATOR_ERROR, e.to_string()))?;
         let mut out = Vec::new();
         for (key, value) in &pairs {
+            if self.keys_seen.len() > MAX_KEYS {
+                let error = TextError::TooManyKeys(MAX_KEYS).to_string();
+                return fail(LoginStatus::INITIATOR_ERROR, &error);
+            }
             if self.keys_seen.contains(key) {
                 return fail(LoginStatus::INITIATOR_ERROR, &TextError::DuplicateKey(key.clone()).to_string());
             }
@@ -216,8 +225,8 @@
         self.check_names(access, &mut out)?;
         if current_stage == OPERATIONAL && !self.max_data_declared {
             self.max_data_declared = true;
-            put(&mut out, "MaxRecvDataSegmentLength", &OWN_MAX_DATA.to_string());
-            self.params.own_max_data = OWN_MAX_DATA;
+            put(&mut out, "MaxRecvDataSegmentLength", &self.max_data_segment.to_string());
+            self.params.own_max_data = self.max_data_segment;
         }
         response.data = out.into();
         if transit {
--- a/crates/iscsi/src/payload.rs
+++ b/crates/iscsi/src/payload.rs
@@ -1,6 +1,7 @@
 //! The data of a command as the chunks in which it was received, so that slices need no copy.
 
 use bytes::Bytes;
+use std::sync::Arc;
 
 /// A byte string made of several chunks.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -63,6 +64,12 @@
         out
     }
 
+    /// Returns the payload such that `reservation` is kept until the last reference to its bytes is dropped.
+    pub fn with_reservation(self, reservation: &Reservation) -> Payload {
+        let attach = |data| Bytes::from_owner(ReservedData { data, _reservation: reservation.clone() });
+        Payload { chunks: self.chunks.into_iter().map(attach).collect(), len: self.len }
+    }
+
     /// Returns the bytes as one contiguous chunk; copies them if there are several chunks.
     pub fn to_bytes(&self) -> Bytes {
         match self.chunks.as_slice() {
@@ -73,6 +80,34 @@
     }
 }
 
+/// Memory that is reserved until the last reference to this is dropped.
+#[derive(Clone)]
+pub struct Reservation(Arc<dyn Send + Sync>);
+
+impl Reservation {
+    /// Keeps `held` until the last copy of the reservation is dropped.
+    pub fn new(held: impl Send + Sync + 'static) -> Reservation {
+        Reservation(Arc::new(held))
+    }
+}
+
+impl std::fmt::Debug for Reservation {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Reservation").field("copies", &Arc::strong_count(&self.0)).finish()
+    }
+}
+
+struct ReservedData {
+    data: Bytes,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedData {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
 impl From<Bytes> for Payload {
     fn from(chunk: Bytes) -> Self {
         let mut out = Payload::new();
--- a/crates/iscsi/src/target.rs
+++ b/crates/iscsi/src/target.rs
@@ -6,7 +6,7 @@
 use crate::framer::{Decoder, Encoder, FrameError};
 use crate::login::{AccessControl, Login, LoginStatus, LoginStep, Params};
 use crate::node_extension::{CommandMetadata, LoadReport};
-use crate::payload::Payload;
+use crate::payload::{Payload, Reservation};
 use bytes::{Bytes, BytesMut};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -18,6 +18,17 @@
     pub max_commands: u32,
     /// Maximum number of bytes that one command may transfer in either direction.
     pub max_transfer_bytes: usize,
+    /// Maximum number of data bytes of a PDU, at least 512.
+    pub max_data_segment: usize,
+}
+
+/// [`Limits::max_data_segment`] where memory is no concern.
+pub const MAX_DATA_SEGMENT: usize = 262_144;
+
+/// Bounds the bytes that the commands of a session hold.
+pub trait CommandMemory: Send + Sync {
+    /// Reserves bytes for the data of a command; `None` if there is no room.
+    fn reserve(&self, bytes: usize) -> Option<Reservation>;
 }
 
 /// Identifies a command of a session. An initiator uses a task tag again as soon as its task is over, while what is
@@ -125,6 +136,8 @@
 #[derive(Debug)]
 struct Task {
     command: Box<ScsiCommand>,
+    /// Memory for the data of the command.
+    reservation: Option<Reservation>,
     /// Number of bytes to receive before the command can be executed.
     data_length: usize,
     /// More unsolicited data is expected.
@@ -149,6 +162,7 @@
 pub struct Target {
     access: Arc<dyn AccessControl>,
     limits: Limits,
+    memory: Option<Arc<dyn CommandMemory>>,
     tsih: u16,
     phase: Phase,
     params: Params,
@@ -167,6 +181,8 @@
     next_transfer_tag: u32,
     /// Text of the current Text request, which may span several PDUs.
     text_in: Vec<u8>,
+    /// Memory for text of a request that is not complete.
+    text_reservations: Vec<Reservation>,
     /// The part of the Text response that was not sent yet.
     text_out: Bytes,
 }
@@ -179,9 +195,29 @@
     pub(super) const NOT_SUPPORTED: u8 = 0x05;
     pub(super) const TOO_MANY_IMMEDIATE: u8 = 0x06;
     pub(super) const TASK_IN_PROGRESS: u8 = 0x07;
+    pub(super) const OUT_OF_RESOURCES: u8 = 0x0a;
     pub(super) const INVALID_FIELD: u8 = 0x09;
 }
 
+/// Reserves memory for the text of a request until the request is complete; returns whether there was room.
+fn reserve_text(memory: Option<&dyn CommandMemory>, reservations: &mut Vec<Reservation>, pdu: &Pdu) -> bool {
+    let is_continued = pdu.bhs[1] & CONTINUE_BIT != 0;
+    if !is_continued {
+        reservations.clear();
+    }
+    let Some(memory) = memory.filter(|_| is_continued) else { return true };
+    let reservation = memory.reserve(TEXT_GROWTH * pdu.data.len());
+    let has_room = reservation.is_some();
+    reservations.extend(reservation);
+    has_room
+}
+
+/// The C bit of a Login or Text request: its text goes on in the next PDU.
+const CONTINUE_BIT: u8 = 0x40;
+/// Memory that collected text takes, as a multiple of its length: its buffer doubles as it grows.
+const TEXT_GROWTH: usize = 2;
+/// The SCSI status of a command that did not enter the task set for lack of resources (SAM-5).
+const TASK_SET_FULL: u8 = 0x28;
 /// Number of immediate commands that are accepted beyond the command window.
 const MAX_EXTRA_IMMEDIATE: usize = 8;
 
@@ -190,11 +226,13 @@
     /// 0.
     pub fn new(access: Arc<dyn AccessControl>, tsih: u16, limits: Limits) -> Self {
         let params = Params::default();
+        let login = Login::new(limits.max_data_segment);
         Target {
             access,
             limits,
+            memory: None,
             tsih,
-            phase: Phase::Login(Box::default()),
+            phase: Phase::Login(Box::new(login)),
             decoder: Decoder::new(params.own_max_data),
             params,
             encoder: Encoder::default(),
@@ -207,10 +245,16 @@
             next_task_number: 0,
             next_transfer_tag: 1,
             text_in: Vec::new(),
+            text_reservations: Vec::new(),
             text_out: Bytes::new(),
         }
     }
 
+    /// Bounds the memory of the commands; one for which there is no room is answered TASK SET FULL.
+    pub fn with_memory(self, memory: Option<Arc<dyn CommandMemory>>) -> Self {
+        Target { memory, ..self }
+    }
+
     /// The decoder, to whose buffer received bytes must be appended.
     pub fn decoder(&mut self) -> &mut Decoder {
         &mut self.decoder
@@ -275,6 +319,9 @@
             if pdu.opcode() != opcode::LOGIN {
                 return self.close(format!("PDU with opcode 0x{:02x} before login", pdu.opcode()), events);
             }
+            if !reserve_text(self.memory.as_deref(), &mut self.text_reservations, &pdu) {
+                return self.refuse_login(LoginStatus::OUT_OF_RESOURCES, events);
+            }
             let is_first = self.initiator.is_empty() && login.initiator.is_none();
             if is_first {
                 self.exp_cmd_sn = pdu.u32(24);
@@ -441,8 +488,13 @@
         // data.
         let data_length =
             if total_out > self.limits.max_transfer_bytes { command.data.len() } else { total_out };
+        let transferred =
+            if writes || reads { (expected as usize).min(self.limits.max_transfer_bytes) } else { 0 };
+        let reservation = self.memory.as_ref().filter(|_| transferred > 0).map(|m| m.reserve(transferred));
+        let has_room = !matches!(reservation, Some(None));
         let mut task = Task {
             command,
+            reservation: reservation.flatten(),
             data_length,
             expects_unsolicited,
             r2t: None,
@@ -453,7 +505,14 @@
         if total_out > self.limits.max_transfer_bytes && expects_unsolicited {
             task.data_length = first_burst;
         }
+        let id = task.command.id;
+        if !has_room {
+            task.command.data = Payload::new();
+        }
         self.tasks.insert(itt, task);
+        if !has_room {
+            return self.respond(id, Response { status: TASK_SET_FULL, ..Response::default() });
+        }
         self.advance(itt, events);
     }
 
@@ -466,9 +525,12 @@
         let received = task.command.data.len();
         if received >= task.data_length {
             task.executing = true;
-            let command = task.command.clone();
+            let mut command = task.command.clone();
             // The payload moves to the event; the task keeps only the header fields.
             task.command.data = Payload::new();
+            if let Some(reservation) = task.reservation.take_if(|_| command.writes) {
+                command.data = command.data.with_reservation(&reservation);
+            }
             events.push(TargetEvent::Command(command));
             return;
         }
@@ -539,8 +601,11 @@
     }
 
     /// Sends the response to a command; does nothing if the task was aborted.
-    pub fn respond(&mut self, id: TaskId, response: Response) {
+    pub fn respond(&mut self, id: TaskId, mut response: Response) {
         let Some(task) = self.remove_task(id) else { return };
+        if let Some(reservation) = &task.reservation {
+            response.data = response.data.with_reservation(reservation);
+        }
         let c = &task.command;
         let expected = u64::from(c.expected_length);
         let announced = if c.reads || c.writes { expected } else { 0 };
--- a/crates/iscsi/src/target/services.rs
+++ b/crates/iscsi/src/target/services.rs
@@ -1,6 +1,6 @@
 //! Requests other than SCSI commands: task management, NOP-Out, Text and Logout.
 
-use super::{reject_reason, Phase, Target, TargetEvent, TmfFunction};
+use super::{reject_reason, reserve_text, Phase, Target, TargetEvent, TmfFunction};
 use crate::bhs::{opcode, Pdu, RESERVED_TAG};
 use crate::text::{self, put, MAX_TEXT};
 use bytes::Bytes;
@@ -95,6 +95,10 @@
             self.reject(reject_reason::PROTOCOL, &pdu.bhs);
             return self.close(text::TextError::TooLong(MAX_TEXT).to_string(), events);
         }
+        if !reserve_text(self.memory.as_deref(), &mut self.text_reservations, pdu) {
+            self.text_in = Vec::new();
+            return self.reject(reject_reason::OUT_OF_RESOURCES, &pdu.bhs);
+        }
         let requests_more = pdu.u32(20) != RESERVED_TAG && pdu.data.is_empty();
         if !requests_more {
             pdu.data.chunks().iter().for_each(|p| self.text_in.extend_from_slice(p));
--- a/crates/iscsi/src/text.rs
+++ b/crates/iscsi/src/text.rs
@@ -15,6 +15,9 @@
     /// A key occurs twice in one negotiation.
     #[error("key {0} given twice")]
     DuplicateKey(String),
+    /// More pairs than the maximum, which is ten times the number of keys of the standard.
+    #[error("more than {0} keys in one negotiation")]
+    TooManyKeys(usize),
     /// The text exceeds the maximum, given in bytes: 64 KiB for one negotiation, 1 MiB for the response to a
     /// Text request.
     #[error("more than {0} bytes of text")]
@@ -24,6 +27,9 @@
 /// Maximum size in bytes of the text of one negotiation, over all its PDUs.
 pub(crate) const MAX_TEXT: usize = 64 * 1024;
 
+/// Maximum number of pairs in one negotiation.
+pub(crate) const MAX_KEYS: usize = 256;
+
 /// Splits text into pairs, in order; rejects duplicate keys.
 pub(crate) fn parse(bytes: &[u8]) -> Result<Vec<(String, String)>, TextError> {
     let text = std::str::from_utf8(bytes).map_err(|_| TextError::Encoding)?;
@@ -34,6 +40,9 @@
         if key.is_empty() || key.len() > 63 {
             return Err(TextError::KeyLength(key.len()));
         }
+        if pairs.len() == MAX_KEYS {
+            return Err(TextError::TooManyKeys(MAX_KEYS));
+        }
         pairs.push((key.to_owned(), value.to_owned()));
     }
     let mut keys: Vec<&str> = pairs.iter().map(|p| p.0.as_str()).collect();
--- a/crates/net/src/portal.rs
+++ b/crates/net/src/portal.rs
@@ -1,9 +1,12 @@
 //! An iSCSI portal: a listener, and the target's end of a session for each connection.
 
 use crate::stream::{lock, peer_closed, read_once, spawn_small_stack, write_chunks, Direction, StreamTap};
+use crate::write_buffer::set_accept_backlog;
 use crossbeam_channel::{bounded, Receiver, Sender};
+use pearfork_drive::{ByteAccount, ByteBudget};
 use pearfork_iscsi::{
-    AccessControl, Limits, LoginStatus, Response, ScsiCommand, Target, TargetEvent, TaskId, TmfFunction,
+    AccessControl, CommandMemory, Limits, LoginStatus, Reservation, Response, ScsiCommand, Target,
+    TargetEvent, TaskId, TmfFunction,
 };
 use std::collections::HashMap;
 use std::io;
@@ -45,6 +48,8 @@
     pub access: Arc<dyn AccessControl>,
     /// Limits of each session.
     pub limits: Limits,
+    /// Bounds the bytes that the commands of all sessions hold; `None` for no bound.
+    pub memory: Option<Arc<ByteBudget>>,
     /// Maximum number of connections; further ones are closed as soon as they are accepted.
     pub max_sessions: usize,
     /// Nothing more is read from a client while more than this many bytes of output are queued for it.
@@ -57,6 +62,15 @@
     pub tap: Option<Arc<dyn crate::stream::Tap>>,
 }
 
+/// The part of a session in the memory of the commands.
+struct SessionMemory(Arc<ByteAccount>);
+
+impl CommandMemory for SessionMemory {
+    fn reserve(&self, bytes: usize) -> Option<Reservation> {
+        self.0.try_hold(bytes).map(Reservation::new)
+    }
+}
+
 /// The target's end of a session with a single connection.
 pub struct Session {
     id: SessionId,
@@ -169,6 +183,9 @@
     }
 }
 
+/// Length of the kernel's queue of connections that are not accepted yet.
+const ACCEPT_QUEUE_LEN: i32 = 1024;
+
 /// A listener and its sessions.
 pub struct Portal {
     address: SocketAddr,
@@ -186,6 +203,7 @@
         handler: Arc<dyn SessionHandler>,
     ) -> io::Result<Portal> {
         let address = listener.local_addr()?;
+        set_accept_backlog(&listener, ACCEPT_QUEUE_LEN)?;
         let shared = Arc::new(Shared {
             config,
             handler,
@@ -260,7 +278,9 @@
     stream.set_nodelay(true)?;
     let id = shared.next_id.fetch_add(1, Ordering::SeqCst);
     let tsih = shared.allocate_tsih(id);
-    let target = Target::new(shared.config.access.clone(), tsih, shared.config.limits);
+    let memory = shared.config.memory.as_ref().map(|budget| SessionMemory(budget.open_account()));
+    let memory = memory.map(|memory| Arc::new(memory) as Arc<dyn CommandMemory>);
+    let target = Target::new(shared.config.access.clone(), tsih, shared.config.limits).with_memory(memory);
     let (wake, wakeups) = bounded(1);
     let session = Arc::new(Session {
         id: SessionId(id),
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -120,8 +120,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(2);
 /// Smallest buffer for a read in bytes; an idle session holds no more than this.
 const MIN_READ: usize = 4 * 1024;
-/// Largest buffer for a read in bytes.
-const MAX_READ: usize = 256 * 1024;
+/// Largest buffer for a read in bytes. It is filled before anything arrives, so that a peer which announces much and
+/// sends nothing holds as much.
+const MAX_READ: usize = 16 * 1024;
 
 /// Reads once and appends to a buffer, with room for `wanted` bytes within [`MIN_READ`] and [`MAX_READ`].
 /// Returns the number of bytes read; 0 is the end of the stream.
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -12,7 +12,7 @@
 use pearfork_platform::clients::ClientTable;
 use pearfork_platform::config::Config;
 use pearfork_platform::descriptors::{max_node_connections, DescriptorSplit};
-use pearfork_platform::memory::{max_node_list_bytes, ByteBudget};
+use pearfork_platform::memory::{client_budget, max_node_list_bytes, node_budget};
 use pearfork_platform::pool::Pool;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -138,7 +138,7 @@
         let table = Arc::new(Mutex::new(ClientTable::new(split.client_connections(0))));
         let pool = Pool::new(config.links, split.node_connections())
             .with_kept_links(max_node_connections(config.limits.descriptors));
-        let node_budget = ByteBudget::for_nodes(&config.limits);
+        let node_budget = node_budget(&config.limits);
         let mut node_links = NodeLinks::new(engine.clone(), clock, flusher.clone(), node_poller, node_budget);
         node_links.hooks = hooks.clone();
         let node_links = Arc::new(node_links);
@@ -164,7 +164,7 @@
         let (mailbox, shutdown) = (Arc::new(Mailbox::new(client_poller)), Arc::new(ShutdownFlags::default()));
         let mut client_reader = ClientReader::new(
             mailbox.clone(),
-            ClientBounds { table: table.clone(), budget: ByteBudget::for_clients(&config.limits) },
+            ClientBounds { table: table.clone(), budget: client_budget(&config.limits) },
             config.schema,
             engine.clone(),
             clock,
--- a/crates/stand/src/node.rs
+++ b/crates/stand/src/node.rs
@@ -3,7 +3,9 @@
 use crate::recorder::Recorder;
 use crate::store::{RackKeyCache, ShardStore};
 use pearfork_iscsi::node_extension::{IdempotencyKey, LoadReport};
-use pearfork_iscsi::{AccessControl, Limits, LoginStatus, Payload, Response, ScsiCommand, TaskId};
+use pearfork_iscsi::{
+    AccessControl, Limits, LoginStatus, Payload, Response, ScsiCommand, TaskId, MAX_DATA_SEGMENT,
+};
 use pearfork_net::{lock, spawn_small_stack, Portal, PortalConfig, Session, SessionHandler, SessionId};
 use pearfork_rulecheck::wire::opcode;
 use pearfork_rulecheck::{Endpoint, TraceEventKind};
@@ -296,7 +298,12 @@
         });
         let config = PortalConfig {
             access: Arc::new(AllowAll),
-            limits: Limits { max_commands: self.spec.max_commands, max_transfer_bytes: MAX_TRANSFER_BYTES },
+            limits: Limits {
+                max_commands: self.spec.max_commands,
+                max_transfer_bytes: MAX_TRANSFER_BYTES,
+                max_data_segment: MAX_DATA_SEGMENT,
+            },
+            memory: None,
             max_sessions: 1024,
             max_unsent_bytes: 16 << 20,
             first_tsih: 0,
