--- a/crates/gateway/tests/shims/faults.c
+++ b/crates/gateway/tests/shims/faults.c
@@ -25,6 +25,11 @@
 #include <time.h>
 #include <unistd.h>
 
+/* arm64 has no epoll_wait; programs call epoll_pwait there. */
+#ifndef SYS_epoll_wait
+#define SYS_epoll_wait SYS_epoll_pwait
+#endif
+
 struct rule { int call, error, per_mille; };
 static struct rule rules[32];
 static int rule_count;
